--- a/src/back/pg/upstream.cpp
+++ b/src/back/pg/upstream.cpp
@@ -212,7 +212,8 @@
                   : dialing                                ? Result::ConnectFailed
                   : e.code == "25006" || e.code == "72000" ? Result::Miss
                                                            : Result::Error;
-        if (result_ == Result::Error && e.code != "XX000")
+        // A probe's "not ready" is its answer; a line for each would crowd out those of requests.
+        if (result_ == Result::Error && e.code != "XX000" && job && !job->probe())
           logEvent(LogLevel::Warning, "server_error", {{"code", e.code}, {"text", e.text}});
         failure_ = result_;
         if (!dialing && e.severity != "FATAL") return true;
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -19,6 +19,34 @@
 constexpr Time kRebase = std::chrono::hours(2);
 constexpr Time kSweep = std::chrono::seconds(1);
 
+const char* nameOf(Result r) {
+  switch (r) {
+    case Result::Ok:
+      return "ok";
+    case Result::Error:
+      return "error";
+    case Result::Full:
+      return "full";
+    case Result::Timeout:
+      return "timeout";
+    case Result::ConnectFailed:
+      return "connect_failed";
+    case Result::Reset:
+      return "reset";
+    case Result::Cancelled:
+      return "cancelled";
+    case Result::Moot:
+      return "moot";
+    case Result::Miss:
+      return "miss";
+  }
+  return "unknown";
+}
+std::string inMs(Time t) {
+  const auto tenths = t.count() / 100;
+  return std::to_string(tenths / 10) + "." + std::to_string(tenths % 10);
+}
+
 }  // namespace
 
 // Rounded down: data must not look newer than it is.
@@ -56,7 +84,7 @@
 
 RequestId Engine::request(Requester& asker, knotstack::Request q, Message message) {
   q.id = ++lastId_;
-  held_[q.id] = Held{&asker, std::make_shared<const Message>(std::move(message)), {}};
+  held_[q.id] = Held{&asker, std::make_shared<const Message>(std::move(message)), q, clock_.now()};
   events_.emplace_back(Arrived{q});
   return q.id;
 }
@@ -122,8 +150,8 @@
 
 void Engine::tell(Connected& e) {
   const auto it = held_.find(e.id);
-  const bool fit =
-      it != held_.end() && balancer_->fit(now_, e.id, it->second.sent[static_cast<std::size_t>(e.attempt)]);
+  const bool fit = it != held_.end() &&
+                   balancer_->fit(now_, e.id, it->second.sent[static_cast<std::size_t>(e.attempt)].member);
   actions_.emplace_back([this, id = e.id, attempt = e.attempt, fit] { members_->start(id, attempt, fit); });
 }
 
@@ -140,7 +168,16 @@
   o.note = millisecondsSince(zero_, e.ending.positionMs) << 2;
   if (e.ending.role == Role::Primary) o.note |= 1;
   if (e.ending.role == Role::Replica) o.note |= 2;
+  if (it != held_.end()) {
+    Tried& t = it->second.sent[static_cast<std::size_t>(e.attempt)];
+    t.ended = now_;
+    t.how = sablespur::nameOf(o.result);
+  }
   if (it != held_.end() && o.closed) {
+    const Held& h = it->second;
+    const auto& cls = config_.settings.classes[static_cast<std::size_t>(h.q.cls)];
+    if (e.ending.badStatement || now_ - h.arrived > cls.aim)
+      logEnd(h, e.ending.badStatement ? "failed" : "late");
     Requester* const asker = it->second.asker;
     if (asker && e.ending.badStatement)
       actions_.emplace_back([asker] { asker->failed(); });
@@ -196,6 +233,33 @@
   balancer_->list(now_, kind, entries);
 }
 
+const std::string& Engine::nameOf(MemberId id) const {
+  static const std::string none = "?";
+  for (const auto& [name, known] : ids_)
+    if (known == id) return name;
+  return none;
+}
+
+// A request that its client will complain of: its way from its last byte to its final answer, by the id that
+// the client and the data servers know. Of each attempt: the member, when it was decided, how and when it
+// ended.
+void Engine::logEnd(const Held& h, const char* how) const {
+  std::string attempts;
+  for (const Tried& t : h.sent) {
+    if (!attempts.empty()) attempts += ' ';
+    attempts += nameOf(t.member) + "@" + inMs(t.at - h.arrived) + ":" + t.how;
+    if (t.ended > Time(0)) attempts += "@" + inMs(t.ended - h.arrived);
+  }
+  logEvent(LogLevel::Info, "request_ended",
+           {{"id", h.message->id},
+            {"class", config_.classes[static_cast<std::size_t>(h.q.cls)]},
+            {"group", h.q.group},
+            {"how", how},
+            {"after_ms", inMs(now_ - h.arrived)},
+            {"of_ms", inMs(h.q.deadline - h.arrived)},
+            {"attempts", attempts}});
+}
+
 MemberId Engine::idOf(const std::string& name) {
   const auto [it, added] = ids_.emplace(name, lastMember_ + 1);
   lastMember_ += added;  // no id is given twice, for late events bear them
@@ -209,7 +273,7 @@
   if (it == held_.end()) return;  // no send is decided for what has been answered
   Held& h = it->second;
   const int attempt = static_cast<int>(h.sent.size());
-  h.sent.push_back(member);
+  h.sent.push_back({member, now_});
   actions_.emplace_back([this, id, attempt, member, until, message = h.message] {
     members_->send(id, attempt, member, until, message);
   });
@@ -219,12 +283,14 @@
   if (it == held_.end()) return;
   if (Requester* const asker = it->second.asker)
     actions_.emplace_back([asker, retryAfter] { asker->refused(retryAfter); });
+  logEnd(it->second, "refused");
   held_.erase(it);
 }
 void Engine::fail(RequestId id) {
   const auto it = held_.find(id);
   if (it == held_.end()) return;
   if (Requester* const asker = it->second.asker) actions_.emplace_back([asker] { asker->failed(); });
+  logEnd(it->second, "failed");
   held_.erase(it);
 }
 void Engine::cancel(RequestId id, int attempt) {
--- a/src/core/engine.hpp
+++ b/src/core/engine.hpp
@@ -24,6 +24,7 @@
 // A request as it goes on to a member; between the two parts stands what is left of its time, in ms.
 struct Message {
   Buffer before, after;
+  std::string id;  // as its client named it, for the log
 };
 
 // Whoever asked. It says so by Engine::left when it goes before it got one of these, once.
@@ -119,10 +120,17 @@
     InstanceList list;
   };
   using Incoming = std::variant<Arrived, Left, Connected, Ended, Probed, Listed>;
+  struct Tried {
+    MemberId member;
+    Time at, ended{};
+    const char* how = "out";
+  };
   struct Held {
     Requester* asker;
     std::shared_ptr<const Message> message;
-    std::vector<MemberId> sent;  // by attempt
+    knotstack::Request q;
+    Time arrived;
+    std::vector<Tried> sent{};  // by attempt
   };
   struct Timer {
     Time due;
@@ -139,6 +147,8 @@
   void tellList(knotstack::ListKind, const InstanceList&);
   void rebase();
   MemberId idOf(const std::string& name);
+  const std::string& nameOf(MemberId) const;
+  void logEnd(const Held&, const char* how) const;
 
   void send(RequestId, MemberId, Time until) override;
   void refuse(RequestId, Time retryAfter) override;
--- a/src/front/pg/clients.cpp
+++ b/src/front/pg/clients.cpp
@@ -298,7 +298,7 @@
           pg::parseKey({start, static_cast<std::size_t>(std::max<ev_ssize_t>(got, 0))});
       if (!key.empty()) q.session = std::max<std::uint64_t>(fnv1a(key), 1);
     }
-    Message message{newBuffer(), std::move(statement)};
+    Message message{newBuffer(), std::move(statement), id};
     if (comment.waitLength > 0) {
       evbuffer_remove_buffer(message.after.get(), message.before.get(), length - n + comment.waitAt);
       evbuffer_drain(message.after.get(), comment.waitLength);
--- a/tests/engine_test.cpp
+++ b/tests/engine_test.cpp
@@ -68,7 +68,7 @@
     q.cls = cls;
     q.group = 3;
     q.deadline = engine.now() + std::chrono::seconds(5);
-    const RequestId id = engine.request(asker, q, Message{newBuffer(), newBuffer()});
+    const RequestId id = engine.request(asker, q, Message{newBuffer(), newBuffer(), "c1"});
     engine.turn();
     return id;
   }
@@ -89,7 +89,7 @@
   knotstack::Request q;
   q.group = 3;
   q.deadline = engine.now() + std::chrono::seconds(5);
-  engine.request(asker, q, Message{newBuffer(), newBuffer()});
+  engine.request(asker, q, Message{newBuffer(), newBuffer(), {}});
   EXPECT_TRUE(members.sent.empty());
   EXPECT_TRUE(engine.pending());
   engine.turn();
@@ -178,7 +178,7 @@
   knotstack::Request q;
   q.group = 3;
   q.deadline = fresh.now() + std::chrono::seconds(5);
-  fresh.request(asker, q, Message{newBuffer(), newBuffer()});
+  fresh.request(asker, q, Message{newBuffer(), newBuffer(), {}});
   fresh.turn();
   EXPECT_TRUE(members.sent.empty());
   fresh.probed(1, false, {});
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -162,6 +162,24 @@
     s2 expect closed
   )");
 }
+// A request that ended badly can be followed by the id that its client knows.
+TEST(Proxy, TellsTheWayOfARequestThatEndedBadly) {
+  Scenario t;
+  t.run(R"(
+    c1 send query SELECT 1 /* id=9f,c=read,d=7000,cluster=3 */
+    s2 expect query id=9f
+    s2 send error XX000
+    s1 expect query id=9f
+    s1 send row v
+    c1 expect row v
+    c1 send query INSERT 1 /* id=a7,c=write,d=300,k=1,cluster=3 */
+    s1 expect query id=a7
+    c1 expect error 40003
+    proxy expect log event=request_ended id=a7 class=write group=3 how=failed after_ms=
+    proxy expect log attempts=s-1@
+    proxy expect log :timeout@
+  )");
+}
 TEST(Proxy, AClientThatLeavesEndsItsAttempt) {
   Scenario t;
   t.run(R"(
