--- a/src/back/pg/upstream.cpp
+++ b/src/back/pg/upstream.cpp
@@ -111,6 +111,7 @@
     role_ = Role::Unknown;
     positionMs_ = 0;
     report_.reset();
+    load_.clear();
   }
 
  private:
@@ -230,6 +231,7 @@
           const auto [stop, error] = std::from_chars(value.data(), end, positionMs_);
           if (error != std::errc() || stop != end) positionMs_ = 0;
         }
+        if (name == "load") load_ = value;
         return true;
       }
       case 'R':
@@ -271,6 +273,7 @@
     e.badStatement = badStatement_;
     e.role = role_;
     e.positionMs = positionMs_;
+    if (!load_.empty()) e.report = owner_.believed(load_);
     if (e.result == Result::Ok) e.answer = std::move(answer_);
     owner_.finish(j, std::move(e));
   }
@@ -284,7 +287,8 @@
   bool badStatement_ = false;
   Role role_ = Role::Unknown;
   std::int64_t positionMs_ = 0;
-  std::optional<std::string> report_;
+  std::optional<std::string> report_;  // that a probe asked for
+  std::string load_;                   // the report that came with an answer
 
  public:
   const MemberId member;
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -168,6 +168,7 @@
   o.note = millisecondsSince(zero_, e.ending.positionMs) << 2;
   if (e.ending.role == Role::Primary) o.note |= 1;
   if (e.ending.role == Role::Replica) o.note |= 2;
+  o.report = figuresOf(e.ending.report);
   if (it != held_.end()) {
     Tried& t = it->second.sent[static_cast<std::size_t>(e.attempt)];
     t.ended = now_;
@@ -194,13 +195,19 @@
   knotstack::Probe p;
   p.member = e.member;
   p.ok = e.ok;
-  for (std::size_t k = 0; k < e.report.size() && k < config_.settings.figures.size(); ++k)
-    p.report.push_back(config_.settings.figures[k] == knotstack::Figure::Position
-                           ? secondsSince(zero_, e.report[k])
-                           : static_cast<float>(e.report[k]));
+  p.report = figuresOf(e.report);
   balancer_->probed(now_, p);
 }
 
+std::vector<float> Engine::figuresOf(const std::vector<double>& report) const {
+  std::vector<float> figures;
+  for (std::size_t k = 0; k < report.size() && k < config_.settings.figures.size(); ++k)
+    figures.push_back(config_.settings.figures[k] == knotstack::Figure::Position
+                          ? secondsSince(zero_, report[k])
+                          : static_cast<float>(report[k]));
+  return figures;
+}
+
 void Engine::tell(Listed& e) {
   if (e.failed) return balancer_->list(now_, ListKind::Failed, {});
   const bool first = lastMember_ == 0 && generation_ == 0;
--- a/src/core/engine.hpp
+++ b/src/core/engine.hpp
@@ -64,6 +64,7 @@
   Role role = Role::Unknown;
   std::int64_t positionMs = 0;  // Unix time; 0: not told
   bool badStatement = false;    // the member turned the statement away for what it says
+  std::vector<double> report;   // that came with the answer, positions in Unix seconds; may be empty
   Buffer answer;                // Result::Ok only
 };
 
@@ -145,6 +146,7 @@
   void tell(Probed&);
   void tell(Listed&);
   void tellList(knotstack::ListKind, const InstanceList&);
+  std::vector<float> figuresOf(const std::vector<double>& report) const;
   void rebase();
   MemberId idOf(const std::string& name);
   const std::string& nameOf(MemberId) const;
--- a/tests/engine_test.cpp
+++ b/tests/engine_test.cpp
@@ -188,6 +188,31 @@
   EXPECT_EQ(members.sent[0].member, 2u);
 }
 
+// Incident event4996: what an answer tells of its member counts as much as what a probe brings.
+TEST_F(EngineTest, AReportInAnAnswerIsToldToTheModule) {
+  Engine fresh(base.get(), config);
+  FakeMembers its;
+  fresh.start(its, lists);
+  fresh.turn();
+  knotstack::Request read, write;
+  read.group = write.group = 3;
+  read.deadline = write.deadline = fresh.now() + std::chrono::seconds(5);
+  write.cls = 1;
+  fresh.request(asker, read, Message{newBuffer(), newBuffer(), {}});
+  const RequestId id = fresh.request(asker, write, Message{newBuffer(), newBuffer(), {}});
+  fresh.turn();
+  ASSERT_EQ(its.sent.size(), 1u);  // the write looks for the primary; of no member's data is anything known
+  const MemberId asked = its.sent[0].member;
+  Ending e;
+  e.result = Result::Miss;
+  e.role = Role::Replica;
+  e.report = {static_cast<double>(fresh.now().count()) / 1e6, 0.0, 1.0};
+  fresh.ended(id, 0, asked, std::move(e));
+  fresh.turn();
+  ASSERT_EQ(its.sent.size(), 3u);
+  EXPECT_TRUE(its.sent[1].member == asked || its.sent[2].member == asked);
+}
+
 // Positions as the module takes them: never newer than they were told, on a short uptime and a long one.
 TEST(Positions, AreRoundedDownAndStayPreciseUpToTheRebase) {
   const Time zero = std::chrono::seconds(1767225600);
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -142,6 +142,21 @@
     c1 expect row w
   )");
 }
+// event4996: reports came with every answer and were thrown away; each read paid for probes instead.
+TEST(Proxy, TakesTheLoadReportThatComesWithAnAnswer) {
+  Setting s;
+  s.reports = "piggyback";
+  Scenario t(s);
+  t.run("s1 report none\ns2 report none\ns1 load x0=" + std::to_string(time(nullptr)) + R"(,x1=0,inflight=1
+    c1 send query SELECT 1 /* id=1,c=read,d=7000,cluster=3 */
+    c2 send query INSERT 1 /* id=2,c=write,d=7000,k=1,cluster=3 */
+    s1 expect query id=2
+    s1 send error 25006
+    s1 expect query id=1
+    s1 send row v
+    c1 expect row v
+  )");
+}
 TEST(Proxy, AWriteThatMayHaveRunIsFailedNotRefused) {
   Scenario t;
   t.run(R"(
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -87,7 +87,8 @@
 {"deadlineUs":9000000,"effect":"keyed","group":"cell","lateWorth":0.5,"memorySpanUs":9000000,"name":"write",
 "promiseUs":8000000,"worth":6.0}],"discovery":"subscribe","goal":{"whole":0.55,"worstClass":0.3},
 "obligations":{"coldUs":18000000,"drainGraceUs":1000000,"fallMultiple":2.5,"fallUs":1500000,
-"mustAskInUs":10000000,"startCapacity":0.21},"report":{"how":"pull","names":["x0","x1","inflight"]},
+"mustAskInUs":10000000,"startCapacity":0.21},"report":{"how":")"
+    << setting.reports << R"(","names":["x0","x1","inflight"]},
 "specifics":{"checks":"silent","classBoundUs":[5000000,0],"consistency":["bounded","write"],"holdsForUs":0,
 "roleListed":"silent","sessionMarks":"carried","stamps":true,"synchronous":false,"zeroUs":5},
 "stepUs":5000,"zones":["a","b"]}})";
@@ -294,6 +295,10 @@
     s.report = what;
     return;
   }
+  if (verb == "load") {
+    s.load = what;
+    return;
+  }
   if (verb == "wait" && what == "speak") {  // it is back: what waits is greeted now
     s.silent = false;
     return;
@@ -330,8 +335,10 @@
   if (what == "drained") return until([&] { return s.all.empty(); }, "the end of all connections");
   Connection* const c = s.current;
   ASSERT_NE(c, nullptr) << at_;
-  const std::string role = parameter("role", s.primary ? "primary" : "replica") +
-                           parameter("applied_ms", std::to_string(unixMs()));
+  const bool primary = s.load.empty() ? s.primary : s.load.find("x1=1") != std::string::npos;
+  const std::string role =
+      parameter("role", primary ? "primary" : "replica") +
+      (s.load.empty() ? parameter("applied_ms", std::to_string(unixMs())) : parameter("load", s.load));
   if (what == "closed") return until([&] { return c->ended; }, "the end of the connection");
   if (verb == "close") {
     shutdown(c->fd, SHUT_RDWR);
