--- a/src/back/pg/upstream.cpp
+++ b/src/back/pg/upstream.cpp
@@ -17,6 +17,10 @@
 // Connections kept idle for each member that is ready. Guards against probes and first requests that pay for
 // a dial: the Balancer takes a probe that is not answered within some ms for silence.
 constexpr std::size_t kWarm = 2;
+// What all proxies together keep so at one member. Guards its table, which holds only so many connections,
+// costs it more the fuller it is, and turns away those that have something to ask: a large fleet dials on
+// need alone.
+constexpr std::size_t kWarmOfAll = 64;
 constexpr Time kUpkeep = std::chrono::milliseconds(250);
 constexpr Time kDialAgain = std::chrono::seconds(1);
 // Guards against the race with the data server's own idle limit: what is written to a connection that it has
@@ -302,6 +306,7 @@
       engine_(engine),
       config_(config),
       most_(config.serverConnections),
+      warm_(std::min(kWarm, kWarmOfAll / static_cast<std::size_t>(config.settings.balancers))),
       upkeep_(event_new(
           base, -1, EV_PERSIST,
           [](evutil_socket_t, short, void* self) { static_cast<Upstream*>(self)->keepWarm(); }, this)) {
@@ -322,7 +327,7 @@
   const Time now = engine_.now();
   for (auto& [id, e] : endpoints_) {
     if (!e.ready || now < e.dialAgain) continue;
-    while (e.idle.size() + static_cast<std::size_t>(e.dialing) < kWarm + e.waiting.size() &&
+    while (e.idle.size() + static_cast<std::size_t>(e.dialing) < warm_ + e.waiting.size() &&
            connections_.size() < most_ / 2)
       dial(id, e);
   }
--- a/src/back/pg/upstream.hpp
+++ b/src/back/pg/upstream.hpp
@@ -61,6 +61,7 @@
   Engine& engine_;
   const Config& config_;
   const std::size_t most_;  // connections at once
+  const std::size_t warm_;  // kept idle for each member that is ready
   std::unordered_map<MemberId, Endpoint> endpoints_;
   std::unordered_map<Connection*, std::unique_ptr<Connection>> connections_;
   std::map<AttemptKey, std::unique_ptr<Job>> attempts_;
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -250,6 +250,28 @@
     s2 expect drained
   )");
 }
+// event4996: a hundred proxies with two idle connections to each of sixty data servers filled the servers'
+// tables, and those that had something to ask were turned away.
+TEST(Proxy, OneOfManyProxiesDialsOnNeedAlone) {
+  Setting s;
+  s.balancers = 100;
+  Scenario t(s);
+  t.run(R"(
+    proxy expect quiet
+    s1 expect connections 0
+    s2 expect connections 0
+    c1 send query SELECT 1 /* id=1,c=read,d=7000,cluster=3 */
+    s2 expect query id=1
+    s2 send row v
+    c1 expect row v
+    c1 send query SELECT 1 /* id=2,c=read,d=7000,cluster=3 */
+    s2 expect query id=2
+    s2 send row w
+    c1 expect row w
+    proxy expect quiet
+    s2 expect connections 1
+  )");
+}
 TEST(Proxy, RetiresIdleConnectionsBeforeTheServerDoes) {
   Setting s;
   s.idleCloseUs = "1000000";
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -82,7 +82,8 @@
       << R"(","zone":"a","machineType":"m","cell":3,"lifecycle":"active","weight":1.0,"startedAtMs":0})";
   s << R"(]},"settings":{"allowed":{"attemptsCap":8,"cancel":true,"dialTimeoutUs":250000,"idleCloseUs":)"
     << setting.idleCloseUs
-    << R"(,"maxRetryAfterUs":1000000,"parallelTries":false,"probing":true,"retryAfter":true},"balancers":3,
+    << R"(,"maxRetryAfterUs":1000000,"parallelTries":false,"probing":true,"retryAfter":true},"balancers":)"
+    << setting.balancers << R"(,
 "classes":[{"deadlineUs":9000000,"effect":"safe","lateWorth":0.0,"name":"read","promiseUs":8000000,"worth":1.0},
 {"deadlineUs":9000000,"effect":"keyed","group":"cell","lateWorth":0.5,"memorySpanUs":9000000,"name":"write",
 "promiseUs":8000000,"worth":6.0}],"discovery":"subscribe","goal":{"whole":0.55,"worstClass":0.3},
@@ -287,6 +288,10 @@
     found->busy = true;
     return;
   }
+  if (verb == "expect" && what == "connections") {
+    EXPECT_EQ(s.accepted, std::stoi(rest)) << at_;
+    return;
+  }
   if (verb == "drop") {
     s.dropProbes = std::stoi(rest);
     return;
@@ -526,7 +531,9 @@
       if (gone) close(c.fd);
       return gone;
     });
+    const std::size_t before = s.all.size();
     accepted(s.listener, s.all);
+    s.accepted += static_cast<int>(s.all.size() - before);
   }
 }
 
--- a/tests/scenario.hpp
+++ b/tests/scenario.hpp
@@ -7,6 +7,7 @@
 //   proxy send TERM          proxy expect exit 0     proxy expect log TEXT        proxy reload moved|broken
 //   proxy expect quiet       s2 send spoilt KIND      s2 report TEXT
 //   s2 drop probes N         s2 load TEXT (comes with its answers, in place of applied_ms)
+//   s2 expect connections N (since its start)
 //   dns publish s2 [KEY=VALUE ...]   dns withdraw s2   dns mood NAME   dns move DOMAIN
 //
 // c1, c2 ... are clients; s1 (the primary), s2 ... data servers that greet and report by themselves. A
@@ -34,6 +35,7 @@
   std::string idleCloseUs = "15000000";
   int sockets = 1024, memoryMb = 192;
   std::string reports = "pull";
+  int balancers = 3;
   bool dnssd = false;   // found by service records; in our form
   bool ini = false;     // settings in our form, by `serve --config`
   int descriptors = 0;  // RLIMIT_NOFILE of the process; 0: as it is
@@ -67,6 +69,7 @@
     bool primary = false, silent = false;
     std::string report;  // in place of its own
     std::string load;    // in its answers
+    int accepted = 0;    // connections
     int dropProbes = 0;  // so many are answered by the end of their connection
     std::list<Connection> all;
     Connection* current = nullptr;
