Pass over busy replicas in a read set instead of refusing the read

The read set took the next in turn until their combined chance reached the target; where no one of them alone was likely enough, all were left out and the read was refused at once, though other fresh replicas were idle. The test fails without it (seen).

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -338,7 +338,9 @@
     wait(r, std::max(s.step, classOf(r).aim / kHold));
     return true;
   }
-  std::vector<Choice> readSet(const Open& r, bool lastResort = false) {
+  // Members on which the read would not be useful are passed over, not its end: the next in turn may be idle.
+  // `busy`: there were such.
+  std::vector<Choice> readSet(const Open& r, bool& busy, bool lastResort = false) {
     Group& g = groups[r.q.group];
     const ClassSettings& c = classOf(r);
     const Time need = needOf(r);
@@ -348,7 +350,11 @@
     Choice primary{nullptr, 1, 0};
     for (Member* m : candidates(r, lastResort)) {
       const double f = stalenessFactor(*m, g, need);
-      if (f < 0) continue;
+      if (f < 0 || (lastResort && !m->erring)) continue;
+      if (!useful(r, *m)) {
+        busy = true;
+        continue;
+      }
       Choice ch{m, 0, 0};
       ch.miss = missChance(*m, m->immediate, r.q.cls, budget, &ch.expected) * f;
       if (f < 1)
@@ -372,7 +378,7 @@
       add(ch);
       if (enough()) break;
     }
-    if (primary.member && (set.empty() || !enough())) add(primary);  // sparing the primary
+    if (primary.member && !busy && (set.empty() || !enough())) add(primary);  // sparing the primary
     std::stable_sort(set.begin(), set.end(), [](const Choice& a, const Choice& b) {
       return a.miss != b.miss ? a.miss < b.miss : a.expected < b.expected;
     });
@@ -393,24 +399,19 @@
 
   void advanceRead(Open& r) {
     if (inquire(r, candidates(r))) return;
-    std::vector<Choice> set = readSet(r);
-    if (set.empty() && !r.tried.empty()) {  // all were tried: another round
+    bool busy = false;
+    std::vector<Choice> set = readSet(r, busy);
+    if (set.empty() && !busy && !r.tried.empty()) {  // all were tried: another round
       r.tried.clear();
-      set = readSet(r);
+      set = readSet(r, busy);
     }
-    const bool none = set.empty();
-    const auto leaveOut = [&](auto&& unfit) {
-      set.erase(std::remove_if(set.begin(), set.end(), unfit), set.end());
-    };
-    leaveOut([&](const Choice& ch) { return !useful(r, *ch.member); });
     // Guards against reads that nobody takes, or only a primary that is full, while one member fails some at
     // once: to try that one again and again costs less than to wait or to be refused.
     for (int round = 0; set.empty() && round < 2; ++round) {
       if (round > 0) r.tried.clear();
-      set = readSet(r, true);
-      leaveOut([&](const Choice& ch) { return !ch.member->erring || !useful(r, *ch.member); });
+      set = readSet(r, busy, true);
     }
-    if (set.empty()) return none ? wait(r) : finish(r);
+    if (set.empty()) return busy ? finish(r) : wait(r);
     const bool together = s.parallelTries && classOf(r).effect == Effect::Safe && r.attempts.empty();
     send(r, *set[0].member);
     for (std::size_t k = 1; together && k < set.size() && copies >= 1; ++k) {
@@ -614,7 +615,8 @@
       Open& r = it->second;
       Attempt& a = r.attempts[at(o.attempt)];
       if (classOf(r).effect != Effect::Safe || a.cancelled || !s.cancel || retries < 1) continue;
-      if (static_cast<int>(r.attempts.size()) >= s.attemptsCap || readSet(r).empty()) continue;
+      bool busy = false;
+      if (static_cast<int>(r.attempts.size()) >= s.attemptsCap || readSet(r, busy).empty()) continue;
       retries -= 1;
       a.cancelled = true;
       sink.cancel(o.request, o.attempt);  // its outcome brings the next attempt
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -647,6 +647,34 @@
   tell(2, 1);
   EXPECT_EQ(t.lastTo(id), 2u);
 }
+// event4996: reads were refused at once, no attempt made, because those next in turn were busy; others were
+// idle.
+TEST(ReadSet, PassesOverBusyReplicasInsteadOfRefusing) {
+  Settings s = settings();
+  s.checks = Checks::Refuse;
+  s.figures = {Figure::Position, Figure::Primary, Figure::Inflight};
+  Bench t(s, 4);
+  const auto tell = [&](MemberId m, float primary, float held) {
+    Probe p;
+    p.member = m;
+    p.ok = true;
+    p.report = {static_cast<float>(std::chrono::duration<double>(t.now - s.zero).count()), primary, held};
+    t.b.probed(t.now, p);
+  };
+  tell(4, 1, 0);
+  for (MemberId m = 1; m <= 3; ++m) tell(m, 0, 0);
+  const RequestId warm = t.ask(kAny);
+  t.pass(100);
+  t.end(warm, Result::Ok, 2);
+  t.pass(2000);
+  t.out.all.clear();
+  const RequestId id = t.ask(kAny);
+  const std::vector<Action> asked = t.out.of("probe");
+  ASSERT_EQ(asked.size(), 2u);
+  for (const Action& a : asked) tell(a.member, 0, 60);
+  ASSERT_EQ(t.sends(id).size(), 1u) << "refused";
+  EXPECT_EQ(t.lastTo(id), 6 - asked[0].member - asked[1].member) << "the idle replica, not the primary";
+}
 // istanbul-main-later: answers were lost, members that went on answering probes were set aside in turn.
 TEST(Health, AnAnsweredProbeTellsALostAnswerFromAHang) {
   Bench t;
