Let proxies tell one another what data servers report of themselves

Of a hundred proxies each heard from a server every 4 s, so hardly a read found a replica whose position and load were known: it probed two and waited. The tests fail without it: there is nothing to hear.

--- a/include/knotstack/balancer.hpp
+++ b/include/knotstack/balancer.hpp
@@ -51,6 +51,7 @@
   bool tokensCarried = false;  // session reads bring the age of their last write; else it is remembered here
   bool synchronous = false;    // a write is answered only once a replica has it
   bool probing = false, cancel = false, parallelTries = false, retryAfter = false;
+  bool peers = false;            // routers may tell one another what they know
   bool droppedStayOpen = false;  // only 'draining' binds, not 'gone'
   int attemptsCap = 1;           // attempts for one request
   int balancers = 1;             // routers before the same members, this one included
@@ -102,6 +103,14 @@
   std::vector<float> report;
 };
 
+// What one router tells all others of a member, by that member's own report.
+struct Word {
+  MemberId member = 0;
+  Time position{};  // it has applied all commits up to here
+  bool primary = false;
+  int inflight = 0;  // requests it held
+};
+
 // Carries out what a Balancer decides. Calls come during an event, in the order in which they take effect.
 class Sink {
  public:
@@ -112,6 +121,7 @@
   virtual void cancel(RequestId, int attempt) = 0;         // its Outcome still has to be told
   virtual void timer(Time in, std::uint64_t token) = 0;    // answer with Balancer::timer, never early
   virtual void probe(MemberId) = 0;                        // answer with Balancer::probed
+  virtual void tell(const Word&) = 0;                      // to all other routers; may be late or lost
   virtual void subscribe() = 0;                            // answer with Balancer::list
   virtual void log(const std::string& line) = 0;           // for staff
 };
@@ -132,6 +142,7 @@
   void clientLeft(Time now, RequestId);    // nothing is owed any more; outcomes still come
   void probed(Time now, const Probe&);     // exactly one for each probe
   void timer(Time now, std::uint64_t token);
+  void heard(Time now, const Word&);  // from another router
 
   // Whether a send that had to wait for its connection may still go out: since it was decided the member may
   // have drained, or its data grown too old. If not, its Outcome is Moot.
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -10,6 +10,7 @@
 #include "core/member_feed.hpp"
 #include "front/pg/clients.hpp"
 #include "log/log.hpp"
+#include "peer/peers.hpp"
 
 namespace sablespur {
 
@@ -21,6 +22,7 @@
   MemberFeed feed(base.get(), engine.clock(), engine, sourcePolicy(config));
   const std::unique_ptr<ListSource> source = openSource(base.get(), engine.clock(), feed, config);
   Clients clients(base.get(), engine, config);
+  PeerSocket peers(base.get(), engine, config);
   bool running = true;
 
   struct Stop {
@@ -55,7 +57,7 @@
   const Event hangup(evsignal_new(base.get(), SIGHUP, onReload, &reload));
   event_add(hangup.get(), nullptr);
 
-  engine.start(upstream, *source);
+  engine.start(upstream, *source, &peers);
   logEvent(LogLevel::Info, "listening", {{"name", config.name}, {"port", clients.port()}});
   while (running) {
     event_base_loop(base.get(), EVLOOP_ONCE | (engine.pending() ? EVLOOP_NONBLOCK : 0));
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -1,6 +1,4 @@
-// Every decision of knotstack. Its interface (settings, events, actions) is include/knotstack/balancer.hpp;
-// its records, without decisions, are in state.hpp.
-//
+// Every decision of knotstack. Its interface is include/knotstack/balancer.hpp; its records are in state.hpp.
 // Reading order: constants; what is known of members (roles, positions, latency windows, health); the need of
 // a read; read-set selection; primary finding and writes; attempts, time-outs and retries; refusals; the
 // list, drains and cold starts; probes.
@@ -37,15 +35,16 @@
 constexpr double kCopyShare = 0.05;   // second copies earned a request
 constexpr Time kPurse = seconds(2);   // attempts and copies earned fade so, down to one: saved up by hundreds
                                       // of routers they would feed an overload
-constexpr int kAsk = 2;               // candidates asked before a send: one may be the worse of two
+constexpr std::size_t kAsk = 2;       // candidates asked before a send: one may be the worse of two
 constexpr int kHold = 8;              // a request waits for their word for 1/8 of its aim at most
 constexpr Time kDumb = milliseconds(25);  // a probe is answered beside the queue: later is silence
 constexpr double kAtOnce = 0.5;           // of a class's low latency: no work was done by then
 constexpr int kStreak = 3;                // failures in a row that set a member aside
 constexpr Time kBackoffFirst = milliseconds(500), kBackoffMost = seconds(8);
-constexpr Time kNews = seconds(1);        // a report of load says something for so long
-constexpr Time kForget = seconds(10);     // what is gone and quiet is remembered for so long
-constexpr Time kTick = milliseconds(20);  // housekeeping: waiting requests, silence, probes
+constexpr Time kNews = seconds(1);           // a report of load says something for so long
+constexpr Time kSpread = milliseconds(250);  // one router tells all of a member, then none for so long
+constexpr Time kForget = seconds(10);        // what is gone and quiet is remembered for so long
+constexpr Time kTick = milliseconds(20);     // housekeeping: waiting requests, silence, probes
 constexpr Time kTrouble = seconds(1);  // how long a miss or a time-out keeps the best member out of the sum
 constexpr Time kScout = milliseconds(250);     // pause between probes for a missing primary
 constexpr Time kAskFirst = milliseconds(200);  // after a failed call to discovery; doubles from there
@@ -184,13 +183,27 @@
     }
     if (at == never || at > now) return;
     sawPosition(m, at);
-    if (role != Role::Unknown) sawRole(m, role, at);
-  }
-
-  // Guards against attempts that are lost rather than queued: answers that never come, a blocked connection,
-  // a request much heavier than others. What was sent in the younger half of its age has been answered
-  // already, so it says nothing of the member's load. Only far beyond the usual latency: members may serve
-  // out of turn.
+    if (role == Role::Unknown) return;
+    sawRole(m, role, at);
+    // Guards against what a router of many cannot know: it hears from each member once in many seconds, all
+    // of them together many times a second. Whoever hears first tells, the others keep quiet for a while.
+    if (!s.peers || (m.spreadAt != never && now - m.spreadAt < kSpread)) return;
+    m.spreadAt = now;
+    sink.tell({m.listed.id, at, role == Role::Primary, m.told});
+  }
+  void heard(const Word& w) {
+    Member* const m = find(w.member);
+    if (!m || w.position > now) return;
+    m->spreadAt = m->wordAt = m->toldAt = now;
+    m->told = w.inflight;
+    sawPosition(*m, w.position);
+    sawRole(*m, w.primary ? Role::Primary : Role::Replica, w.position);
+    serveWaiting(groups[m->listed.group]);
+  }
+
+  // Guards against attempts that are lost rather than queued. What was sent in the younger half of its age
+  // has been answered already, so it says nothing of the member's load. Only far beyond the usual latency:
+  // members may serve out of turn.
   Time patience(int cls) const {
     const ClassSettings& c = s.classes[at(cls)];
     return usually(cls) > Time(0) ? scaled(usually(cls), kPatience) : c.aim;
@@ -284,9 +297,7 @@
   // The members that a read may go to, least recently used first (a send counts as use: by answers alone a
   // burst would all go to one), alike ones in an order of this router's own, as not all routers may start at
   // the same. A read for which any data will do leaves the fresh members to those that need them: it guards
-  // against a lag, or long reads that hold up the log, spreading over all replicas. It acts where some
-  // replica's last position was too old for a bounded read; it could crowd that one, until its window shows
-  // it.
+  // against a lag spreading over all replicas, and acts where some position was too old for a bounded read.
   std::vector<Member*> candidates(const Open& r, bool lastResort = false) {
     Group& g = groups[r.q.group];
     std::vector<Member*> some;
@@ -313,30 +324,25 @@
         m.position < need)
       return false;
     if (!hearsLoad && classOf(r).need != Need::Write) return true;
-    return m.wordAt != never && now - m.wordAt < classOf(r).aim;
+    return m.wordAt != never && now - m.wordAt < (classOf(r).need == Need::Write ? classOf(r).aim : kNews);
   }
-  // Guards against choosing blindly where a router hears of a member once in many seconds: positions that
-  // are worn out, loads and deaths that nobody has told. It asks those that are next in turn and waits
-  // briefly for their word; a busy router's own answers leave nothing to ask. What does not answer a probe
-  // is taken for dead by healthy(). It costs a probe or two a request, and the wait.
-  bool inquire(Open& r, const std::vector<Member*>& next) {
+  // Guards against choosing blindly where no router has heard of a fit member lately: positions that are worn
+  // out, loads and deaths that nobody has told. It asks those that are next in turn and waits briefly for
+  // their word. What does not answer is taken for dead by healthy(). It costs a probe or two, and the wait.
+  bool inquire(Open& r, std::vector<Member*> next) {
     if (!s.probing || s.reports == Reports::Silent || r.asked) return false;
     if (classOf(r).need == Need::Fresh) return false;  // no replica's word can be new enough
-    bool have = false, pending = false;
+    if (classOf(r).need != Need::Write)
+      next.erase(std::remove(next.begin(), next.end(), find(groups[r.q.group].primary)), next.end());
+    if (std::any_of(next.begin(), next.end(), [&](const Member* m) { return known(r, *m); })) return false;
+    next.resize(std::min(next.size(), kAsk));
     const Time pause = hearsLoad ? kTick : tightestBound() / 4;
-    int left = kAsk;
     for (Member* m : next) {
-      if (classOf(r).need != Need::Write && m->listed.id == groups[r.q.group].primary) continue;
-      const bool fine = known(r, *m);
-      have = have || fine;
-      if (left-- <= 0 || fine) continue;
       if (!m->probing && (m->probedAt == never || now - m->probedAt >= pause)) probe(*m);
-      pending = pending || m->probing;
+      r.asked = r.asked || m->probing;
     }
-    if (!pending || (have && !hearsLoad)) return false;
-    r.asked = true;
-    wait(r, std::max(s.step, classOf(r).aim / kHold));
-    return true;
+    if (r.asked) wait(r, std::max(s.step, classOf(r).aim / kHold));
+    return r.asked;
   }
   // Members on which the read would not be useful are passed over, not its end: the next in turn may be idle.
   // `busy`: there were such.
@@ -595,12 +601,11 @@
     }
   }
 
-  // Guards against members that take work and answer nothing (hung, cut off, crawling) and against answers
-  // lost on the way. A member that has answered nothing since an attempt was sent, for several usual
-  // latencies, is probed: if that stays unanswered too it is set aside, else that attempt alone is lost.
-  // Where nothing can be probed it is set aside at once. Its reads go on elsewhere. It acts on no attempt of
-  // a member that still answers others: that request is merely heavy. It wastes work where answers are late,
-  // not lost.
+  // Guards against members that take work and answer nothing, and against answers lost on the way. A member
+  // that has answered nothing since an attempt was sent, for several usual latencies, is probed: if that
+  // stays unanswered too it is set aside, else that attempt alone is lost. Where nothing can be probed it is
+  // set aside at once. Its reads go on elsewhere. A member that still answers others has a heavy request, no
+  // more.
   void noticeSilence(Member& m) {
     const bool canProbe = s.probing && s.reports != Reports::Silent;
     for (const Sent& o : std::vector<Sent>(m.out)) {
@@ -783,10 +788,10 @@
   }
 
   // Guards against pushing over a member that has just started, by all routers together. By a dice of the
-  // request it is open to as many of its group's requests as its present share of a whole group's
-  // capacity, members that are gone included: at any number of routers and with no word among them its load
-  // stays in proportion to that of warm ones. One far heavier than others leaves it alone. It harms where a
-  // member warms much faster, or where it is the only one left.
+  // request it is open to as many of its group's requests as its present share of a whole group's capacity,
+  // members that are gone included: at any number of routers its load stays in proportion to that of warm
+  // ones. One far heavier than others leaves it alone. It harms where a member warms much faster, or is the
+  // only one.
   bool withinColdBudget(const Member& m, const Open& r) const {
     const Time started = m.listed.started;
     if (started == Time(0) || now >= started + s.coldFor || s.coldFor <= Time(0)) return true;
@@ -952,6 +957,11 @@
   if ((token & 255) == kTokenAsk && token >> 8 == c.askTurn && c.asking) c.ask();
 }
 
+void Balancer::heard(Time now, const Word& w) {
+  core_->now = now;
+  core_->heard(w);
+}
+
 bool Balancer::fit(Time now, RequestId id, MemberId to) {
   Core& c = *core_;
   c.now = now;
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -44,6 +44,9 @@
 struct Config {
   std::string name;
   Address listen, discovery;
+  Address peerListen,
+      peersAll;  // datagrams between proxies: where they come in, where all are reached; or none
+  std::vector<Address> peers;  // whose datagrams are believed
   std::uint64_t seed = 0;
   // Bounds that follow from the limits on descriptors and memory.
   std::size_t clientConnections = 0, serverConnections = 0;
--- a/src/config/json_config.cpp
+++ b/src/config/json_config.cpp
@@ -94,6 +94,12 @@
   c.name = std::string(jsonField<std::string_view>(root, "name", ""));
   c.listen = parseAddress(jsonField<std::string_view>(root, "listen", ""), "listen");
   c.discovery = parseAddress(jsonField<std::string_view>(root, "discovery", ""), "discovery");
+  std::string_view peerListen, peersAll;
+  if (!root["peer_listen"].get(peerListen) && !root["peers_all"].get(peersAll)) {
+    c.peerListen = parseAddress(peerListen, "peer_listen");
+    c.peersAll = parseAddress(peersAll, "peers_all");
+    for (const std::string& peer : names(root, "", "peers")) c.peers.push_back(parseAddress(peer, "peers"));
+  }
   const auto seed = jsonField<std::string_view>(root, "seed", "");
   const auto [stop, error] = std::from_chars(seed.data(), seed.data() + seed.size(), c.seed, 16);
   if (error != std::errc() || stop != seed.data() + seed.size())
@@ -115,6 +121,7 @@
   } catch (const knotstack::wire::BadSetting& e) {
     throw BadInput(std::string("key settings: ") + e.what());
   }
+  c.settings.peers = c.settings.peers && !c.peerListen.none();
   std::size_t n = 0;
   for (const element e : jsonField<simdjson::dom::array>(settings, "classes", "settings."))
     c.classes.emplace_back(
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "core/hash.hpp"
 #include "log/log.hpp"
 
 namespace sablespur {
@@ -19,6 +20,8 @@
 constexpr Time kRebase = std::chrono::hours(2);
 constexpr Time kSweep = std::chrono::seconds(1);
 
+std::uint64_t keyOf(const std::string& name) { return fnv1a(name) >> (64 - peer::kKeyBits); }
+
 const char* nameOf(Result r) {
   switch (r) {
     case Result::Ok:
@@ -76,9 +79,10 @@
 }
 Engine::~Engine() = default;
 
-void Engine::start(Members& members, Lists& lists) {
+void Engine::start(Members& members, Lists& lists, Peers* peers) {
   members_ = &members;
   lists_ = &lists;
+  peers_ = peers;
   events_.emplace_back(Listed{false, config_.known});
 }
 
@@ -101,6 +105,7 @@
 void Engine::probed(MemberId member, bool ok, const std::vector<double>& report) {
   events_.emplace_back(Probed{member, ok, report});
 }
+void Engine::heard(const peer::Word& w) { events_.emplace_back(Heard{w}); }
 void Engine::listed(InstanceList list) { events_.emplace_back(Listed{false, std::move(list)}); }
 void Engine::listFailed(const std::string&) { events_.emplace_back(Listed{true, {}}); }
 
@@ -116,6 +121,8 @@
     balancer_->timer(now_, token);
   }
   if (now_ - swept_ >= kSweep) sweep(now_);
+  if (peers_ && !words_.empty()) peers_->tell(words_);
+  words_.clear();
   std::vector<std::function<void()>> actions;
   actions.swap(actions_);
   for (const auto& act : actions) act();
@@ -130,6 +137,7 @@
   swept_ = now_ = std::max(now_, now);
   for (const MemberId id : balancer_->forget(now_)) {
     for (auto it = ids_.begin(); it != ids_.end();) it = it->second == id ? ids_.erase(it) : std::next(it);
+    for (auto it = keys_.begin(); it != keys_.end();) it = it->second == id ? keys_.erase(it) : std::next(it);
     actions_.emplace_back([this, id] { members_->forget(id); });
   }
 }
@@ -208,6 +216,17 @@
   return figures;
 }
 
+void Engine::tell(Heard& e) {
+  const auto it = keys_.find(e.word.key);
+  if (it == keys_.end() || it->second == 0) return;  // of a member that the list here does not name
+  knotstack::Word w;
+  w.member = it->second;
+  w.position = std::chrono::milliseconds(e.word.positionMs);
+  w.primary = e.word.primary;
+  w.inflight = e.word.inflight;
+  if (e.word.positionMs > 0) balancer_->heard(now_, w);
+}
+
 void Engine::tell(Listed& e) {
   if (e.failed) return balancer_->list(now_, ListKind::Failed, {});
   const bool first = lastMember_ == 0 && generation_ == 0;
@@ -270,6 +289,7 @@
 MemberId Engine::idOf(const std::string& name) {
   const auto [it, added] = ids_.emplace(name, lastMember_ + 1);
   lastMember_ += added;  // no id is given twice, for late events bear them
+  if (added && !keys_.emplace(keyOf(name), it->second).second) keys_[keyOf(name)] = 0;
   return it->second;
 }
 
@@ -307,6 +327,14 @@
 void Engine::probe(MemberId member) {
   actions_.emplace_back([this, member] { members_->probe(member); });
 }
+void Engine::tell(const knotstack::Word& w) {
+  peer::Word word;
+  word.key = keyOf(nameOf(w.member));
+  word.positionMs = w.position.count() / 1000;
+  word.primary = w.primary;
+  word.inflight = w.inflight;
+  words_.push_back(word);
+}
 void Engine::subscribe() {
   actions_.emplace_back([this] { lists_->watch(generation_); });
 }
--- a/src/core/engine.hpp
+++ b/src/core/engine.hpp
@@ -14,6 +14,7 @@
 #include "core/clock.hpp"
 #include "core/event.hpp"
 #include "knotstack/balancer.hpp"
+#include "wire/peer/words.hpp"
 
 namespace sablespur {
 
@@ -56,6 +57,13 @@
   virtual void watch(std::uint64_t after) = 0;
 };
 
+// The way to the other proxies; what they say comes back through Engine::heard.
+class Peers {
+ public:
+  virtual ~Peers() = default;
+  virtual void tell(const std::vector<peer::Word>&) = 0;
+};
+
 enum class Role { Unknown, Primary, Replica };
 
 // How an attempt ended.
@@ -76,7 +84,7 @@
  public:
   Engine(event_base*, const Config&);
   ~Engine() override;
-  void start(Members&, Lists&);  // tells the Balancer the list that the configuration holds
+  void start(Members&, Lists&, Peers* = nullptr);  // tells the Balancer the list that the configuration holds
 
   // What has come in; it waits for the turn.
   RequestId request(Requester&, knotstack::Request, Message);  // its id is given here
@@ -84,6 +92,7 @@
   void connected(RequestId, int attempt);  // a new connection stands: may the attempt still go out?
   void ended(RequestId, int attempt, MemberId, Ending);
   void probed(MemberId, bool ok, const std::vector<double>& report);  // positions in Unix seconds
+  void heard(const peer::Word&);
   void listed(InstanceList) override;
   void listFailed(const std::string& why) override;
 
@@ -120,7 +129,10 @@
     bool failed;
     InstanceList list;
   };
-  using Incoming = std::variant<Arrived, Left, Connected, Ended, Probed, Listed>;
+  struct Heard {
+    peer::Word word;
+  };
+  using Incoming = std::variant<Arrived, Left, Connected, Ended, Probed, Listed, Heard>;
   struct Tried {
     MemberId member;
     Time at, ended{};
@@ -145,6 +157,7 @@
   void tell(Ended&);
   void tell(Probed&);
   void tell(Listed&);
+  void tell(Heard&);
   void tellList(knotstack::ListKind, const InstanceList&);
   std::vector<float> figuresOf(const std::vector<double>& report) const;
   void rebase();
@@ -158,6 +171,7 @@
   void cancel(RequestId, int attempt) override;
   void timer(Time in, std::uint64_t token) override;
   void probe(MemberId) override;
+  void tell(const knotstack::Word&) override;
   void subscribe() override;
   void log(const std::string& line) override;
 
@@ -167,10 +181,13 @@
   Time zero_;  // positions are told to the Balancer from here on
   Members* members_ = nullptr;
   Lists* lists_ = nullptr;
+  Peers* peers_ = nullptr;
+  std::vector<peer::Word> words_;  // for the peers, of this turn
   std::vector<Incoming> events_;
   std::vector<std::function<void()>> actions_;  // recorded in the order in which they take effect
   std::unordered_map<RequestId, Held> held_;
   std::unordered_map<std::string, MemberId> ids_;
+  std::unordered_map<std::uint64_t, MemberId> keys_;  // what peers call them; 0: two are called the same
   std::uint64_t generation_ = 0;
   MemberId lastMember_ = 0;
   RequestId lastId_ = 0;
--- a/src/front/pg/clients.cpp
+++ b/src/front/pg/clients.cpp
@@ -8,6 +8,7 @@
 #include <cstring>
 #include <stdexcept>
 
+#include "core/hash.hpp"
 #include "log/log.hpp"
 #include "wire/pg/pg.hpp"
 
@@ -36,12 +37,6 @@
 constexpr std::size_t kUnread = 16 << 10;     // answers that a client has not read yet: no more is taken then
 constexpr std::uint32_t kLongestWaitMs = 3600 * 1000;
 
-std::uint64_t fnv1a(std::string_view text) {
-  std::uint64_t h = 0xcbf29ce484222325ull;
-  for (const unsigned char c : text) h = (h ^ c) * 0x100000001b3ull;
-  return h;
-}
-
 }  // namespace
 
 // One client connection. Queries are taken one at a time; what is pipelined behind waits in the input, which
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -49,6 +49,7 @@
   Time wordAt = never;  // last answer of any kind, probes included
   int told = 0;         // requests held there, by the newest report
   Time toldAt = never;
+  Time spreadAt = never;   // when routers last heard of it, from here or from another one
   std::uint64_t salt = 0;  // this router's own order of members that are alike
 };
 
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -2,6 +2,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <cmath>
 #include <cstdio>
@@ -14,11 +15,12 @@
 namespace knotstack::wire {
 namespace {
 
-constexpr std::uint8_t kReportBack = 1, kEstablished = 2, kProvision = 3, kDefineList = 5, kHealth = 6,
-                       kOrder = 7, kGone = 8, kBell = 9, kFleet = 10, kStop = 11;
+constexpr std::uint8_t kReportBack = 1, kEstablished = 2, kProvision = 3, kFromPeer = 4, kDefineList = 5,
+                       kHealth = 6, kOrder = 7, kGone = 8, kBell = 9, kFleet = 10, kStop = 11;
 constexpr std::uint8_t kDispatch = 65, kRefuse = 66, kError = 67, kRecall = 68, kSleep = 69, kAskLoad = 70,
-                       kLine = 73, kDie = 74, kKeepInformed = 75;
+                       kSay = 72, kLine = 73, kDie = 74, kKeepInformed = 75;
 constexpr std::size_t kEntryBytes = 29, kLongestText = 60000;
+constexpr std::uint16_t kEveryPeer = 0xffff, kWordBytes = 12;  // a peer's word: node, u32, u8, u8
 constexpr std::uint32_t kLongestFrame = 1u << 30;
 
 class Reader {
@@ -244,6 +246,7 @@
   s.tokensCarried = f.choice<bool>("specifics.sessionMarks", {{"carried", true}, {"remembered", false}});
   s.synchronous = f.flag("specifics.synchronous");
   s.probing = f.flag("allowed.probing");
+  s.peers = f.has("allowed.peers") && f.flag("allowed.peers");
   s.cancel = f.flag("allowed.cancel");
   s.parallelTries = f.flag("allowed.parallelTries");
   s.retryAfter = f.flag("allowed.retryAfter");
@@ -269,6 +272,7 @@
   std::uint16_t number = 0;
   Writer* out = nullptr;
   std::unique_ptr<Balancer> balancer;
+  Time zero{};  // positions are told to peers from here on
   bool dead = false;
 
   void send(RequestId id, MemberId m, Time until) override {
@@ -300,6 +304,15 @@
     out->record(kAskLoad, number);
     out->node(m);
   }
+  void tell(const Word& w) override {
+    out->record(kSay, number);
+    out->put(kEveryPeer);
+    out->put(kWordBytes);
+    out->node(w.member);
+    out->put(static_cast<std::uint32_t>((w.position - zero) / std::chrono::milliseconds(1)));
+    out->put(static_cast<std::uint8_t>(w.primary));
+    out->put(static_cast<std::uint8_t>(std::clamp(w.inflight, 0, 255)));
+  }
   void subscribe() override {
     out->record(kKeepInformed, number);
     out->put(std::uint8_t{1});
@@ -357,7 +370,9 @@
       fresh->number = number;
       fresh->out = &out;
       try {
-        fresh->balancer = std::make_unique<Balancer>(parseSettings(std::string(text, n)), seed, *fresh);
+        const Settings settings = parseSettings(std::string(text, n));
+        fresh->zero = settings.zero;
+        fresh->balancer = std::make_unique<Balancer>(settings, seed, *fresh);
       } catch (const std::exception& e) {
         fresh->die(e.what());
       }
@@ -439,8 +454,20 @@
         tell([&](Balancer& b) { b.probed(now, p); });
         break;
       }
+      case kFromPeer: {
+        r.get<std::uint32_t>("sender");
+        if (r.get<std::uint16_t>("message length") != kWordBytes) break;  // a later version's
+        Word w;
+        w.member = r.node();
+        const std::chrono::milliseconds position(r.get<std::uint32_t>("position"));
+        w.primary = r.get<std::uint8_t>("role") != 0;
+        w.inflight = r.get<std::uint8_t>("inflight");
+        if (inst) w.position = inst->zero + position;
+        tell([&](Balancer& b) { b.heard(now, w); });
+        break;
+      }
       default:
-        break;  // streams and peers' messages: nothing here asks for them
+        break;  // streams: nothing here asks for them
     }
   }
   return out.finish();
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -678,6 +678,43 @@
   ASSERT_EQ(t.sends(id).size(), 1u) << "refused";
   EXPECT_EQ(t.lastTo(id), 6 - asked[0].member - asked[1].member) << "the idle replica, not the primary";
 }
+// event4996: one of a hundred routers heard from a member every few seconds, so each read paid for probes.
+TEST(Peers, WhatOneRouterHeardSparesTheOthersTheirProbes) {
+  Settings s = settings();
+  s.peers = true;
+  Bench here(s), there(s);
+  here.report(1, 0, true);
+  here.report(2, 40);
+  here.report(2, 30);
+  ASSERT_EQ(here.out.words.size(), 2u) << "a word a member, then none for a while";
+  for (const Word& w : here.out.words) there.b.heard(there.now, w);
+  there.pass(20);
+  there.report(2, 0);
+  EXPECT_TRUE(there.out.words.empty()) << "all routers have just heard of it";
+  const RequestId read = there.ask(kBounded), write = there.ask(kWrite);
+  EXPECT_TRUE(there.out.of("probe").empty());
+  EXPECT_EQ(there.lastTo(read), 2u);
+  EXPECT_EQ(there.lastTo(write), 1u);
+  there.pass(400);
+  there.report(3, 0);
+  there.report(2, 0);
+  EXPECT_EQ(there.out.words.size(), 2u);
+}
+TEST(Peers, AWordOfTheFutureOrOfNoMemberIsNone) {
+  Settings s = settings();
+  s.peers = true;
+  Bench t(s, 1);
+  t.b.heard(t.now, {1, t.now + milliseconds(1), false, 0});
+  t.b.heard(t.now, {9, t.now, true, 0});
+  EXPECT_TRUE(t.sends(t.ask(kBounded)).empty());
+  t.b.heard(t.now, {1, t.now, false, 0});
+  EXPECT_EQ(t.out.of("send").size(), 1u);
+}
+TEST(Peers, NothingIsToldWhereItIsNotAllowed) {
+  Bench t;
+  t.report(2, 0);
+  EXPECT_TRUE(t.out.words.empty());
+}
 // istanbul-main-later: answers were lost, members that went on answering probes were set aside in turn.
 TEST(Health, AnAnsweredProbeTellsALostAnswerFromAHang) {
   Bench t;
--- a/tests/engine_test.cpp
+++ b/tests/engine_test.cpp
@@ -2,9 +2,12 @@
 #include "core/engine.hpp"
 
 #include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <map>
 
+#include "peer/peers.hpp"
 #include "scenario.hpp"
 
 namespace sablespur {
@@ -213,6 +216,64 @@
   EXPECT_TRUE(its.sent[1].member == asked || its.sent[2].member == asked);
 }
 
+// Datagrams go to all and are believed of the proxies of the tier alone.
+TEST_F(EngineTest, PeersTellOneAnotherAndNobodyElseIsBelieved) {
+  const auto open = [](Address& at) {
+    const int fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+    const Address any = *Address::parse("127.0.0.1:0");
+    EXPECT_EQ(bind(fd, any.data(), any.size()), 0);
+    sockaddr_storage a{};
+    socklen_t n = sizeof a;
+    getsockname(fd, reinterpret_cast<sockaddr*>(&a), &n);
+    at = Address::fromSocket(reinterpret_cast<const sockaddr*>(&a));
+    return fd;
+  };
+  Address peerAt, strangerAt;
+  const int peerFd = open(peerAt), strangerFd = open(strangerAt);
+  config.settings.peers = true;
+  config.peerListen = *Address::parse("127.0.0.1:0");
+  config.peersAll = peerAt;
+  config.peers = {peerAt};
+  Engine one(base.get(), config);
+  PeerSocket sockets(base.get(), one, config);
+  FakeMembers its;
+  one.start(its, lists, &sockets);
+  one.turn();
+  one.probed(2, true, {static_cast<double>(one.now().count()) / 1e6, 0.0, 3.0});
+  one.turn();
+  char bytes[512];
+  sockaddr_storage from{};
+  socklen_t length = sizeof from;
+  const ssize_t n = recvfrom(peerFd, bytes, sizeof bytes, 0, reinterpret_cast<sockaddr*>(&from), &length);
+  ASSERT_EQ(n, 13);
+  // The same word of member 1 as the primary, from a stranger and then from the peer.
+  usleep(2000);  // a newer position than the one that member 2 reported
+  const auto nowMs = one.now().count() / 1000;
+  peer::Word word = peer::parse({bytes, 13}, nowMs).at(0);
+  EXPECT_EQ(word.inflight, 3);
+  EXPECT_FALSE(word.primary);
+  word.primary = true;
+  word.positionMs = nowMs;
+  const std::string said = peer::encode({word})[0];
+  knotstack::Request write;
+  write.cls = 1;
+  write.group = 3;
+  write.deadline = one.now() + std::chrono::seconds(5);
+  for (const int fd : {strangerFd, peerFd}) {
+    sendto(fd, said.data(), said.size(), 0, reinterpret_cast<const sockaddr*>(&from), length);
+    sendto(fd, "nonsense", 8, 0, reinterpret_cast<const sockaddr*>(&from), length);
+    event_base_loop(base.get(), EVLOOP_ONCE);
+    EXPECT_EQ(one.pending(), fd == peerFd);
+  }
+  one.turn();
+  one.request(asker, write, Message{newBuffer(), newBuffer(), {}});
+  one.turn();
+  ASSERT_EQ(its.sent.size(), 1u);
+  EXPECT_EQ(its.sent[0].member, 2u);
+  close(peerFd);
+  close(strangerFd);
+}
+
 // Positions as the module takes them: never newer than they were told, on a short uptime and a long one.
 TEST(Positions, AreRoundedDownAndStayPreciseUpToTheRebase) {
   const Time zero = std::chrono::seconds(1767225600);
--- a/tests/harness.hpp
+++ b/tests/harness.hpp
@@ -35,6 +35,8 @@
     all.push_back({"timer", 0, 0, in, 0, token, clock ? *clock + in : in});
   }
   void probe(MemberId m) override { all.push_back({"probe", 0, m, Time(0), 0, 0}); }
+  std::vector<Word> words;
+  void tell(const Word& w) override { words.push_back(w); }
   void subscribe() override { all.push_back({"subscribe", 0, 0, Time(0), 0, 0}); }
   void log(const std::string&) override { all.push_back({"log", 0, 0, Time(0), 0, 0}); }
 
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -6,6 +6,7 @@
 #include "log/log.hpp"
 #include "membership/list.hpp"
 #include "wire/http/http.hpp"
+#include "wire/peer/words.hpp"
 #include "wire/pg/pg.hpp"
 
 namespace sablespur {
@@ -77,6 +78,35 @@
   EXPECT_FALSE(pg::isRowHead({0, 1, 0, 0, 0, 5}, 6 + 4));
 }
 
+TEST(Words, ComeBackAsTheyWentAndFitTheirDatagrams) {
+  const std::int64_t now = 1796140835411;
+  std::vector<peer::Word> words;
+  for (int k = 0; k < 45; ++k)
+    words.push_back({0xabcdef012345u + static_cast<unsigned>(k), now - 100 * k, k % 2 == 0, 10 * k});
+  const std::vector<std::string> all = peer::encode(words);
+  ASSERT_EQ(all.size(), 3u);
+  std::size_t at = 0;
+  for (const std::string& bytes : all) {
+    EXPECT_LE(bytes.size(), peer::kLongest);
+    for (const peer::Word& w : peer::parse(bytes, now + 30)) {
+      EXPECT_EQ(w.key, words[at].key);
+      EXPECT_EQ(w.positionMs, words[at].positionMs);
+      EXPECT_EQ(w.primary, words[at].primary);
+      EXPECT_EQ(w.inflight, std::min(words[at].inflight, 255));
+      ++at;
+    }
+    for (std::size_t cut = 0; cut < bytes.size(); cut += (cut + 1) % 12 == 1 ? 2 : 1)  // not between words
+      EXPECT_TRUE(peer::parse(bytes.substr(0, cut), now).empty()) << cut;
+  }
+  EXPECT_EQ(at, words.size());
+  std::string odd = all[0];
+  odd[0] = 2;
+  EXPECT_TRUE(peer::parse(odd, now).empty()) << "a later version's";
+  // Across the wrap of the low 32 bits the nearest instant is meant.
+  const std::int64_t wrap = (now >> 32 << 32) + (std::int64_t{1} << 32);
+  EXPECT_EQ(peer::parse(peer::encode({{1, wrap - 5, false, 0}})[0], wrap + 20)[0].positionMs, wrap - 5);
+}
+
 TEST(Http, ChunksMayBeSplitAnywhere) {
   const std::string text =
       "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\ntransfer-ENCODING:  chunked\r\nX: y\r\n\r\n"
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -113,6 +113,24 @@
   codes(h.handle(next.data(), next.size(), 4));
 }
 
+TEST(Wire, WordsBetweenProxiesGoOutAndComeBackInOneLayout) {
+  const std::string facts = std::string(kFacts) + "allowed.peers=true\n";
+  Host h;
+  Bytes b = started(facts);
+  // 7 s after zero, a replica by its own report
+  record(b, 6, hex("0300 0a124a07 431f 78050000 0000 02 0000e040 00000000"));
+  const Bytes reply = h.handle(b.data(), b.size(), 4);
+  const Bytes say = hex("48 12000000 0300 ffff 0c00 0a124a07 431f 571b0000 00 00");
+  EXPECT_NE(std::search(reply.begin(), reply.end(), say.begin(), say.end()), reply.end());
+  Host other;
+  Bytes heard = started(facts);
+  record(heard, 4, hex("0300 02000000 0c00 0a124a07 431f 571b0000 01 00"));
+  record(heard, 4, hex("0300 02000000 0300 0a124a"));
+  record(heard, 7,
+         hex("0300 c4913a5d 05 00000000 640ad2557c3bf091 00000000 da05940000000000 00003041 0100 e02e0000"));
+  const auto all = codes(other.handle(heard.data(), heard.size(), 4));
+  EXPECT_TRUE(has(all, 65)) << "the write goes to the primary that a peer named";
+}
 TEST(Wire, EveryRecordCutAtEveryByteIsMalformed) {
   const std::vector<std::pair<int, Bytes>> records{
       {3, provision(kFacts)},
@@ -121,6 +139,7 @@
       {7, hex("0300 c4913a5d 01 00000000 640ad2557c3bf091 0040ce43 da05940000000000 00003041 0000 e02e0000")},
       {1, hex("0300 c4913a5d 00 0a124a07 431f 0000 44480000 01 8e630000 01 00000000")},
       {6, hex("0300 0a124a07 431f 78050000 0000 02 2b87c640 00000000")},
+      {4, hex("0300 02000000 0c00 0a124a07 431f 571b0000 01 00")},
       {8, hex("0300 192b6f0e")},
       {9, hex("0300 4d00000000000000")},
       {11, hex("0300")}};
