--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -41,10 +41,11 @@
 constexpr double kAtOnce = 0.5;           // of a class's low latency: no work was done by then
 constexpr int kStreak = 3;                // failures in a row that set a member aside
 constexpr Time kBackoffFirst = milliseconds(500), kBackoffMost = seconds(8);
-constexpr Time kNews = seconds(1);           // a report of load says something for so long
-constexpr Time kSpread = milliseconds(250);  // one router tells all of a member, then none for so long
-constexpr Time kForget = seconds(10);        // what is gone and quiet is remembered for so long
-constexpr Time kTick = milliseconds(20);     // housekeeping: waiting requests, silence, probes
+constexpr Time kFullPause = milliseconds(250);  // what turns requests away is left alone for so long
+constexpr Time kNews = seconds(1);              // a report of load says something for so long
+constexpr Time kSpread = milliseconds(250);     // one router tells all of a member, then none for so long
+constexpr Time kForget = seconds(10);           // what is gone and quiet is remembered for so long
+constexpr Time kTick = milliseconds(20);        // housekeeping: waiting requests, silence, probes
 constexpr Time kTrouble = seconds(1);  // how long a miss or a time-out keeps the best member out of the sum
 constexpr Time kScout = milliseconds(250);     // pause between probes for a missing primary
 constexpr Time kAskFirst = milliseconds(200);  // after a failed call to discovery; doubles from there
@@ -530,12 +531,13 @@
         if (o.result == Result::Ok && now - r.arrived <= classOf(r).aim) inTime[at(r.q.cls)] += 1;
         close(r);
       } else {
-        // A miss, an error that came at once, or an attempt that never went out cost the member nothing; what
-        // was really tried again must be earned.
+        // A miss, a turning away, an error that came at once, or an attempt that never went out cost the
+        // member nothing; what was really tried again must be earned.
         const bool ended =
             o.result == Result::Error || o.result == Result::Reset || o.result == Result::ConnectFailed;
         const bool quick = ended && static_cast<double>((now - a.at).count()) < base[at(r.q.cls)] * kAtOnce;
-        const bool free = o.result == Result::Miss || o.result == Result::Moot || a.cancelled || quick;
+        const bool unseen = !mayHaveRun(o.result) && o.result != Result::ConnectFailed;
+        const bool free = unseen || a.cancelled || quick;
         if (r.outstanding == 0 && !free && now < r.q.deadline) {
           if (retries >= 1)
             retries -= 1;
@@ -577,18 +579,21 @@
       m.asideUntil = never;
       m.backoff = Time(0);
       m.erring = false;
+    } else if (o.result == Result::Full) {
+      // Full, draining or about to stop: that says nothing of latencies. Guards against taking it for
+      // slowness at any load, which would refuse the reads of all members; this one rests for a moment.
+      m.asideUntil = std::max(m.asideUntil, now + kFullPause);
     } else if (o.result != Result::Moot && o.result != Result::Cancelled &&
                !(write && o.result == Result::Miss)) {
-      // A fast failure must not look fast. A full queue or a time-out is a wait past the deadline, at that
-      // load.
-      const bool byLoad = o.result == Result::Full || (o.result == Result::Timeout && !overtaken(m, was));
+      // A fast failure must not look fast. A time-out is a wait past the deadline, at that load.
+      const bool byLoad = o.result == Result::Timeout && !overtaken(m, was);
       addSample(m, was, byLoad ? static_cast<double>(c.deadline.count()) : kLate);
       if (o.result == Result::Miss || o.result == Result::Timeout) g.troubleAt = now;
       // A failed connection, with nothing heard since, is a process that is gone. A reset alone is not: where
       // connections break at random, every member would be set aside in turn.
       const bool down = o.result == Result::ConnectFailed && m.lastAnswer < was.at;
       const bool broken = o.result == Result::ConnectFailed || o.result == Result::Reset;
-      if (o.result != Result::Miss && o.result != Result::Full && (++m.failures >= kStreak || down)) {
+      if (o.result != Result::Miss && (++m.failures >= kStreak || down)) {
         // Guards against setting members aside in turn where connections break at random: a broken one says
         // less than a probe, which decides.
         if (broken && s.probing && s.reports != Reports::Silent) {
