Spread the calls to discovery over a time that grows with the fleet

When their watches end, all proxies asked again after the same pauses: of 100 calls at once discovery served a dozen, the others waited and got a 503, and in between it had nothing to do. The test fails without it: all ask at once.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -33,8 +33,7 @@
 constexpr double kPatience = 4;       // silence for so many usual latencies is a symptom
 constexpr double kRetryShare = 0.05;  // further attempts earned a request, so overload cannot feed itself
 constexpr double kCopyShare = 0.05;   // second copies earned a request
-constexpr Time kPurse = seconds(2);   // attempts and copies earned fade so, down to one: saved up by hundreds
-                                      // of routers they would feed an overload
+constexpr Time kPurse = seconds(2);   // attempts and copies earned fade so, lest they feed an overload
 constexpr std::size_t kAsk = 2;       // candidates asked before a send: one may be the worse of two
 constexpr int kHold = 8;              // a request waits for their word for 1/8 of its aim at most
 constexpr Time kDumb = milliseconds(25);  // a probe is answered beside the queue: later is silence
@@ -49,6 +48,7 @@
 constexpr Time kTrouble = seconds(1);  // how long a miss or a time-out keeps the best member out of the sum
 constexpr Time kScout = milliseconds(250);     // pause between probes for a missing primary
 constexpr Time kAskFirst = milliseconds(200);  // after a failed call to discovery; doubles from there
+constexpr Time kAskEach = milliseconds(20);    // longer so for each router
 constexpr double kLate = std::numeric_limits<double>::infinity();
 constexpr std::size_t kSessions = 200000;  // remembered writes; older ones are folded into one commit a group
 
@@ -102,6 +102,7 @@
       throw std::invalid_argument("startCapacity is not in (0, 1]");
   }
 
+  Core& from(Time present) { return now = present, *this; }
   // A number that is the same for the same things at this router, and another at each other one.
   std::uint64_t dice(std::uint64_t a, std::uint64_t b = 0) const {
     std::uint64_t x = seed + 0x9e3779b97f4a7c15ull * (a + 1) + 0xc2b2ae3d27d4eb4full * b;
@@ -147,10 +148,9 @@
       Member* const other = g.primary == m.listed.id ? nullptr : find(g.primary);
       if (other && other->roleAt > at) return;
       if (other) other->role = Role::Unknown;
-      g.primary = m.listed.id;
-      g.scouted = false;
-    } else if (g.primary == m.listed.id) {
-      g.primary = 0;
+    }
+    if (role == Role::Primary || g.primary == m.listed.id) {
+      g.primary = role == Role::Primary ? m.listed.id : 0;
       g.scouted = false;
     }
     m.role = role;
@@ -267,8 +267,8 @@
   // ---- read-set selection --------------------------------------------------------------------------------
   // The share of a window that would miss `budget` now. Samples are brought to this class and to the member's
   // present load; `byLoad` leaves out failures that come at any load. What all members together showed lately
-  // counts as one sample more: it stands in where the window is thin. Requests out for longer than the budget
-  // count as misses already: a hung member keeps old good samples, its silence is the evidence.
+  // stands in where the window is thin. Requests out for longer than the budget count as misses already: a
+  // hung member keeps old good samples, its silence is the evidence.
   double missChance(const Member& m, const std::vector<Sample>& window, int cls, Time budget,
                     double* expected = nullptr, bool byLoad = false) const {
     const double load = std::max(kWidth, loadOf(m) + 1.0), limit = static_cast<double>(budget.count());
@@ -412,8 +412,7 @@
       r.tried.clear();
       set = readSet(r, busy);
     }
-    // Guards against reads that nobody takes, or only a primary that is full, while one member fails some at
-    // once: to try that one again and again costs less than to wait or to be refused.
+    // A member that fails some at once is still better than to wait or to be refused.
     for (int round = 0; set.empty() && round < 2; ++round) {
       if (round > 0) r.tried.clear();
       set = readSet(r, busy, true);
@@ -441,8 +440,7 @@
       if (inquire(r, {m})) return;
       return useful(r, *m) ? send(r, *m) : finish(r);
     }
-    // No primary known: one write tries the members by id, the others wait for an answer as primary. Where
-    // probes can tell, one round is enough; else the next round follows after a pause.
+    // No primary known: one write tries the members by id, once where probes can tell; the others wait.
     if (!g.scouted && (g.scout == 0 || g.scout == r.q.id)) {
       for (const MemberId id : g.members) {
         Member& x = members.at(id);
@@ -589,13 +587,11 @@
       const bool byLoad = o.result == Result::Timeout && !overtaken(m, was);
       addSample(m, was, byLoad ? static_cast<double>(c.deadline.count()) : kLate);
       if (o.result == Result::Miss || o.result == Result::Timeout) g.troubleAt = now;
-      // A failed connection, with nothing heard since, is a process that is gone. A reset alone is not: where
-      // connections break at random, every member would be set aside in turn.
+      // A failed connection, with nothing heard since, is a process that is gone; a reset alone is not.
       const bool down = o.result == Result::ConnectFailed && m.lastAnswer < was.at;
       const bool broken = o.result == Result::ConnectFailed || o.result == Result::Reset;
       if (o.result != Result::Miss && (++m.failures >= kStreak || down)) {
-        // Guards against setting members aside in turn where connections break at random: a broken one says
-        // less than a probe, which decides.
+        // Where connections break at random a broken one says less than a probe, which decides.
         if (broken && s.probing && s.reports != Reports::Silent) {
           if (!m.probing && (m.erring || now >= m.asideUntil)) probe(m);
           return;
@@ -638,8 +634,7 @@
   Time giveUpAt(const Open& r) const {
     const ClassSettings& c = classOf(r);
     Time end = c.lateWorth > 0 ? r.q.deadline : std::min(r.q.deadline, r.arrived + c.aim);
-    // Guards against holding back what finds no member: where none has had it by nearly half of its time, the
-    // client is told to come back while that is still of use to it.
+    // What finds no member by nearly half of its time is told to come back while that is still of use to it.
     if (!r.reached && r.outstanding == 0)
       end = std::min(end, r.arrived + scaled(r.q.deadline - r.arrived, kUnheard) + usually(r.q.cls));
     return std::max(end - usually(r.q.cls), r.attempts.empty() ? r.arrived + Time(1) : Time(0));
@@ -659,10 +654,10 @@
       gain += s.goalWorstClass / offered[k];
     return gain / std::max(base[k], 1.0);
   }
-  // Guards against queues that make everything late: overload, retries that feed themselves, members that
-  // slow down. A request goes out only where it is likely enough to earn its worth, and only where those
-  // classes that yield more for the same work would still be on time. It acts on members that hold something
-  // of ours already: an idle one may always take a request, so that the way back stays open.
+  // Guards against queues that make everything late. A request goes out only where it is likely enough to
+  // earn its worth and those classes that yield more for the same work would still be on time. It acts on
+  // members that hold something already: an idle one may always take a request, so that the way back stays
+  // open.
   bool useful(const Open& r, const Member& m) {
     if (loadOf(m) == 0) return true;
     const auto onTime = [&](int cls, Time in) {
@@ -707,11 +702,11 @@
   void list(ListKind kind, const std::vector<ListedMember>& entries) {
     asking = kind == ListKind::Failed && s.discovery == Discovery::Subscribe;
     if (asking) {
-      sink.timer(askBackoff, kTokenAsk | ++askTurn << 8);
+      askLater(askBackoff);
       askBackoff = std::min(2 * askBackoff, std::max(s.mustAskIn / 4, kAskFirst));
     }
     if (kind == ListKind::Failed) return;
-    askBackoff = kAskFirst;
+    askBackoff = askSpread();
     if (kind != ListKind::Delta) {
       for (auto& [id, m] : members) {
         const MemberId key = id;
@@ -786,6 +781,14 @@
     }
     return gone;
   }
+  // Guards against all routers asking at the same instants, of which discovery serves a few and then has
+  // nothing to do: each asks at a time of its own, spread over more the more they are.
+  Time askSpread() const { return std::max(kAskFirst, s.balancers * kAskEach); }
+  void askLater(Time most) {
+    asking = true;
+    const Time in = scaled(most, 0.5 + chance(++askTurn) / 2);
+    sink.timer(in, kTokenAsk | askTurn << 8);
+  }
   void ask() {
     asking = true;
     sink.subscribe();
@@ -861,17 +864,16 @@
 Balancer::Balancer(Balancer&&) noexcept = default;
 
 void Balancer::list(Time now, ListKind kind, const std::vector<ListedMember>& entries) {
-  Core& c = *core_;
-  c.now = now;
+  Core& c = core_->from(now);
   c.list(kind, entries);
   if (c.begun) return;
   c.begun = true;
-  if (c.s.discovery == Discovery::Subscribe) c.ask();
+  if (c.s.discovery != Discovery::Subscribe) return;
+  c.askSpread() > kAskFirst ? c.askLater(c.askSpread() / 2) : c.ask();
 }
 
 void Balancer::request(Time now, const Request& q) {
-  Core& c = *core_;
-  c.now = now;
+  Core& c = core_->from(now);
   if (c.open.count(q.id)) return;
   if (q.cls < 0 || at(q.cls) >= c.s.classes.size()) return c.sink.refuse(q.id, Time(0));
   const double fade = std::exp(-ratio(now - c.fadedAt, kFade));
@@ -892,8 +894,7 @@
 }
 
 void Balancer::outcome(Time now, const Outcome& o) {
-  Core& c = *core_;
-  c.now = now;
+  Core& c = core_->from(now);
   const auto it = c.open.find(o.request);
   if (!c.s.tokensCarried && o.result == Result::Ok && it != c.open.end()) {
     const Open& r = it->second;
@@ -912,15 +913,13 @@
 }
 
 void Balancer::clientLeft(Time now, RequestId id) {
-  Core& c = *core_;
-  c.now = now;
+  Core& c = core_->from(now);
   const auto it = c.open.find(id);
   if (it != c.open.end()) c.close(it->second);
 }
 
 void Balancer::probed(Time now, const Probe& p) {
-  Core& c = *core_;
-  c.now = now;
+  Core& c = core_->from(now);
   Member* const m = c.find(p.member);
   if (!m) return;
   m->probing = false;
@@ -928,8 +927,7 @@
     c.sawReport(*m, p.report);
     m->wordAt = now;
     m->failures = 0;
-    // Guards against asking the same laggards for ever: they get no sends, so by use alone they would stay
-    // next in turn, and the others' positions would wear out unasked. To be asked in vain is a turn, too.
+    // Guards against asking the same laggards for ever: to be asked in vain is a turn, too.
     if (m->position < now - c.tightestBound()) m->lastUsed = now;
   } else if (m->wordAt < m->probedAt && (m->erring || now >= m->asideUntil)) {
     c.setAside(*m);  // its silence or a refused connection: nothing is sent there for a while
@@ -937,18 +935,16 @@
     if (m->failures > 0) c.sawRole(*m, Role::Unknown, now);
   }
   Group& g = c.groups[m->listed.group];
-  const bool more =
-      c.hearsLoad && std::any_of(g.members.begin(), g.members.end(), [&](MemberId id) {
-        const Member& x = c.members.at(id);
-        return x.probing &&
-               now - x.probedAt <= kDumb;  // a choice by load needs the word of all that were asked
-      });
+  // A choice by load needs the word of all that were asked.
+  const bool more = c.hearsLoad && std::any_of(g.members.begin(), g.members.end(), [&](MemberId id) {
+                      const Member& x = c.members.at(id);
+                      return x.probing && now - x.probedAt <= kDumb;
+                    });
   if (!more) c.serveWaiting(g);
 }
 
 void Balancer::timer(Time now, std::uint64_t token) {
-  Core& c = *core_;
-  c.now = now;
+  Core& c = core_->from(now);
   if (token == kTokenTick) c.tick();
   if ((token & 255) == kTokenWake) {  // to the instant: a request that waits must not outlast its client
     const auto it = c.open.find(token >> 8);
@@ -962,24 +958,17 @@
   if ((token & 255) == kTokenAsk && token >> 8 == c.askTurn && c.asking) c.ask();
 }
 
-void Balancer::heard(Time now, const Word& w) {
-  core_->now = now;
-  core_->heard(w);
-}
+void Balancer::heard(Time now, const Word& w) { core_->from(now).heard(w); }
 
 bool Balancer::fit(Time now, RequestId id, MemberId to) {
-  Core& c = *core_;
-  c.now = now;
+  Core& c = core_->from(now);
   const auto it = c.open.find(id);
   const Member* const m = c.find(to);
   if (it == c.open.end() || !m || !c.usable(*m)) return false;
   return c.stalenessFactor(*m, c.groups[m->listed.group], c.needOf(it->second)) >= 0;
 }
 
-std::vector<MemberId> Balancer::forget(Time now) {
-  core_->now = now;
-  return core_->forget();
-}
+std::vector<MemberId> Balancer::forget(Time now) { return core_->from(now).forget(); }
 
 void Balancer::countFrom(Time zero) { core_->s.zero = zero; }
 
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -878,6 +878,28 @@
     if (a.token != 0) t.b.timer(t.now + seconds(9), a.token);
   EXPECT_EQ(t.out.of("subscribe").size(), 2u) << "an answered call is not repeated";
 }
+// event4996: all proxies lost their watch at once and asked again at the same instants; some got no list in
+// 25 s.
+TEST(Discovery, ManyRoutersAskEachAtATimeOfItsOwn) {
+  Settings s = settings();
+  s.discovery = Discovery::Subscribe;
+  s.balancers = 100;
+  std::set<Time> first, again;
+  for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+    Bench t(s, 3, seed);
+    EXPECT_TRUE(t.out.of("subscribe").empty());
+    const Action start = t.out.of("timer").back();
+    first.insert(start.time);
+    EXPECT_LT(start.time, seconds(2));
+    t.b.timer(t.now += start.time, start.token);
+    EXPECT_EQ(t.out.of("subscribe").size(), 1u);
+    t.b.list(t.now, ListKind::Failed, {});
+    again.insert(t.out.of("timer").back().time);
+  }
+  EXPECT_GT(first.size(), 90u);
+  EXPECT_GT(again.size(), 90u);
+  EXPECT_GT(*again.rbegin() - *again.begin(), milliseconds(500));
+}
 TEST(Discovery, AnUnansweredCallIsRepeatedBeforeItIsTooLate) {
   Settings s = settings();
   s.discovery = Discovery::Subscribe;
