--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -43,6 +43,7 @@
 constexpr Time kFullPause = milliseconds(250);  // what turns requests away is left alone for so long
 constexpr Time kNews = seconds(1);              // a report of load says something for so long
 constexpr Time kSpread = milliseconds(250);     // one router tells all of a member, then none for so long
+constexpr Time kStir = milliseconds(250);       // so fast a load moves to the mean of its group
 constexpr Time kForget = seconds(10);           // what is gone and quiet is remembered for so long
 constexpr Time kTick = milliseconds(20);        // housekeeping: waiting requests, silence, probes
 constexpr Time kTrouble = seconds(1);  // how long a miss or a time-out keeps the best member out of the sum
@@ -212,13 +213,21 @@
   bool overtaken(const Member& m, const Sent& o) const {
     return now - o.at > patience(o.cls) && m.answeredSent > o.at + (now - o.at) / 2;
   }
-  // Own requests there, or what its last report told of all routers' while that is news.
-  int loadOf(const Member& m) const {
+  bool hasNews(const Member& m) const { return m.toldAt != never && now - m.toldAt < kNews; }
+  // Own requests there, or what its last report told of all routers' while that is news. Guards against all
+  // routers running after the same word: the older it is, the more the member holds what its group's do in
+  // the mean, for requests have come and gone since.
+  double loadOf(const Member& m) const {
     const auto own =
         std::count_if(m.out.begin(), m.out.end(), [&](const Sent& o) { return !overtaken(m, o); });
-    const bool news = m.toldAt != never && now - m.toldAt < kNews;
-    return std::max(static_cast<int>(own), news ? m.told : 0);
-  }
+    if (!hasNews(m)) return static_cast<double>(own);
+    double sum = 0, n = 0;
+    for (const MemberId id : groups.at(m.listed.group).members)
+      if (const Member& x = members.at(id); hasNews(x)) sum += x.told, n += 1;
+    const double mean = sum / n, fresh = std::exp(-ratio(now - m.toldAt, kStir));
+    return std::max(static_cast<double>(own), mean + (m.told - mean) * fresh);
+  }
+  bool idle(const Member& m) const { return m.out.empty() && !(hasNews(m) && m.told > 0); }
   void addSample(Member& m, const Sent& o, double latency) {
     std::vector<Sample>& w = o.held ? m.held : m.immediate;
     if (w.size() == kWindow) w.erase(w.begin());
@@ -659,7 +668,7 @@
   // members that hold something already: an idle one may always take a request, so that the way back stays
   // open.
   bool useful(const Open& r, const Member& m) {
-    if (loadOf(m) == 0) return true;
+    if (idle(m)) return true;
     const auto onTime = [&](int cls, Time in) {
       return in > Time(0) ? 1 - missChance(m, m.immediate, cls, in, nullptr, true) : 0;
     };
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -15,14 +15,14 @@
 struct Sample {
   double latency;  // microseconds; infinite: never answered
   int cls;
-  int load;  // own requests outstanding there when it was sent
+  double load;  // requests there when it was sent
   Time at;
 };
 struct Sent {
   RequestId request;
   int attempt;
   int cls;
-  int load;
+  double load;
   Time at;
   bool held;  // the known position fell short of the need
 };
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -678,6 +678,39 @@
   ASSERT_EQ(t.sends(id).size(), 1u) << "refused";
   EXPECT_EQ(t.lastTo(id), 6 - asked[0].member - asked[1].member) << "the idle replica, not the primary";
 }
+// event7574: a hundred routers heard that one replica was idle and all ran there for a quarter of a second.
+TEST(ReadSet, AnOldWordOfALoadCountsForLessThanItsGroupsMean) {
+  Settings s = settings();
+  s.figures = {Figure::Position, Figure::Primary, Figure::Inflight};
+  Bench t(s);
+  const auto tell = [&](MemberId m, float primary, float held) {
+    Probe p;
+    p.member = m;
+    p.ok = true;
+    p.report = {static_cast<float>(std::chrono::duration<double>(t.now - s.zero).count()), primary, held};
+    t.b.probed(t.now, p);
+  };
+  tell(1, 1, 60);
+  tell(2, 0, 0);
+  for (int k = 0; k < 10; ++k) {
+    const RequestId warm = t.ask(kAny);
+    t.pass(100);
+    t.end(warm, Result::Ok, 2);
+    tell(2, 0, 0);
+    tell(3, 0, 0);
+  }
+  tell(1, 1, 60);
+  tell(2, 0, 1);
+  tell(3, 0, 60);
+  const RequestId fresh = t.ask(kAny);
+  EXPECT_EQ(t.lastTo(fresh), 2u);
+  t.pass(100);
+  t.end(fresh, Result::Ok, 2);
+  tell(2, 0, 1);
+  t.pass(700);
+  const RequestId old = t.ask(kAny);
+  EXPECT_TRUE(t.sends(old).empty());
+}
 // event4996: one of a hundred routers heard from a member every few seconds, so each read paid for probes.
 TEST(Peers, WhatOneRouterHeardSparesTheOthersTheirProbes) {
   Settings s = settings();
