Give a cold member its share of reads where its load is told

A cold server was open to half of its present share of its group's requests, whatever it held; after a release, when most of a group is cold, the few warm ones drowned and the rest was refused. The test fails without it (seen).

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -1,7 +1,4 @@
 // Every decision of knotstack. Its interface is include/knotstack/balancer.hpp; its records are in state.hpp.
-// Reading order: constants; what is known of members (roles, positions, latency windows, health); the need of
-// a read; read-set selection; primary finding and writes; attempts, time-outs and retries; refusals; the
-// list, drains and cold starts; probes.
 #include <algorithm>
 #include <cmath>
 #include <iterator>
@@ -44,6 +41,7 @@
 constexpr Time kNews = seconds(1);              // a report of load says something for so long
 constexpr Time kSpread = milliseconds(250);     // one router tells all of a member, then none for so long
 constexpr Time kStir = milliseconds(250);       // so fast a load moves to the mean of its group
+constexpr double kColdTold = 1.5;               // of its share, to a cold member whose load is told
 constexpr Time kForget = seconds(10);           // what is gone and quiet is remembered for so long
 constexpr Time kTick = milliseconds(20);        // housekeeping: waiting requests, silence, probes
 constexpr Time kTrouble = seconds(1);  // how long a miss or a time-out keeps the best member out of the sum
@@ -133,6 +131,12 @@
     if (now < m.asideUntil) return false;
     return std::none_of(m.out.begin(), m.out.end(), [&](const Sent& o) { return o.at >= m.asideUntil; });
   }
+  void trust(Member& m) {
+    m.failures = 0;
+    m.asideUntil = never;
+    m.backoff = Time(0);
+    m.erring = false;
+  }
   void setAside(Member& m, bool erring = false) {
     m.erring = erring;
     m.backoff = std::max(m.backoff, kBackoffFirst);
@@ -203,9 +207,8 @@
     serveWaiting(groups[m->listed.group]);
   }
 
-  // Guards against attempts that are lost rather than queued. What was sent in the younger half of its age
-  // has been answered already, so it says nothing of the member's load. Only far beyond the usual latency:
-  // members may serve out of turn.
+  // Attempts that are lost rather than queued say nothing of a member's load: far beyond the usual latency,
+  // and what was sent in the younger half of their age has been answered already.
   Time patience(int cls) const {
     const ClassSettings& c = s.classes[at(cls)];
     return usually(cls) > Time(0) ? scaled(usually(cls), kPatience) : c.aim;
@@ -215,17 +218,17 @@
   }
   bool hasNews(const Member& m) const { return m.toldAt != never && now - m.toldAt < kNews; }
   // Own requests there, or what its last report told of all routers' while that is news. Guards against all
-  // routers running after the same word: the older it is, the more the member holds what its group's do in
-  // the mean, for requests have come and gone since.
+  // routers running after the same word: an old one counts for less than its group's mean. In warm members'
+  // terms.
   double loadOf(const Member& m) const {
     const auto own =
         std::count_if(m.out.begin(), m.out.end(), [&](const Sent& o) { return !overtaken(m, o); });
-    if (!hasNews(m)) return static_cast<double>(own);
+    if (!hasNews(m)) return static_cast<double>(own) / capacityOf(m);
     double sum = 0, n = 0;
     for (const MemberId id : groups.at(m.listed.group).members)
       if (const Member& x = members.at(id); hasNews(x)) sum += x.told, n += 1;
     const double mean = sum / n, fresh = std::exp(-ratio(now - m.toldAt, kStir));
-    return std::max(static_cast<double>(own), mean + (m.told - mean) * fresh);
+    return std::max(static_cast<double>(own), mean + (m.told - mean) * fresh) / capacityOf(m);
   }
   bool idle(const Member& m) const { return m.out.empty() && !(hasNews(m) && m.told > 0); }
   void addSample(Member& m, const Sent& o, double latency) {
@@ -408,9 +411,9 @@
     if (!r.ran || c.effect == Effect::Safe) return true;
     if (c.effect == Effect::Unsafe || now >= r.ranAt + c.memory) return false;
     const Member* const first = find(r.ranWhere);
-    if (!first) return false;
-    return c.scope == KeyScope::All || (c.scope == KeyScope::Zone ? first->listed.zone == m.listed.zone
-                                                                  : first->listed.group == m.listed.group);
+    if (!first || c.scope == KeyScope::All) return first != nullptr;
+    return c.scope == KeyScope::Zone ? first->listed.zone == m.listed.zone
+                                     : first->listed.group == m.listed.group;
   }
 
   void advanceRead(Open& r) {
@@ -421,7 +424,6 @@
       r.tried.clear();
       set = readSet(r, busy);
     }
-    // A member that fails some at once is still better than to wait or to be refused.
     for (int round = 0; set.empty() && round < 2; ++round) {
       if (round > 0) r.tried.clear();
       set = readSet(r, busy, true);
@@ -582,10 +584,7 @@
       double& b = base[at(was.cls)];
       b = b > 0 ? b + (us < b ? kSmooth : kSmooth / 10) * (us - b) : us;
       addSample(m, was, us);
-      m.failures = 0;
-      m.asideUntil = never;
-      m.backoff = Time(0);
-      m.erring = false;
+      trust(m);
     } else if (o.result == Result::Full) {
       // Full, draining or about to stop: that says nothing of latencies. Guards against taking it for
       // slowness at any load, which would refuse the reads of all members; this one rests for a moment.
@@ -739,9 +738,7 @@
           m.listed.started) {  // a new process: nothing of its latencies, health and role holds on
         m.immediate.clear();
         m.held.clear();
-        m.asideUntil = never;
-        m.failures = 0;
-        m.backoff = Time(0);
+        trust(m);
         if (m.listed.id != 0) {
           m.listed = e;
           sawRole(m, Role::Unknown, std::max(m.roleAt, std::min(e.started, now)));
@@ -770,8 +767,7 @@
       serveWaiting(g);
     }
   }
-  // Guards against growth where members are replaced time and again. What is out there, a probe included,
-  // still ends in an event that must find its member.
+  // Members are replaced time and again. What is out there, a probe included, must still find its member.
   std::vector<MemberId> forget() {
     std::vector<MemberId> gone;
     for (const auto& [id, m] : members)
@@ -804,16 +800,21 @@
     if (s.mustAskIn > Time(0)) sink.timer(s.mustAskIn / 2, kTokenAsk | ++askTurn << 8);
   }
 
+  // What a member can do at present, at least; 1: it is warm.
+  double capacityOf(const Member& m) const {
+    const Time age = std::max(now - m.listed.started, Time(0));
+    if (m.listed.started == Time(0) || age >= s.coldFor) return 1;
+    return s.startCapacity + (1 - s.startCapacity) * ratio(age, s.coldFor);
+  }
   // Guards against pushing over a member that has just started, by all routers together. By a dice of the
   // request it is open to as many of its group's requests as its present share of a whole group's capacity,
-  // members that are gone included: at any number of routers its load stays in proportion to that of warm
-  // ones. One far heavier than others leaves it alone. It harms where a member warms much faster, or is the
-  // only one.
+  // members that are gone included. Retries, bursts and late lists may quadruple what comes: where nobody
+  // tells its load it gets a part of its share. One far heavier than others leaves it alone.
   bool withinColdBudget(const Member& m, const Open& r) const {
-    const Time started = m.listed.started;
-    if (started == Time(0) || now >= started + s.coldFor || s.coldFor <= Time(0)) return true;
-    double share = s.startCapacity + (1 - s.startCapacity) * std::max(0.0, ratio(now - started, s.coldFor));
-    share *= std::min(1.0, s.fallMultiple / 8);  // retries, bursts and late lists may quadruple what comes
+    double share = capacityOf(m);
+    if (share >= 1) return true;
+    const bool told = hasNews(m);
+    share *= std::min(1.0, s.fallMultiple / (told ? 4 : 8)) * (told ? kColdTold : 1);
     if (groups.at(m.listed.group).primary != m.listed.id) share /= largest;  // misplaced writes are work too
     double mean = 0, seen = 0;
     for (const double u : usual) mean += u, seen += u > 0;
@@ -835,7 +836,6 @@
       if (c.need == Need::Bounded && (t == never || c.bound < t)) t = c.bound;
     return t == never ? seconds(1) : t;
   }
-  // Without a primary every member is asked who it is, while a write waits.
   void seekPrimary(Group& g) {
     if (!s.probing || s.reports == Reports::Silent) return;
     if (now > g.primaryWanted + kTick || (primaryOf(g) && healthy(*primaryOf(g)))) return;
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -678,6 +678,35 @@
   ASSERT_EQ(t.sends(id).size(), 1u) << "refused";
   EXPECT_EQ(t.lastTo(id), 6 - asked[0].member - asked[1].member) << "the idle replica, not the primary";
 }
+// event6935: after a release two warm replicas of six drowned while four cold ones, known to be idle, got
+// next to nothing and the rest was refused.
+TEST(ColdStart, AToldLoadOpensAMemberToItsShareOfReads) {
+  Settings s = settings();
+  s.figures = {Figure::Position, Figure::Primary, Figure::Inflight};
+  s.fallMultiple = 4;
+  const auto share = [&](bool told) {
+    int cold = 0;
+    for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+      Bench t(s, 3, seed);
+      t.next = 1000 * seed;
+      t.b.list(t.now, ListKind::Delta, {Bench::entry(2, Lifecycle::Ready, t.now - seconds(5))});
+      for (MemberId m = 1; m <= 3; ++m) {
+        Probe p;
+        p.member = m;
+        p.ok = true;
+        p.report = {static_cast<float>(std::chrono::duration<double>(t.now - s.zero).count()),
+                    m == 1 ? 1.0f : 0.0f};
+        if (told) p.report.push_back(m == 2 ? 0.0f : 9.0f);
+        t.b.probed(t.now, p);
+      }
+      for (int k = 0; k < 4; ++k) cold += t.lastTo(t.ask(kAny)) == 2;
+    }
+    return cold / 1200.0;
+  };
+  const double blind = share(false), told = share(true), capacity = 0.2 + 0.8 * 5 / 10;
+  EXPECT_GT(told, 2 * blind);
+  EXPECT_LT(told, 1.6 * capacity / 3) << "never more than half above its share, whatever it tells";
+}
 // event7574: a hundred routers heard that one replica was idle and all ran there for a quarter of a second.
 TEST(ReadSet, AnOldWordOfALoadCountsForLessThanItsGroupsMean) {
   Settings s = settings();
