--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -22,8 +22,8 @@
 constexpr Time kRecent = seconds(8);   // samples older than this say little about the present
 constexpr double kTarget = 0.95;       // chance wanted that a read set answers in time
 constexpr double kWidth = 3;           // requests that a member serves side by side before they queue
-constexpr double kComeBack = 0.25;    // of a usual latency: when a refused client may return; its aim goes on
-constexpr double kUseful = 0.85;      // least share of its worth that a request must be likely to earn
+constexpr double kComeBack = 0.0625;   // of its patience: when a refused client may return; its aim goes on
+constexpr double kUseful = 0.85;       // least share of its worth that a request must be likely to earn
 constexpr double kUnheard = 0.45;     // of its time: so long a request may wait for a member that can take it
 constexpr Time kFade = seconds(10);   // what was asked and served counts for about so long
 constexpr double kSmooth = 0.05;      // weight of a new latency in a class's usual one
@@ -692,7 +692,7 @@
     const RequestId id = r.q.id;
     if (harmless)
       sink.refuse(id,
-                  s.retryAfter ? std::min(s.maxRetryAfter, scaled(usually(r.q.cls), kComeBack)) : Time(0));
+                  s.retryAfter ? std::min(s.maxRetryAfter, scaled(patience(r.q.cls), kComeBack)) : Time(0));
     else
       sink.fail(id);
     close(r);
--- a/src/config/json_config.cpp
+++ b/src/config/json_config.cpp
@@ -121,6 +121,9 @@
   } catch (const knotstack::wire::BadSetting& e) {
     throw BadInput(std::string("key settings: ") + e.what());
   }
+  // allowed.retryAfter tells of the simulator's clients. Those on sockets may always be told when to come
+  // back.
+  c.settings.retryAfter = true;
   c.settings.peers = c.settings.peers && !c.peerListen.none();
   std::size_t n = 0;
   for (const element e : jsonField<simdjson::dom::array>(settings, "classes", "settings."))
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -195,6 +195,21 @@
     proxy expect log :timeout@
   )");
 }
+// The platform's settings say retryAfter=false of the simulator's clients; those on sockets are told all the
+// same.
+TEST(Proxy, ARefusalSaysWhenToComeBack) {
+  Setting s;
+  s.retryAfter = false;
+  Scenario t(s);
+  t.run(R"(
+    s1 wait silent
+    s2 wait silent
+    s1 close idle
+    s2 close idle
+    c1 send query SELECT 1 /* id=1,c=read,d=600,cluster=3 */
+    c1 expect told to come back
+  )");
+}
 TEST(Proxy, AClientThatLeavesEndsItsAttempt) {
   Scenario t;
   t.run(R"(
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -82,8 +82,8 @@
       << R"(","zone":"a","machineType":"m","cell":3,"lifecycle":"active","weight":1.0,"startedAtMs":0})";
   s << R"(]},"settings":{"allowed":{"attemptsCap":8,"cancel":true,"dialTimeoutUs":250000,"idleCloseUs":)"
     << setting.idleCloseUs
-    << R"(,"maxRetryAfterUs":1000000,"parallelTries":false,"probing":true,"retryAfter":true},"balancers":)"
-    << setting.balancers << R"(,
+    << R"(,"maxRetryAfterUs":1000000,"parallelTries":false,"probing":true,"retryAfter":)"
+    << (setting.retryAfter ? "true" : "false") << R"(},"balancers":)" << setting.balancers << R"(,
 "classes":[{"deadlineUs":9000000,"effect":"safe","lateWorth":0.0,"name":"read","promiseUs":8000000,"worth":1.0},
 {"deadlineUs":9000000,"effect":"keyed","group":"cell","lateWorth":0.5,"memorySpanUs":9000000,"name":"write",
 "promiseUs":8000000,"worth":6.0}],"discovery":"subscribe","goal":{"whole":0.55,"worstClass":0.3},
@@ -260,6 +260,15 @@
   } else if (what == "empty") {
     expectMessage(c, 'I', "");
     expectMessage(c, 'Z', "");
+  } else if (what == "told") {  // by a number in the field D
+    char type = 0;
+    std::string body;
+    until([&] { return message(c, type, body); }, "a refusal");
+    EXPECT_EQ(type, 'E');
+    EXPECT_NE(body.find("C53300"), std::string::npos) << body;
+    const std::size_t detail = body.find(std::string("\0D", 2));
+    ASSERT_NE(detail, std::string::npos) << at_;
+    EXPECT_GT(std::atoi(body.c_str() + detail + 2), 0);
   } else if (what == "error") {
     expectMessage(c, 'E', "C" + rest);
     if (rest != "08P01" && rest != "0A000" && rest != "53200")
--- a/tests/scenario.hpp
+++ b/tests/scenario.hpp
@@ -6,6 +6,7 @@
 //   2 s2 wait silent         list expect watch TEXT list send line JSON      list close
 //   proxy send TERM          proxy expect exit 0     proxy expect log TEXT        proxy reload moved|broken
 //   proxy expect quiet       s2 send spoilt KIND      s2 report TEXT
+//   c1 expect told to come back (a refusal with a number in the field D)
 //   s2 drop probes N         s2 load TEXT (comes with its answers, in place of applied_ms)
 //   s2 expect connections N (since its start)
 //   dns publish s2 [KEY=VALUE ...]   dns withdraw s2   dns mood NAME   dns move DOMAIN
@@ -36,6 +37,7 @@
   int sockets = 1024, memoryMb = 192;
   std::string reports = "pull";
   int balancers = 3;
+  bool retryAfter = true;
   bool dnssd = false;   // found by service records; in our form
   bool ini = false;     // settings in our form, by `serve --config`
   int descriptors = 0;  // RLIMIT_NOFILE of the process; 0: as it is
