Keep a write's last attempt for the primary

With no primary known a write tried the members by id, again after each change of the list, and was refused for want of attempts: seconds before its time, while the group elected one. The test fails without it (seen).

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -451,8 +451,9 @@
       if (inquire(r, {m})) return;
       return useful(r, *m) ? send(r, *m) : finish(r);
     }
-    // No primary known: one write tries the members by id, once where probes can tell; the others wait.
-    if (!g.scouted && (g.scout == 0 || g.scout == r.q.id)) {
+    // No primary known: one write tries the members by id and keeps its last attempt; the others wait.
+    const bool spare = static_cast<int>(r.attempts.size()) < std::max(s.attemptsCap - 1, 1);
+    if (spare && !g.scouted && (g.scout == 0 || g.scout == r.q.id)) {
       for (const MemberId id : g.members) {
         Member& x = members.at(id);
         if (!usable(x) || !healthy(x) || !mayTake(r, x) || !withinColdBudget(x, r)) continue;
@@ -829,7 +830,6 @@
     m.probedAt = now;
     sink.probe(m.listed.id);
   }
-  // The tightest bound of any class: positions have to be newer than this.
   Time tightestBound() const {
     Time t = never;
     for (const ClassSettings& c : s.classes)
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -740,6 +740,24 @@
   const RequestId old = t.ask(kAny);
   EXPECT_TRUE(t.sends(old).empty());
 }
+// A release on day 4 of the full score: writes used up all their attempts on replicas while a primary was
+// elected, and were refused seconds before their time.
+TEST(Primary, AWriteKeepsItsLastAttemptForThePrimary) {
+  Bench t(settings(), 7);
+  const RequestId id = t.ask(kWrite);
+  for (int k = 0; k < 12 && !t.finalAnswer(id); ++k) {
+    const std::size_t before = t.sends(id).size();
+    if (before > 0) t.end(id, Result::Miss, 2);
+    t.b.list(t.now, ListKind::Delta, {Bench::entry(7)});  // any change of the list lets it look again
+    t.run(20);
+    if (t.sends(id).size() == before) break;
+  }
+  EXPECT_FALSE(t.finalAnswer(id));
+  ASSERT_EQ(t.sends(id).size(), 5u);
+  t.report(7, 0, true);
+  ASSERT_EQ(t.sends(id).size(), 6u);
+  EXPECT_EQ(t.lastTo(id), 7u);
+}
 // event4996: one of a hundred routers heard from a member every few seconds, so each read paid for probes.
 TEST(Peers, WhatOneRouterHeardSparesTheOthersTheirProbes) {
   Settings s = settings();
