Seek a primary only of members that nobody has heard of lately

Each proxy with a write that waited asked every member of the group for its primary every 250 ms, whatever its peers had just told of them. The test fails without it (seen).

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -841,7 +841,7 @@
     if (now > g.primaryWanted + kTick || (primaryOf(g) && healthy(*primaryOf(g)))) return;
     for (const MemberId id : g.members) {
       Member& m = members.at(id);
-      if (usable(m) && !m.probing && (m.probedAt == never || now - m.probedAt >= kScout)) probe(m);
+      if (usable(m) && !m.probing && now - std::max(m.probedAt, m.wordAt) >= kScout) probe(m);
     }
   }
   // Housekeeping goes on only while something is out or waits.
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -780,6 +780,21 @@
   there.report(2, 0);
   EXPECT_EQ(there.out.words.size(), 2u);
 }
+// Day 4 of the full score: each of a hundred proxies asked all members of a group for its primary.
+TEST(Peers, WhatAPeerJustSaidIsNotAskedAgainInTheSearchForAPrimary) {
+  Settings s = settings();
+  s.peers = true;
+  Bench t(s);
+  const RequestId id = t.ask(kWrite);
+  for (int k = 0; k < 3; ++k) t.end(id, Result::Miss, 2);
+  for (int k = 0; k < 5; ++k) {
+    for (MemberId m = 1; m <= 3; ++m) t.b.heard(t.now, {m, t.now - milliseconds(20), false, 0});
+    t.run(100);
+  }
+  EXPECT_TRUE(t.out.of("probe").empty());
+  t.run(400);
+  EXPECT_GE(t.out.of("probe").size(), 3u);
+}
 TEST(Peers, AWordOfTheFutureOrOfNoMemberIsNone) {
   Settings s = settings();
   s.peers = true;
