--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -654,27 +654,21 @@
   s.checks = Checks::Refuse;
   s.figures = {Figure::Position, Figure::Primary, Figure::Inflight};
   Bench t(s, 4);
-  const auto tell = [&](MemberId m, float primary, float held) {
-    Probe p;
-    p.member = m;
-    p.ok = true;
-    p.report = {static_cast<float>(std::chrono::duration<double>(t.now - s.zero).count()), primary, held};
-    t.b.probed(t.now, p);
-  };
-  tell(4, 1, 0);
-  for (MemberId m = 1; m <= 3; ++m) tell(m, 0, 0);
+  const auto tell = [&](MemberId m, bool primary, int held) { t.reportLoad(m, primary, held); };
+  tell(4, true, 0);
+  for (MemberId m = 1; m <= 3; ++m) tell(m, false, 0);
   for (int k = 0; k < 15; ++k) {  // one in five takes longer
     const RequestId warm = t.ask(kAny);
     t.pass(k % 5 == 4 ? 300 : 100);
     t.end(warm, Result::Ok, 2);
-    for (MemberId m = 1; m <= 3; ++m) tell(m, 0, 0);
+    for (MemberId m = 1; m <= 3; ++m) tell(m, false, 0);
   }
   t.pass(2000);
   t.out.all.clear();
   const RequestId id = t.ask(kAny);
   const std::vector<Action> asked = t.out.of("probe");
   ASSERT_EQ(asked.size(), 2u);
-  for (const Action& a : asked) tell(a.member, 0, 8);
+  for (const Action& a : asked) tell(a.member, false, 8);
   ASSERT_EQ(t.sends(id).size(), 1u) << "refused";
   EXPECT_EQ(t.lastTo(id), 6 - asked[0].member - asked[1].member) << "the idle replica, not the primary";
 }
@@ -690,15 +684,8 @@
       Bench t(s, 3, seed);
       t.next = 1000 * seed;
       t.b.list(t.now, ListKind::Delta, {Bench::entry(2, Lifecycle::Ready, t.now - seconds(5))});
-      for (MemberId m = 1; m <= 3; ++m) {
-        Probe p;
-        p.member = m;
-        p.ok = true;
-        p.report = {static_cast<float>(std::chrono::duration<double>(t.now - s.zero).count()),
-                    m == 1 ? 1.0f : 0.0f};
-        if (told) p.report.push_back(m == 2 ? 0.0f : 9.0f);
-        t.b.probed(t.now, p);
-      }
+      for (MemberId m = 1; m <= 3; ++m)
+        told ? t.reportLoad(m, m == 1, m == 2 ? 0 : 9) : t.report(m, 0, m == 1);
       for (int k = 0; k < 4; ++k) cold += t.lastTo(t.ask(kAny)) == 2;
     }
     return cold / 1200.0;
@@ -712,30 +699,24 @@
   Settings s = settings();
   s.figures = {Figure::Position, Figure::Primary, Figure::Inflight};
   Bench t(s);
-  const auto tell = [&](MemberId m, float primary, float held) {
-    Probe p;
-    p.member = m;
-    p.ok = true;
-    p.report = {static_cast<float>(std::chrono::duration<double>(t.now - s.zero).count()), primary, held};
-    t.b.probed(t.now, p);
-  };
-  tell(1, 1, 60);
-  tell(2, 0, 0);
+  const auto tell = [&](MemberId m, bool primary, int held) { t.reportLoad(m, primary, held); };
+  tell(1, true, 60);
+  tell(2, false, 0);
   for (int k = 0; k < 10; ++k) {
     const RequestId warm = t.ask(kAny);
     t.pass(100);
     t.end(warm, Result::Ok, 2);
-    tell(2, 0, 0);
-    tell(3, 0, 0);
+    tell(2, false, 0);
+    tell(3, false, 0);
   }
-  tell(1, 1, 60);
-  tell(2, 0, 1);
-  tell(3, 0, 60);
+  tell(1, true, 60);
+  tell(2, false, 1);
+  tell(3, false, 60);
   const RequestId fresh = t.ask(kAny);
   EXPECT_EQ(t.lastTo(fresh), 2u);
   t.pass(100);
   t.end(fresh, Result::Ok, 2);
-  tell(2, 0, 1);
+  tell(2, false, 1);
   t.pass(700);
   const RequestId old = t.ask(kAny);
   EXPECT_TRUE(t.sends(old).empty());
--- a/tests/harness.hpp
+++ b/tests/harness.hpp
@@ -163,6 +163,15 @@
                 primary ? 1.0f : 0.0f};
     b.probed(now, p);
   }
+  // A report as of now that tells a load as well.
+  void reportLoad(MemberId m, bool primary, int held) {
+    Probe p;
+    p.member = m;
+    p.ok = true;
+    p.report = {static_cast<float>(std::chrono::duration<double>(now - s.zero).count()),
+                primary ? 1.0f : 0.0f, static_cast<float>(held)};
+    b.probed(now, p);
+  }
   std::uint32_t note(int agoMs, int role) const {
     return static_cast<std::uint32_t>((now - s.zero - milliseconds(agoMs)) / milliseconds(1)) * 4 +
            static_cast<std::uint32_t>(role);
