Read a watch's lists as JSON objects, indented or not, instead of by line

Discovery::readLines cut the body at '\n' and gave each line to the parser. The same cut left a whole list untaken where an answer without length is reset before the line's end.

Observed over loopback sockets, with the program as it was: an indented list, "s1 expect query id=1: a query never came" (the leaving server went on getting reads).

ListReader cuts the stream at the objects' ends, wherever it is split, and keeps what has not ended; an end by reset drops that. An interim response (1xx) at the end of a read no longer counts as a failed call. Both new scenarios fail on the program as it was.

--- a/fuzz/list.cpp
+++ b/fuzz/list.cpp
@@ -1,4 +1,4 @@
-// The HTTP registry's answer, in pieces whose sizes the input chooses, and each line of it as a list.
+// The HTTP registry's answer, in pieces whose sizes the input chooses, and the lists in it.
 #include "membership/list.hpp"
 
 #include <string>
@@ -17,12 +17,11 @@
   for (std::size_t at = 0; at < text.size(); at += step)
     if (!response.feed(text.substr(at, step), body)) break;
   if (body.empty()) body = std::string(text);  // lists themselves, too
-  for (std::size_t from = 0, end; from < body.size(); from = end + 1) {
-    end = std::min(body.find('\n', from), body.size());
-    try {
-      parseInstances(std::string_view(body).substr(from, end - from));
-    } catch (const BadInput&) {
-    }
+  ListReader lists;
+  try {
+    for (std::size_t at = 0; at < body.size(); at += step)
+      lists.feed(std::string_view(body).substr(at, step), [](InstanceList) {});
+  } catch (const BadInput&) {
   }
   return 0;
 }
--- a/src/membership/list.cpp
+++ b/src/membership/list.cpp
@@ -20,6 +20,8 @@
 
 namespace {
 
+constexpr std::size_t kLongestList = 4 << 20;
+
 Instance readInstance(const element& e, const std::string& path) {
   Instance i;
   i.name = std::string(jsonField<std::string_view>(e, "instanceId", path));
@@ -65,6 +67,28 @@
   return list;
 }
 
+void ListReader::feed(std::string_view bytes, const std::function<void(InstanceList)>& take) {
+  for (const char c : bytes) {
+    if (depth_ == 0) {
+      if (std::string_view(" \t\r\n").find(c) != std::string_view::npos) continue;
+      if (c != '{') throw BadInput("list: no object");
+    }
+    if (object_.size() >= kLongestList) throw BadInput("list: too long");
+    object_.push_back(c);
+    if (quoted_) {
+      quoted_ = escaped_ || c != '"';
+      escaped_ = !escaped_ && c == '\\';
+      continue;
+    }
+    quoted_ = c == '"';
+    depth_ += (c == '{' || c == '[') - (c == '}' || c == ']');
+    if (depth_ > 0) continue;
+    std::string whole;
+    whole.swap(object_);
+    take(parseInstances(whole));
+  }
+}
+
 InstanceList parseInstances(std::string_view json) {
   simdjson::dom::parser parser;
   element object;
--- a/src/membership/list.hpp
+++ b/src/membership/list.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <stdexcept>
 #include <string>
 #include <string_view>
@@ -47,4 +48,17 @@
 Address parseAddress(std::string_view text, const std::string& key);  // Address::parse, or BadInput
 InstanceList parseInstances(std::string_view json);
 
+// Cuts a stream of lists into lists: JSON objects, each on a line of its own or indented over several, wherever
+// the stream happens to be split. What has come of an object that has not ended is kept.
+class ListReader {
+ public:
+  // Hands on each list that is whole, in order. Throws BadInput; those before the fault have been handed on.
+  void feed(std::string_view bytes, const std::function<void(InstanceList)>& take);
+
+ private:
+  std::string object_;
+  int depth_ = 0;  // brackets open
+  bool quoted_ = false, escaped_ = false;
+};
+
 }  // namespace sablespur
--- a/src/membership/registry/watch.cpp
+++ b/src/membership/registry/watch.cpp
@@ -1,14 +1,14 @@
 #include "membership/registry/watch.hpp"
 
+#include <utility>
+
 #include "log/log.hpp"
-#include "membership/list.hpp"
 
 namespace sablespur {
 namespace {
 
 // Guards against a discovery that vanished without a word: a watch brings at least an empty line every 2 s.
 constexpr Time kSilence = std::chrono::milliseconds(3000);
-constexpr std::size_t kLongestLine = 4 << 20;
 
 }  // namespace
 
@@ -22,7 +22,7 @@
 
 void Discovery::watch(std::uint64_t after) {
   response_ = http::Response();
-  body_.clear();
+  lists_ = ListReader();
   connection_.reset(bufferevent_socket_new(base_, -1, BEV_OPT_CLOSE_ON_FREE));
   const std::string target = "/registry/instances?watch=1&after=" + std::to_string(after);
   append(bufferevent_get_output(connection_.get()), http::get(target, address_.text()));
@@ -50,32 +50,19 @@
   startTimer(silence_.get(), kSilence);
   evbuffer* const in = bufferevent_get_input(connection_.get());
   evbuffer_iovec part;
+  std::string body;
   while (evbuffer_peek(in, -1, nullptr, &part, 1) > 0) {
-    if (!response_.feed({static_cast<const char*>(part.iov_base), part.iov_len}, body_))
+    if (!response_.feed({static_cast<const char*>(part.iov_base), part.iov_len}, body))
       return fail("malformed response");
     evbuffer_drain(in, part.iov_len);
   }
-  if (response_.status() != 0 && response_.status() != 200)
-    return fail(("status " + std::to_string(response_.status())).c_str());
-  if (response_.status() == 200 && !readLines()) return;
-  if (response_.done()) fail("watch ended");
-}
-
-bool Discovery::readLines() {
-  std::size_t from = 0;
+  if (response_.refused()) return fail(("status " + std::to_string(response_.status())).c_str());
   try {
-    for (std::size_t end; (end = body_.find('\n', from)) != std::string::npos; from = end + 1) {
-      const std::string_view line = std::string_view(body_).substr(from, end - from);
-      if (line.find_first_not_of(" \r") != std::string_view::npos) taker_.listed(parseInstances(line));
-    }
+    lists_.feed(body, [this](InstanceList list) { taker_.listed(std::move(list)); });
   } catch (const BadInput& e) {
-    fail(e.what());
-    return false;
+    return fail(e.what());
   }
-  body_.erase(0, from);
-  if (body_.size() <= kLongestLine) return true;
-  fail("line too long");
-  return false;
+  if (response_.done()) fail("watch ended");
 }
 
 void Discovery::fail(const char* why) {
--- a/src/membership/registry/watch.hpp
+++ b/src/membership/registry/watch.hpp
@@ -3,6 +3,7 @@
 
 #include "core/engine.hpp"
 #include "core/event.hpp"
+#include "membership/list.hpp"
 #include "wire/http/http.hpp"
 
 namespace sablespur {
@@ -15,7 +16,6 @@
 
  private:
   void read();
-  bool readLines();
   void fail(const char* why);
 
   event_base* const base_;
@@ -24,7 +24,7 @@
   BufferEvent connection_;
   Event silence_;
   http::Response response_;
-  std::string body_;  // what has come of a line that has not ended
+  ListReader lists_;
 };
 
 }  // namespace sablespur
--- a/src/wire/http/http.hpp
+++ b/src/wire/http/http.hpp
@@ -14,8 +14,9 @@
  public:
   // Takes the next bytes and appends what they hold of the body. False: no HTTP that is understood here.
   bool feed(std::string_view bytes, std::string& body);
-  int status() const { return status_; }        // 0 before the head has come
-  bool done() const { return at_ == At::End; }  // the body is whole
+  int status() const { return status_; }                             // 0 before the head has come
+  bool refused() const { return status_ >= 200 && status_ != 200; }  // an interim response says nothing yet
+  bool done() const { return at_ == At::End; }                       // the body is whole
 
  private:
   enum class At { Status, Header, Size, Chunk, ChunkEnd, Trailer, Counted, Rest, End };
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -181,6 +181,31 @@
   EXPECT_THROW(parseInstances("{\"generation\":"), BadInput);
 }
 
+TEST(List, IsCutFromAStreamWhereverItIsSplitOrIndented) {
+  const std::string one = R"({"generation":1,"reset":true,"instances":[]})";
+  const std::string two =
+      "{\n  \"generation\": 2,\n  \"reset\": false,\n  \"instances\": [\n    {\n      \"instanceId\": "
+      "\"a}]\\\"{\\\\\",\n      \"lifecycle\": \"left\"\n    }\n  ]\n}";
+  const std::string text = "\n" + one + "\r\n\n" + two + one;
+  for (std::size_t step : {std::size_t{1}, std::size_t{7}, text.size()}) {
+    ListReader reader;
+    std::vector<InstanceList> lists;
+    for (std::size_t at = 0; at < text.size(); at += step)
+      reader.feed(std::string_view(text).substr(at, step),
+                  [&](InstanceList list) { lists.push_back(std::move(list)); });
+    ASSERT_EQ(lists.size(), 3u) << step;
+    ASSERT_EQ(lists[1].instances.size(), 1u);
+    EXPECT_EQ(lists[1].instances[0].name, "a}]\"{\\");
+    EXPECT_EQ(lists[2].generation, 1u);
+  }
+  const auto none = [](InstanceList) {};
+  EXPECT_THROW(ListReader().feed("x", none), BadInput);
+  EXPECT_THROW(ListReader().feed("{]", none), BadInput);
+  int before = 0;
+  EXPECT_THROW(ListReader().feed(one + "]", [&](InstanceList) { ++before; }), BadInput);
+  EXPECT_EQ(before, 1);
+}
+
 // A trouble that touches every request must not fill the log.
 TEST(Log, IsRateLimitedAndSaysWhatItLeftOut) {
   testing::internal::CaptureStderr();
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -42,8 +42,8 @@
     c1 expect empty
   )");
 }
-// Few proxies, pipelined: each request's time began when the one before it was answered, so that a client that
-// waited by its own clock left with no answer.
+// Few proxies, pipelined: each request's time began when the one before it was answered, so that a client
+// that waited by its own clock left with no answer.
 TEST(Proxy, APipelinedRequestsTimeRunsWhileItWaitsBehindAnother) {
   Scenario t;
   t.run(R"(
@@ -330,6 +330,36 @@
     c1 expect row v
   )");
 }
+// Read line by line, an indented list was malformed, its watch ended, and so on for ever.
+TEST(Proxy, DrainsWhatAnIndentedListSays) {
+  Scenario t;
+  t.run("s2 wait idle 2\nlist send indented " + t.list(2, "leaving", 6) + R"(
+    s2 expect drained
+    c1 send query SELECT 1 /* id=1,c=read,d=7000,cluster=3 */
+    s1 expect query id=1
+    s1 send row v
+    c1 expect row v
+  )");
+}
+// An answer that says no length goes on to the end of its connection, and a reset is no end: what is whole is
+// taken, half a list is not.
+TEST(Proxy, TakesOnlyWholeListsOfAnEndlessAnswerThatIsReset) {
+  Scenario t;
+  const std::string whole = t.list(2, "leaving", 6), half = whole.substr(0, whole.size() - 2);
+  t.run("list close\nlist expect endless after=5\nlist send raw " + half + R"(
+    list reset
+    list expect endless after=5
+    c1 send query SELECT 1 /* id=1,c=read,d=7000,cluster=3 */
+    s2 expect query id=1
+    s2 send row v
+    c1 expect row v
+    list send raw )" +
+        whole + R"(
+    s2 expect closed
+    list reset
+    list expect watch after=6
+  )");
+}
 TEST(Proxy, WatchesAgainAfterAnEndA503OrSilence) {
   Scenario t;
   t.run("list send line " + t.list(2, "leaving", 6) + R"(
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -335,11 +335,7 @@
   if (what == "all") {  // its process dies
     close(s.listener);
     s.listener = -1;
-    const linger hard{1, 0};
-    for (Connection& c : s.all) {
-      setsockopt(c.fd, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
-      close(c.fd);
-    }
+    for (Connection& c : s.all) reset(c);
     return s.all.clear();
   }
   if (what == "idle") {  // closes what stands idle
@@ -404,6 +400,7 @@
     EXPECT_NE(request.find(rest), std::string::npos) << at_ << ": got " << request;
     watches_.back().fresh = false;
     if (what == "watch") put(watches_.back().fd, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    if (what == "endless") put(watches_.back().fd, "HTTP/1.1 200 OK\r\n\r\n");
     return;
   }
   ASSERT_FALSE(watches_.empty()) << at_;
@@ -415,6 +412,17 @@
   };
   if (verb == "close") {
     shutdown(fd, SHUT_RDWR);
+  } else if (verb == "reset") {
+    reset(watches_.back());
+  } else if (what == "raw") {  // an endless answer's bytes
+    put(fd, rest);
+  } else if (what == "indented") {
+    std::string text;
+    for (const char byte : rest) {
+      text += byte;
+      if (byte == '{' || byte == '[' || byte == ',') text += "\n    ";
+    }
+    chunk(text + "\n");
   } else if (what == "line") {
     chunk(rest + "\n");
   } else if (what == "bits") {  // the same in chunks of one byte each
@@ -547,6 +555,14 @@
   }
 }
 
+void Scenario::reset(Connection& c) {
+  const linger hard{1, 0};
+  setsockopt(c.fd, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+  close(c.fd);
+  c.fd = -1;
+  c.ended = true;
+}
+
 void Scenario::read(Connection& c) {
   char text[65536];
   const ssize_t n = ::recv(c.fd, text, sizeof text, MSG_DONTWAIT);
--- a/tests/scenario.hpp
+++ b/tests/scenario.hpp
@@ -6,6 +6,8 @@
 //   2 s2 wait silent         list expect watch TEXT list send line JSON      list close
 //   proxy send TERM          proxy expect exit 0     proxy expect log TEXT        proxy reload moved|broken
 //   proxy expect quiet       s2 send spoilt KIND      s2 report TEXT
+//   list expect endless TEXT (answers with neither chunks nor a length)      list send raw TEXT
+//   list send indented JSON  list reset
 //   c1 expect told to come back (a refusal with a number in the field D)
 //   s2 drop probes N         s2 load TEXT (comes with its answers, in place of applied_ms)
 //   s2 expect connections N (since its start)
@@ -85,6 +87,7 @@
   void proxy(const std::string& verb, const std::string& rest);
   void pump();
   void read(Connection&);
+  void reset(Connection&);
   void greet(Server&, Connection&);
   template <typename Done>
   void until(Done done, const std::string& what);
