See that a client has left though nothing is read of it for now

Found by reading Clients::Session::read with the question what happens if the client's end comes between: where 16 KiB of pipelined input wait, `bufferevent_disable(bev_.get(), EV_READ)` keeps libevent from the socket, and the end of the connection stands behind what is not read.

Observed over loopback sockets with the program as it was: 400 commands behind a read, the client closes, and 1 s later the read's attempt is still out ("s2 expect gone" fails; it ended only with the read's time).

A session of which nothing is read asks the system whether its client has closed (poll, POLLRDHUP), each round of 100 ms and before the next command is taken.

--- a/src/front/pg/clients.cpp
+++ b/src/front/pg/clients.cpp
@@ -1,6 +1,7 @@
 #include "front/pg/clients.hpp"
 
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -104,6 +105,7 @@
     if (paused_ && !ending_ && evbuffer_get_length(input()) > 0) readSoon();
     paused_ = false;
     if (lingering_) return now - lastActive_ < kLinger;
+    if (!reading_ && gone()) return false;
     if (request_ != 0 || ending_ || evbuffer_get_length(output()) > 0) return true;
     if (!asked_ && now - lastActive_ >= kFirstAsk) return false;
     return halfSince_ == Time(0) || now - halfSince_ < kHalfMessage;
@@ -132,6 +134,11 @@
     append(output(), pg::readyForQuery());
     settle();
   }
+  // Whether the client has closed, though nothing is read of it for now: its end stands behind what it sent.
+  bool gone() {
+    pollfd p{bufferevent_getfd(bev_.get()), POLLRDHUP, 0};
+    return poll(&p, 1, 0) > 0;
+  }
   void readSoon() {
     bufferevent_trigger(bev_.get(), EV_READ, BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
   }
@@ -180,6 +187,7 @@
   void read() {
     if (lingering_) return discard();
     noteArrival();
+    if (!reading_ && gone()) return owner_.closed(*this);
     while (request_ == 0 && !ending_ && !paused_ && evbuffer_get_length(output()) < kUnread) {
       // Each takes one message, or leaves it for when the rest has come.
       if (!(started_ ? takeMessage() : takeStartup())) break;
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -471,6 +471,20 @@
   )");
 }
 // The descriptor table is full long before the bounds that the configuration asks for.
+// Found by reading: nothing is read of a client while enough waits, and so its end was not seen either.
+TEST(Proxy, AClientThatLeavesBehindMuchUnreadEndsItsAttempt) {
+  Scenario t;
+  std::string many = "c1 send query SELECT 1 /* id=1,c=read,d=60000,cluster=3 */\ns2 expect query id=1\n";
+  for (int k = 0; k < 400; ++k) many += "c1 send query " + std::string(100, ';') + "\n";
+  t.run(many + R"(
+    proxy expect quiet
+    c1 close
+    # a clock
+    c2 send query INSERT 2 /* id=2,c=write,d=1000,k=1,cluster=3 */
+    c2 expect error 40003
+    s2 expect gone
+  )");
+}
 TEST(Proxy, AFullDescriptorTableOnlyPausesAccept) {
   Setting s;
   s.descriptors = 24;
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -351,6 +351,10 @@
       parameter("role", primary ? "primary" : "replica") +
       (s.load.empty() ? parameter("applied_ms", std::to_string(unixMs())) : parameter("load", s.load));
   if (what == "closed") return until([&] { return c->ended; }, "the end of the connection");
+  if (what == "gone") {
+    EXPECT_TRUE(c->ended) << at_;
+    return;
+  }
   if (verb == "close") {
     shutdown(c->fd, SHUT_RDWR);
   } else if (what == "row") {
--- a/tests/scenario.hpp
+++ b/tests/scenario.hpp
@@ -10,7 +10,7 @@
 //   list send indented JSON  list reset
 //   c1 expect told to come back (a refusal with a number in the field D)
 //   s2 drop probes N         s2 load TEXT (comes with its answers, in place of applied_ms)
-//   s2 expect connections N (since its start)
+//   s2 expect connections N (since its start)     s2 expect gone (closed by now, no wait)
 //   dns publish s2 [KEY=VALUE ...]   dns withdraw s2   dns mood NAME   dns move DOMAIN
 //
 // c1, c2 ... are clients; s1 (the primary), s2 ... data servers that greet and report by themselves. A
