End connections after SIGTERM without a reset, and finish only what came before the last call

Found by reading Clients::drain to its end with the question what happens if a request comes between. Three crossings, each with a scenario over loopback sockets that fails on the program as it was:

- stopListening() took every session with an empty input for idle, `if (s->idle()) s->end()`, and end() closed at once.
A connection accepted in the pass in which the last call comes has its startup and its request still unread: the close resets it ("c1 expect greeted" ends in a reset).
Forced with SIGSTOP over the last call.
- Whoever went on sending on a busy connection was served on and on; the process ended by its own timer or by SIGKILL with requests taken and unanswered ("a refusal never came"; the exit cut the connection).
- A close over unread bytes resets the connection and takes with it what the system still holds of the answer.

Now a session is idle only if nothing of it waits in the system either; one that has not asked yet gets its time to; a request that comes after the last call is told to come back, once what was taken before is answered; the end is a shutdown, and what still comes is read and thrown away until the client closes, half a second at most. What the listener had accepted is taken before it closes. The client that makes way for another is looked at in the same way.

--- a/src/front/pg/clients.cpp
+++ b/src/front/pg/clients.cpp
@@ -32,8 +32,8 @@
 constexpr Time kFirstAsk = std::chrono::milliseconds(2000), kHalfMessage = std::chrono::milliseconds(1500);
 // So long a new client is left to say who it is, however many others come.
 constexpr Time kNewcomer = std::chrono::milliseconds(25);
-// After its last word to a client that still sends, so much is read and thrown away before the close: closing
-// on unread input would reset the connection, and the error in it would be lost.
+// After its last word to a client, so much is read and thrown away before the close: closing on unread input
+// would reset the connection, and the answer in it would be lost.
 constexpr Time kLinger = std::chrono::milliseconds(500);
 constexpr std::size_t kLingerBytes = 1 << 20;
 constexpr std::size_t kReadAhead = 16 << 10;  // read of a client before it is known what is coming
@@ -84,20 +84,30 @@
     append(output(), pg::error("ERROR", "40003", "the request may have run; its outcome is unknown"));
     answered();
   }
-  bool idle() { return request_ == 0 && !ending_ && evbuffer_get_length(input()) == 0; }
+  // Between requests; one that has come to this machine is looked for, though it is still to be read.
+  bool idle() {
+    char byte;
+    return request_ == 0 && !ending_ && evbuffer_get_length(input()) == 0 &&
+           recv(bufferevent_getfd(bev_.get()), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
+           (errno == EAGAIN || errno == EWOULDBLOCK);
+  }
+  bool asked() const { return asked_; }
   // How readily this client gives up its place to a new one; 0: not at all.
   int spare(Time now) {
     if (lingering_) return 3;
     if (request_ != 0 || ending_) return 0;
     if (!asked_) return now - lastActive_ >= kNewcomer ? 2 : 0;
-    return idle() && evbuffer_get_length(output()) == 0 ? 1 : 0;
+    return evbuffer_get_length(input()) == 0 && evbuffer_get_length(output()) == 0 ? 1 : 0;
   }
   Time lastActive() const { return lastActive_; }
-  // Closes once all that was written has gone out; the object may be gone after this.
+  // Takes nothing more, and closes once all that was written has gone out and the client has left, or has had
+  // the time to.
   void end() {
-    ending_ = true;
-    bufferevent_disable(bev_.get(), EV_READ);
-    if (evbuffer_get_length(output()) == 0) owner_.closed(*this);
+    ending_ = lingering_ = true;
+    lastActive_ = owner_.engine_.now();
+    evbuffer_drain(input(), evbuffer_get_length(input()));
+    bufferevent_enable(bev_.get(), EV_READ);
+    if (evbuffer_get_length(output()) == 0) flushed();
   }
   // Guards against clients that hold a place and do not ask: they are owed an end within 3 s. False: this one
   // is to be closed.
@@ -123,7 +133,6 @@
       shutdown(bufferevent_getfd(bev_.get()), SHUT_WR);
       return;
     }
-    if (ending_) return owner_.closed(*this);
     read();  // what was left while the client did not read its answers
   }
   void answered() {
@@ -144,10 +153,10 @@
   }
   // After an answer. What was pipelined behind comes next, but not within this answer: the turn is not over.
   void settle() {
-    if (evbuffer_get_length(input()) > 0)
-      readSoon();
-    else if (owner_.draining_ && !owner_.listener_)
+    if (asked_ && owner_.lastCallOver() && idle())
       end();
+    else if (evbuffer_get_length(input()) > 0)
+      readSoon();
   }
   // What cannot be read to its end is fatal. Otherwise nothing more is taken before the next round: guards
   // against a client that sends the same again at full speed and keeps the loop from the others.
@@ -304,6 +313,10 @@
     const auto cls = std::find(classes.begin(), classes.end(), comment.cls);
     if (cls == classes.end()) return reject("42704", "unknown class", false);
 
+    // Guards against finishing for ever: whoever goes on asking on a connection that cannot end amid a
+    // request is told to come back, to another proxy.
+    if (owner_.lastCallOver() && arrivalOfTaken() > owner_.lastCalled_)
+      return refused(std::chrono::milliseconds(1));
     const Time now = owner_.engine_.now();
     knotstack::Request q;
     q.cls = static_cast<int>(cls - classes.begin());
@@ -408,7 +421,8 @@
   int most = 0;
   for (const auto& [s, owned] : sessions_) {
     const int spare = s->spare(now);
-    if (spare > most || (spare > 0 && spare == most && s->lastActive() < best->lastActive())) {
+    const bool better = spare > most || (spare > 0 && spare == most && s->lastActive() < best->lastActive());
+    if (better && (spare > 1 || s->idle())) {
       best = s;
       most = spare;
     }
@@ -425,7 +439,8 @@
   const Time now = engine_.now();
   Session* longest = nullptr;
   for (const auto& [s, owned] : sessions_)
-    if (s != &by && s->spare(now) == 1 && (!longest || s->lastActive() < longest->lastActive())) longest = s;
+    if (s != &by && s->spare(now) == 1 && (!longest || s->lastActive() < longest->lastActive()) && s->idle())
+      longest = s;
   if (longest) closed(*longest);
 }
 
@@ -447,7 +462,7 @@
 void Clients::closed(Session& s) {
   sessions_.erase(&s);
   acceptAgain();
-  if (draining_ && !listener_ && sessions_.empty()) done_();
+  if (lastCallOver() && sessions_.empty()) done_();
 }
 
 void Clients::drain(std::function<void()> done) {
@@ -457,14 +472,25 @@
   startTimer(lastCall_.get(), kLastCall);
 }
 
+// What this machine has accepted may have asked already; closing the listener would reset it.
+void Clients::acceptPending() {
+  const evutil_socket_t listening = evconnlistener_get_fd(listener_.get());
+  while (sessions_.size() < most_ || makeRoom()) {
+    const int fd = accept4(listening, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd < 0) return;
+    auto session = std::make_unique<Session>(*this, fd);
+    sessions_.emplace(session.get(), std::move(session));
+  }
+}
+
 // At the last call, and once more when what was taken should be finished.
 void Clients::stopListening() {
   if (!listener_) return done_();
+  acceptPending();
   listener_.reset();
-  std::vector<Session*> all;
-  for (const auto& [s, owned] : sessions_) all.push_back(s);
-  for (Session* s : all)
-    if (s->idle()) s->end();
+  lastCalled_ = engine_.now();
+  for (const auto& [s, owned] : sessions_)
+    if (s->asked() && s->idle()) s->end();  // one that has just come is owed an answer, or its time to ask
   if (sessions_.empty()) return done_();
   Time longest{};
   for (const auto& c : config_.settings.classes) longest = std::max(longest, c.deadline);
--- a/src/front/pg/clients.hpp
+++ b/src/front/pg/clients.hpp
@@ -30,6 +30,8 @@
   void round();
   void firstAsked(const Session& by);
   void stopListening();
+  void acceptPending();
+  bool lastCallOver() const { return draining_ && !listener_; }
 
   event_base* const base_;
   Engine& engine_;
@@ -40,6 +42,7 @@
   Listener listener_;
   Event pause_, lastCall_, round_;
   bool draining_ = false;
+  Time lastCalled_{};  // when the listener was closed
   std::function<void()> done_;
   std::unordered_set<std::string> openIds_;  // of the requests that are out
   std::unordered_map<Session*, std::unique_ptr<Session>> sessions_;
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -471,6 +471,42 @@
   )");
 }
 // The descriptor table is full long before the bounds that the configuration asks for.
+// After SIGTERM clients go on sending on every connection that stays open. What comes after the last call is
+// told to come back, lest it is finished for ever; its answer is not lost in the close.
+TEST(Proxy, WhatIsPipelinedAfterTheLastCallIsToldToComeBack) {
+  Scenario t;
+  t.run(R"(
+    c1 send query SELECT 1 /* id=1,c=read,d=7000,cluster=3 */
+    s2 expect query id=1
+    proxy send TERM
+    time passes 600
+    c1 send query SELECT 2 /* id=2,c=read,d=60000,cluster=3 */
+    c1 send query SELECT 3 /* id=3,c=read,d=60000,cluster=3 */
+    s2 send row big
+    c1 expect row big
+    c1 expect told to come back
+    c1 expect told to come back
+    c1 expect closed
+    proxy expect exit 0
+  )");
+}
+// The last call comes in the very moment in which a connection and its first request have come, unread.
+TEST(Proxy, AConnectionThatCrossesTheLastCallGetsItsAnswer) {
+  Scenario t;
+  t.run(R"(
+    proxy send TERM
+    proxy expect log event=drain_started
+    proxy send STOP
+    c1 open
+    c1 send query SELECT 1 /* id=1,c=read,d=7000,cluster=3 */
+    time passes 600
+    proxy send CONT
+    c1 expect greeted
+    c1 expect told to come back
+    c1 expect closed
+    proxy expect exit 0
+  )");
+}
 // Found by reading: nothing is read of a client while enough waits, and so its end was not seen either.
 TEST(Proxy, AClientThatLeavesBehindMuchUnreadEndsItsAttempt) {
   Scenario t;
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -221,6 +221,11 @@
   std::string who, verb, what, rest;
   words >> who >> verb >> what >> std::ws;
   std::getline(words, rest);
+  if (who == "time") {  // for what the proxy does when its timers come due
+    const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(std::stoi(what));
+    while (std::chrono::steady_clock::now() < end) pump();
+    return;
+  }
   if (who == "list") return discovery(verb, what, rest);
   if (who == "dns") return dns(verb, what, rest);
   if (who == "proxy" && what == "log")
@@ -233,10 +238,9 @@
     c.fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     const sockaddr_in a = loopback(port_);
     ASSERT_EQ(connect(c.fd, reinterpret_cast<const sockaddr*>(&a), sizeof a), 0) << at_;
-    if (what != "bytes") {
-      put(c.fd, pg::startup("api", "ledger"));
-      expectMessage(c, 'Z', "");
-    }
+    if (what != "bytes") put(c.fd, pg::startup("api", "ledger"));
+    if (verb == "open") return;
+    if (what != "bytes") expectMessage(c, 'Z', "");
   }
   client(c, verb, what, rest);
 }
@@ -254,6 +258,9 @@
     for (unsigned v; hex >> std::hex >> v;) put(c.fd, std::string(1, static_cast<char>(v)));
   } else if (what == "closed") {
     until([&] { return c.ended; }, "the end of the connection");
+    EXPECT_FALSE(c.wasReset) << at_;
+  } else if (what == "greeted") {
+    expectMessage(c, 'Z', "");
   } else if (what == "row") {
     expectMessage(c, 'D', value(rest));
     expectMessage(c, 'Z', "");
@@ -467,7 +474,8 @@
 
 void Scenario::proxy(const std::string& verb, const std::string& rest) {
   if (verb == "send") {
-    kill(pid_, SIGTERM);
+    const std::map<std::string, int> signals{{"TERM", SIGTERM}, {"STOP", SIGSTOP}, {"CONT", SIGCONT}};
+    kill(pid_, signals.at(rest));
     return;
   }
   if (verb == "reload") {
@@ -572,6 +580,7 @@
   const ssize_t n = ::recv(c.fd, text, sizeof text, MSG_DONTWAIT);
   if (n > 0) c.in.append(text, static_cast<std::size_t>(n));
   c.ended = n == 0 || (n < 0 && errno != EAGAIN);
+  c.wasReset = n < 0 && errno == ECONNRESET;
 }
 
 void Scenario::greet(Server& s, Connection& c) {
--- a/tests/scenario.hpp
+++ b/tests/scenario.hpp
@@ -4,7 +4,8 @@
 //   c1 send query TEXT     c1 expect row TEXT     c1 expect error CODE     c1 expect closed     c1 close
 //   s2 expect query TEXT   s2 send row TEXT       s2 send error CODE       s2 close             s2 wait idle
 //   2 s2 wait silent         list expect watch TEXT list send line JSON      list close
-//   proxy send TERM          proxy expect exit 0     proxy expect log TEXT        proxy reload moved|broken
+//   proxy send TERM|STOP|CONT  proxy expect exit 0   proxy expect log TEXT        proxy reload moved|broken
+//   c1 open (sends its startup, waits for nothing)   c1 expect greeted            time passes MS
 //   proxy expect quiet       s2 send spoilt KIND      s2 report TEXT
 //   list expect endless TEXT (answers with neither chunks nor a length)      list send raw TEXT
 //   list send indented JSON  list reset
@@ -66,7 +67,7 @@
   struct Connection {
     int fd = -1;
     std::string in;
-    bool ended = false, greeted = false, busy = false, fresh = true;
+    bool ended = false, wasReset = false, greeted = false, busy = false, fresh = true;
   };
   struct Server {
     int listener = -1, port = 0;
