Ask discovery again within 2 s of a failure, however many the proxies are

The terms count a change as told 6 s after discovery had it and could be reached, whatever is allowed after failed calls, and 6 s after a watch fell silent. A silence takes 3 s to notice (a line comes every 2 s), a call its 1 s; askSpread() grew by 20 ms a proxy without an end, 3 to 6 s for 300, so that all watches that fall silent at once would be opened anew 6 to 9 s later.

The bound follows from the protocol's figures alone: 6 s less 3 of silence and 1 of the call. Up to 100 proxies nothing changes.

The new test fails without the bound.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -48,6 +48,7 @@
 constexpr Time kScout = milliseconds(250);     // pause between probes for a missing primary
 constexpr Time kAskFirst = milliseconds(200);  // after a failed call to discovery; doubles from there
 constexpr Time kAskEach = milliseconds(20);    // longer so for each router
+constexpr Time kAskMost = seconds(2);  // what is 6 s old counts as told: 3 to notice silence, 1 for an answer
 constexpr double kLate = std::numeric_limits<double>::infinity();
 constexpr std::size_t kSessions = 200000;  // remembered writes; older ones are folded into one commit a group
 
@@ -711,7 +712,7 @@
     asking = kind == ListKind::Failed && s.discovery == Discovery::Subscribe;
     if (asking) {
       askLater(askBackoff);
-      askBackoff = std::min(2 * askBackoff, std::max(s.mustAskIn / 4, kAskFirst));
+      askBackoff = std::min({2 * askBackoff, std::max(s.mustAskIn / 4, kAskFirst), kAskMost});
     }
     if (kind == ListKind::Failed) return;
     askBackoff = askSpread();
@@ -788,7 +789,7 @@
   }
   // Guards against all routers asking at the same instants, of which discovery serves a few and then has
   // nothing to do: each asks at a time of its own, spread over more the more they are.
-  Time askSpread() const { return std::max(kAskFirst, s.balancers * kAskEach); }
+  Time askSpread() const { return std::clamp<Time>(s.balancers * kAskEach, kAskFirst, kAskMost); }
   void askLater(Time most) {
     asking = true;
     const Time in = scaled(most, 0.5 + chance(++askTurn) / 2);
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -997,6 +997,24 @@
   EXPECT_GT(again.size(), 90u);
   EXPECT_GT(*again.rbegin() - *again.begin(), milliseconds(500));
 }
+// A change counts as told 6 s after discovery had it and could be reached, and after a watch fell silent: 3 s
+// of silence and 6 s of spread, as 300 routers had, are too many.
+TEST(Discovery, AsksAgainInTimeHoweverManyTheRoutersAre) {
+  Settings s = settings();
+  s.discovery = Discovery::Subscribe;
+  for (const int routers : {1, 30, 300, 3000}) {
+    s.balancers = routers;
+    Bench t(s);
+    for (int k = 0; k < 8; ++k) {
+      t.b.list(t.now, ListKind::Failed, {});
+      const Action again = t.out.of("timer").back();
+      EXPECT_LE(again.time, seconds(2)) << routers;
+      t.b.timer(t.now += again.time, again.token);
+      EXPECT_FALSE(t.out.of("subscribe").empty());
+      t.out.all.clear();
+    }
+  }
+}
 TEST(Discovery, AnUnansweredCallIsRepeatedBeforeItIsTooLate) {
   Settings s = settings();
   s.discovery = Discovery::Subscribe;
