Let a client cancel its request by the key of its greeting

A CancelRequest was read and nothing came of it: takeStartup() ended that connection ("an attempt is given up when its client leaves"), and the greeting gave every client the same key, process 1 and secret 0, so that no request could have been found by it.

Now each session's greeting has a number of its own and a random secret; a CancelRequest with both ends the request that is out there as if its client had left, attempts included, and the client gets 57014 at once. One that knows no session, or comes after the answer, does nothing, as in PostgreSQL.

Two scenarios: a cancelled read leaves its data server and the next one is untouched; a cancellation and the answer that come in one turn of the loop (forced with SIGSTOP) give one answer. Both fail on the program as it was.

--- a/src/front/pg/clients.cpp
+++ b/src/front/pg/clients.cpp
@@ -41,6 +41,10 @@
 constexpr std::uint32_t kLongestWaitMs = 3600 * 1000;
 constexpr Time kArrivals = std::chrono::milliseconds(5);  // input that comes within so long came together
 
+std::uint64_t keyOf(std::uint32_t process, std::uint32_t secret) {
+  return static_cast<std::uint64_t>(process) << 32 | secret;
+}
+
 }  // namespace
 
 // One client connection. Queries are taken one at a time; what is pipelined behind waits in the input, which
@@ -63,6 +67,7 @@
   ~Session() override {
     if (request_ != 0) owner_.engine_.left(request_);
     owner_.asking_ -= asked_;
+    owner_.byKey_.erase(key_);
     forget();
     release();
   }
@@ -109,6 +114,14 @@
     bufferevent_enable(bev_.get(), EV_READ);
     if (evbuffer_get_length(output()) == 0) flushed();
   }
+  // Its client has cancelled: it waits for nothing but the word that this was done.
+  void cancel() {
+    if (request_ == 0) return;
+    owner_.engine_.left(request_);
+    request_ = 0;
+    append(output(), pg::error("ERROR", "57014", "canceled by its client"));
+    answered();
+  }
   // Guards against clients that hold a place and do not ask: they are owed an end within 3 s. False: this one
   // is to be closed.
   bool looksAlive(Time now) {
@@ -228,10 +241,11 @@
   }
 
   bool takeStartup() {
-    char head[8];
-    if (evbuffer_copyout(input(), head, sizeof head) < static_cast<ev_ssize_t>(sizeof head)) return false;
+    constexpr std::size_t kLeast = 8;
+    char head[pg::kCancel] = {};
+    if (evbuffer_copyout(input(), head, sizeof head) < static_cast<ev_ssize_t>(kLeast)) return false;
     const std::uint32_t length = pg::readInt32(head), code = pg::readInt32(head + 4);
-    if (length < sizeof head || length > pg::kLongestStartup) {
+    if (length < kLeast || length > pg::kLongestStartup) {
       reject("08P01", "malformed startup message", true);
       return false;
     }
@@ -242,7 +256,9 @@
       append(output(), "N");
       return true;
     }
-    if (code == pg::kCancelRequest) {  // an attempt is given up when its client leaves
+    if (code == pg::kCancelRequest) {
+      const auto it = owner_.byKey_.find(keyOf(pg::readInt32(head + 8), pg::readInt32(head + 12)));
+      if (length == pg::kCancel && it != owner_.byKey_.end()) it->second->cancel();
       end();
       return false;
     }
@@ -250,7 +266,12 @@
       reject("0A000", "only version 3 of the protocol is spoken here", true);
       return false;
     }
-    append(output(), pg::greeting());
+    // A number that nobody has yet, and one that nobody can guess.
+    std::uint32_t secret = 0;
+    evutil_secure_rng_get_bytes(&secret, sizeof secret);
+    key_ = keyOf(++owner_.lastProcess_, secret);
+    owner_.byKey_[key_] = this;
+    append(output(), pg::greeting(owner_.lastProcess_, secret));
     started_ = true;
     bufferevent_set_timeouts(bev_.get(), nullptr, &kWriteTimeout);
     settle();
@@ -352,6 +373,7 @@
 
   Clients& owner_;
   BufferEvent bev_;
+  std::uint64_t key_ = 0;  // by which its client may cancel; 0: it has none yet
   bool started_ = false, asked_ = false, ending_ = false;
   bool lingering_ = false;    // its last word is said; what still comes is thrown away
   bool paused_ = false;       // until the next round
--- a/src/front/pg/clients.hpp
+++ b/src/front/pg/clients.hpp
@@ -44,6 +44,8 @@
   bool draining_ = false;
   Time lastCalled_{};  // when the listener was closed
   std::function<void()> done_;
+  std::unordered_map<std::uint64_t, Session*> byKey_;  // that a client may cancel by
+  std::uint32_t lastProcess_ = 0;
   std::unordered_set<std::string> openIds_;  // of the requests that are out
   std::unordered_map<Session*, std::unique_ptr<Session>> sessions_;
 };
--- a/src/wire/pg/pg.cpp
+++ b/src/wire/pg/pg.cpp
@@ -71,7 +71,7 @@
 std::string query(std::string_view statement) { return message('Q', std::string(statement) + '\0'); }
 std::string readyForQuery() { return message('Z', "I"); }
 
-std::string greeting() {
+std::string greeting(std::uint32_t process, std::uint32_t secret) {
   using namespace std::string_view_literals;
   std::string m = message('R', "\0\0\0\0"sv);
   m += message('S',
@@ -80,7 +80,10 @@
   m += message('S', "server_encoding\0UTF8\0"sv);
   m += message('S', "client_encoding\0UTF8\0"sv);
   m += message('S', "standard_conforming_strings\0on\0"sv);
-  m += message('K', "\0\0\0\1\0\0\0\0"sv);
+  std::string key;
+  putInt32(key, process);
+  putInt32(key, secret);
+  m += message('K', key);
   return m + readyForQuery();
 }
 
--- a/src/wire/pg/pg.hpp
+++ b/src/wire/pg/pg.hpp
@@ -13,7 +13,7 @@
 
 constexpr std::size_t kHead = 5;                    // type and length of a message
 constexpr std::size_t kLongestMessage = 160 << 10;  // a value of 64 KiB in hex, and the statement round it
-constexpr std::size_t kLongestStartup = 4096;
+constexpr std::size_t kLongestStartup = 4096, kCancel = 16;
 constexpr std::size_t kLongestValue = 64 << 10,
                       kRowHead = 6;         // of a DataRow: columns, the length of the first
 constexpr std::size_t kLongestNote = 4096;  // any other message of a data server
@@ -35,7 +35,8 @@
 std::string query(std::string_view statement);
 std::string queryHead(std::size_t length);  // of a Query whose statement, NUL included, is that long
 std::string readyForQuery();
-std::string greeting();  // what answers a startup message, ReadyForQuery included
+// What answers a startup message, ReadyForQuery included; by the two numbers its client may cancel a request.
+std::string greeting(std::uint32_t process = 1, std::uint32_t secret = 0);
 std::string error(const char* severity, const char* code, std::string_view text,
                   std::string_view detail = {});
 
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -507,6 +507,46 @@
     proxy expect exit 0
   )");
 }
+// A client that cancels has gone as one that closes, but for its connection.
+TEST(Proxy, AClientThatCancelsEndsItsAttempt) {
+  Scenario t;
+  t.run(R"(
+    c1 send query SELECT 1 /* id=1,c=read,d=60000,cluster=3 */
+    s2 expect query id=1
+    c2 send query SELECT 2 /* id=2,c=read,d=60000,cluster=3 */
+    c1 cancel wrongly
+    c1 cancel
+    s2 expect closed
+    c1 expect error 57014
+    s2 expect query id=2
+    s2 send row two
+    c2 expect row two
+    # what it cancels is over: nothing happens to the next
+    c1 cancel
+    c1 send query SELECT 3 /* id=3,c=read,d=60000,cluster=3 */
+    s2 expect query id=3
+    s2 send row three
+    c1 expect row three
+  )");
+}
+// Both come in one turn of the loop: there is one answer, and it is the cancellation's.
+TEST(Proxy, ACancellationThatCrossesTheAnswerGivesOneAnswer) {
+  Scenario t;
+  t.run(R"(
+    c1 send query SELECT 1 /* id=1,c=read,d=60000,cluster=3 */
+    s2 expect query id=1
+    c1 cancel begins
+    time passes 50
+    proxy send STOP
+    time passes 50
+    s2 send row one
+    c1 cancel
+    proxy send CONT
+    c1 expect error 57014
+    c1 send query
+    c1 expect empty
+  )");
+}
 // Found by reading: nothing is read of a client while enough waits, and so its end was not seen either.
 TEST(Proxy, AClientThatLeavesBehindMuchUnreadEndsItsAttempt) {
   Scenario t;
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -247,7 +247,23 @@
 
 void Scenario::client(Connection& c, const std::string& verb, const std::string& what,
                       const std::string& rest) {
-  if (verb == "close") {
+  if (verb == "cancel") {  // on a connection of its own, by the key of its greeting
+    const std::string request =
+        number(16) + number(pg::kCancelRequest) + (what == "wrongly" ? std::string(8, '\0') : c.key);
+    ASSERT_EQ(request.size(), 16u) << at_;
+    std::size_t sent = 15;  // all but the last byte, where it has begun before
+    if (cancel_ < 0) {
+      cancel_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+      const sockaddr_in a = loopback(port_);
+      ASSERT_EQ(connect(cancel_, reinterpret_cast<const sockaddr*>(&a), sizeof a), 0) << at_;
+      sent = 0;
+    }
+    put(cancel_, what == "begins" ? request.substr(0, 15) : request.substr(sent));
+    if (what == "begins") return;
+    shutdown(cancel_, SHUT_WR);
+    close(cancel_);
+    cancel_ = -1;
+  } else if (verb == "close") {
     close(c.fd);
     c.fd = -1;
     c.ended = true;
@@ -625,8 +641,10 @@
   const std::string passed = type == 'Z' ? "RSKC" : "RSKTC";
   until(
       [&] {
-        while (message(c, got, body))
+        while (message(c, got, body)) {
+          if (got == 'K') c.key = body;
           if (got == type || passed.find(got) == std::string::npos) return true;
+        }
         return c.ended;
       },
       "a message");
--- a/tests/scenario.hpp
+++ b/tests/scenario.hpp
@@ -5,6 +5,7 @@
 //   s2 expect query TEXT   s2 send row TEXT       s2 send error CODE       s2 close             s2 wait idle
 //   2 s2 wait silent         list expect watch TEXT list send line JSON      list close
 //   proxy send TERM|STOP|CONT  proxy expect exit 0   proxy expect log TEXT        proxy reload moved|broken
+//   c1 cancel [wrongly|begins]
 //   c1 open (sends its startup, waits for nothing)   c1 expect greeted            time passes MS
 //   proxy expect quiet       s2 send spoilt KIND      s2 report TEXT
 //   list expect endless TEXT (answers with neither chunks nor a length)      list send raw TEXT
@@ -66,7 +67,7 @@
  private:
   struct Connection {
     int fd = -1;
-    std::string in;
+    std::string in, key;
     bool ended = false, wasReset = false, greeted = false, busy = false, fresh = true;
   };
   struct Server {
@@ -102,7 +103,7 @@
   bool exited_ = false;
   std::map<std::string, Connection> clients_;
   std::vector<Server> servers_;
-  int listListener_ = -1;
+  int listListener_ = -1, cancel_ = -1;
   std::list<Connection> watches_;
   struct FreeBase {
     void operator()(event_base* b) const { event_base_free(b); }
