Let the test of cancellations wait until the proxy has read them

Seen once under load: the last cancellation of AClientThatCancelsEndsItsAttempt, meant to come after the answer, was read after the next request had come on the other connection, and cancelled that. The step 'expect cancelled' waits for the end of the cancellation's connection; the checks are as they were, and one is added: the proxy says nothing there but its end.

--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -515,7 +515,9 @@
     s2 expect query id=1
     c2 send query SELECT 2 /* id=2,c=read,d=60000,cluster=3 */
     c1 cancel wrongly
+    c1 expect cancelled
     c1 cancel
+    c1 expect cancelled
     s2 expect closed
     c1 expect error 57014
     s2 expect query id=2
@@ -523,6 +525,7 @@
     c2 expect row two
     # what it cancels is over: nothing happens to the next
     c1 cancel
+    c1 expect cancelled
     c1 send query SELECT 3 /* id=3,c=read,d=60000,cluster=3 */
     s2 expect query id=3
     s2 send row three
@@ -542,6 +545,7 @@
     s2 send row one
     c1 cancel
     proxy send CONT
+    c1 expect cancelled
     c1 expect error 57014
     c1 send query
     c1 expect empty
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -254,13 +254,16 @@
     std::size_t sent = 15;  // all but the last byte, where it has begun before
     if (cancel_ < 0) {
       cancel_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+      const timeval watchdog{std::chrono::seconds(kWatchdog).count(), 0};
+      setsockopt(cancel_, SOL_SOCKET, SO_RCVTIMEO, &watchdog, sizeof watchdog);
       const sockaddr_in a = loopback(port_);
       ASSERT_EQ(connect(cancel_, reinterpret_cast<const sockaddr*>(&a), sizeof a), 0) << at_;
       sent = 0;
     }
     put(cancel_, what == "begins" ? request.substr(0, 15) : request.substr(sent));
-    if (what == "begins") return;
-    shutdown(cancel_, SHUT_WR);
+  } else if (what == "cancelled") {  // the proxy has read it, and says nothing but its end
+    char byte;
+    EXPECT_EQ(recv(cancel_, &byte, 1, 0), 0) << at_;
     close(cancel_);
     cancel_ = -1;
   } else if (verb == "close") {
--- a/tests/scenario.hpp
+++ b/tests/scenario.hpp
@@ -5,7 +5,7 @@
 //   s2 expect query TEXT   s2 send row TEXT       s2 send error CODE       s2 close             s2 wait idle
 //   2 s2 wait silent         list expect watch TEXT list send line JSON      list close
 //   proxy send TERM|STOP|CONT  proxy expect exit 0   proxy expect log TEXT        proxy reload moved|broken
-//   c1 cancel [wrongly|begins]
+//   c1 cancel [wrongly|begins]   c1 expect cancelled
 //   c1 open (sends its startup, waits for nothing)   c1 expect greeted            time passes MS
 //   proxy expect quiet       s2 send spoilt KIND      s2 report TEXT
 //   list expect endless TEXT (answers with neither chunks nor a length)      list send raw TEXT
