--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -647,7 +647,7 @@
   tell(2, 1);
   EXPECT_EQ(t.lastTo(id), 2u);
 }
-// Three replicas whose turn comes one after another; the first two are known to hold 8 each.
+// Three replicas whose turn comes one after another; the first two are known to hold as much each.
 struct TwoBusy {
   Settings s = [] {
     Settings given = settings();
@@ -658,7 +658,7 @@
   Bench t{s, 4};
   RequestId id = 0;
   MemberId third = 0;
-  explicit TwoBusy(bool thirdIsIdle) {
+  explicit TwoBusy(bool thirdIsIdle, int held = 8, int agoMs = 0) {
     t.reportLoad(4, true, 0);
     for (MemberId m = 1; m <= 3; ++m) t.reportLoad(m, false, 0);
     for (int k = 0; k < 15; ++k) {  // one in five takes longer
@@ -672,10 +672,11 @@
     t.out.all.clear();
     if (thirdIsIdle) t.reportLoad(third, false, 0);
     for (MemberId m = 1; thirdIsIdle && m <= 3; ++m)
-      if (m != third) t.reportLoad(m, false, 8);
+      if (m != third) t.reportLoad(m, false, held);
+    t.pass(agoMs);
     id = t.ask(kAny);
     const std::vector<Action> asked = t.out.of("probe");
-    for (const Action& a : asked) t.reportLoad(a.member, false, a.member == third ? 0 : 8);
+    for (const Action& a : asked) t.reportLoad(a.member, false, a.member == third ? 0 : held);
     EXPECT_EQ(asked.size(), thirdIsIdle ? 0u : 2u);
   }
 };
@@ -686,6 +687,13 @@
   ASSERT_EQ(busy.t.sends(busy.id).size(), 1u) << "refused";
   EXPECT_EQ(busy.t.lastTo(busy.id), busy.third) << "the idle replica, not the primary";
 }
+// Few proxies: a quarter of a second after its word of nothing an idle replica was held against its group's
+// load.
+TEST(ReadSet, AWordOfNothingStandsWhileItIsNews) {
+  TwoBusy busy(true, 30, 600);
+  ASSERT_EQ(busy.t.sends(busy.id).size(), 1u) << "refused";
+  EXPECT_EQ(busy.t.lastTo(busy.id), busy.third);
+}
 // Another deployment, without words between proxies: each of 300 proxies took every replica that it had not
 // heard of for idle, and whole groups drowned one after another.
 TEST(ReadSet, AMemberThatNobodyHeardOfIsAsLoadedAsTheOthersOfItsGroup) {
