Keep no connection to where a member was before it moved

Found by reading Upstream::listed with the question what happens if an answer comes between: a new address closes the idle connections (`if (moved || !ready) dropIdle(e)`), but one that is busy goes back among the idle ones when its answer has come, and one that is being dialed takes the next job: requests for the member go on to whoever is at the old address, for as long as it is used. stands() looked at the member's state alone.

Over loopback sockets with the program as it was: "s2 expect closed: the end of the connection never came". A connection now knows its address; where that is not its member's any more it is closed, and what waits for one gets one.

--- a/src/back/pg/upstream.cpp
+++ b/src/back/pg/upstream.cpp
@@ -67,9 +67,10 @@
 // A connection belongs to its Upstream, which frees it; a job on it is only pointed at.
 class Upstream::Connection {
  public:
-  Connection(Upstream& owner, MemberId to, const Address& address)
+  Connection(Upstream& owner, MemberId to, const Address& at)
       : owner_(owner),
         member(to),
+        address(at),
         timer(event_new(
             owner.base_, -1, 0,
             [](evutil_socket_t, short, void* self) { static_cast<Connection*>(self)->late(); }, this)) {
@@ -296,6 +297,7 @@
 
  public:
   const MemberId member;
+  const Address address;
   bool dialing = true;  // no ReadyForQuery has come yet
   Job* job = nullptr;
   Event timer;  // of the dial, then of idleness
@@ -409,6 +411,12 @@
 
 bool Upstream::stands(Connection& c) {
   Endpoint& e = endpoints_[c.member];
+  if (c.address != e.address) {  // the member has moved meanwhile
+    const MemberId id = c.member;
+    drop(c);
+    if (e.waiting.size() > static_cast<std::size_t>(e.dialing)) dial(id, e);
+    return false;
+  }
   if (c.dialing) e.dialing -= 1;
   c.dialing = false;
   if (!e.waiting.empty()) {
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -330,6 +330,29 @@
     c1 expect row v
   )");
 }
+// A connection that was busy when its member moved went back among the idle ones of the new address.
+TEST(Proxy, KeepsNoConnectionToWhereAMemberWasBefore) {
+  Setting setting;
+  setting.servers = 3;
+  setting.idleCloseUs = "600000000";  // idleness alone ends none
+  Scenario t(setting);
+  std::string moved = t.list(3, "active", 7);
+  moved.replace(moved.find("s-3"), 3, "s-2");
+  t.run("list send line " + t.list(3, "left", 6) + R"(
+    c1 send query SELECT 1 /* id=1,c=read,d=7000,cluster=3 */
+    s2 expect query id=1
+    list send line )" +
+        moved + R"(
+    s3 wait idle 1
+    s2 send row one
+    c1 expect row one
+    s2 expect closed
+    c1 send query SELECT 2 /* id=2,c=read,d=7000,cluster=3 */
+    s3 expect query id=2
+    s3 send row two
+    c1 expect row two
+  )");
+}
 // Read line by line, an indented list was malformed, its watch ended, and so on for ever.
 TEST(Proxy, DrainsWhatAnIndentedListSays) {
   Scenario t;
