Let no proxy tell more than twice its part of the words, though it hears of nobody

sawReport() keeps quiet while it has heard of the member within 250 ms (`now - m.spreadAt < kSpread`): that bounds the fleet's words only as long as they arrive.

The fleet's words of a member are one in 250 ms; a proxy's part of them one in 250 ms times the number of proxies, from the settings. None tells more than twice that now, whatever it hears. In a fleet that hears nothing changes, for each proxy speaks less than that.

The test fails without it.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -193,9 +193,11 @@
     if (role == Role::Unknown) return;
     sawRole(m, role, at);
     // Guards against what a router of many cannot know: it hears from each member once in many seconds, all
-    // of them together many times a second. Whoever hears first tells, the others keep quiet for a while.
-    if (!s.peers || (m.spreadAt != never && now - m.spreadAt < kSpread)) return;
-    m.spreadAt = now;
+    // of them together many times a second. Whoever hears first tells, the others keep quiet for a while; and
+    // none tells more than twice its part, lest all of them do where words are lost on the way.
+    const auto over = [&](Time since, Time pause) { return since == never || now - since >= pause; };
+    if (!s.peers || !over(m.spreadAt, kSpread) || !over(m.tellAt, kSpread * s.balancers / 2)) return;
+    m.spreadAt = m.tellAt = now;
     sink.tell({m.listed.id, at, role == Role::Primary, m.told});
   }
   void heard(const Word& w) {
@@ -746,10 +748,7 @@
         }
       }
       m.listed = e;
-      if (e.state != Lifecycle::Gone)
-        m.goneAt = never;
-      else if (m.goneAt == never)
-        m.goneAt = now;
+      m.goneAt = e.state != Lifecycle::Gone ? never : m.goneAt == never ? now : m.goneAt;
       m.seenDraining = e.state == Lifecycle::Draining || (m.seenDraining && e.state != Lifecycle::Ready);
       Group& g = groups[e.group];
       if (!usable(m)) {
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -50,6 +50,7 @@
   int told = 0;         // requests held there, by the newest report
   Time toldAt = never;
   Time spreadAt = never;   // when routers last heard of it, from here or from another one
+  Time tellAt = never;     // when they did from here
   std::uint64_t salt = 0;  // this router's own order of members that are alike
 };
 
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -790,6 +790,20 @@
   there.report(2, 0);
   EXPECT_EQ(there.out.words.size(), 2u);
 }
+// A day on which words are lost on the way: nobody heard that it had been told, and all 300 told everything.
+TEST(Peers, NoRouterTellsMoreThanTwiceItsPartThoughItHearsOfNobody) {
+  Settings s = settings();
+  s.peers = true;
+  for (const int routers : {3, 300}) {
+    s.balancers = routers;
+    Bench t(s);
+    constexpr int kPasses = 1200;  // of 50 ms: a minute
+    for (int k = 0; k < kPasses; ++k, t.pass(50)) t.report(2, 0);
+    const double part = 60 / 0.25 / routers;  // a word in a quarter of a second from all of them
+    EXPECT_GT(t.out.words.size(), part);
+    EXPECT_LT(t.out.words.size(), 2.5 * part + 1);
+  }
+}
 // Day 4 of the full score: each of a hundred proxies asked all members of a group for its primary.
 TEST(Peers, WhatAPeerJustSaidIsNotAskedAgainInTheSearchForAPrimary) {
   Settings s = settings();
