Call discovery once where a reload crosses the pause after a failed call

Found by reading Discovery::move with the question what happens if a signal comes between: after a failed call the module's timer runs; SIGHUP meanwhile opens a watch at the new address at once; when the timer comes due before the list does, watch() gives the call under way up, `connection_.reset(bufferevent_socket_new(...))`, and calls again, at the end of discovery's queue. Whatever the first call would have told by then is not told.

Over loopback sockets with the program as it was: three calls in place of two, and the list sent in answer to the second is lost ("s2 expect drained: the end of all connections never came").

--- a/src/membership/registry/watch.cpp
+++ b/src/membership/registry/watch.cpp
@@ -21,6 +21,7 @@
           [](evutil_socket_t, short, void* self) { static_cast<Discovery*>(self)->fail("silent"); }, this)) {}
 
 void Discovery::watch(std::uint64_t after) {
+  if (connection_) return;  // it is watched, or being called; what is silent ends by itself
   response_ = http::Response();
   lists_ = ListReader();
   connection_.reset(bufferevent_socket_new(base_, -1, BEV_OPT_CLOSE_ON_FREE));
@@ -43,6 +44,7 @@
 void Discovery::move(const Address& address) {
   if (address == address_) return;
   address_ = address;
+  connection_.reset();
   watch(taker_.generation());
 }
 
--- a/src/membership/registry/watch.hpp
+++ b/src/membership/registry/watch.hpp
@@ -11,7 +11,7 @@
 class Discovery final : public Lists {
  public:
   Discovery(event_base*, ListTaker&, const Address&);
-  void watch(std::uint64_t after) override;  // a watch that is on ends silently
+  void watch(std::uint64_t after) override;  // nothing, while one is on
   void move(const Address&);                 // goes on with the watch at another address
 
  private:
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -419,6 +419,20 @@
     proxy expect exit 0
   )");
 }
+// SIGHUP comes in the pause after a failed call: the call at the pause's end gave up the one that was under
+// way.
+TEST(Proxy, CallsOnceWhereAReloadCrossesThePauseAfterAFailure) {
+  Scenario t;
+  t.run(R"(
+    list close
+    proxy expect log event=watch_ended
+    proxy reload moved
+    list expect watch after=5
+    time passes 400
+    list expect calls 2
+  )");
+  t.run("list send line " + t.list(2, "leaving", 6) + "\ns2 expect drained");
+}
 // The whole of the memory that the settings may give; a statement too long to be read ahead takes its part of
 // it.
 TEST(Proxy, BoundsLongStatementsTogetherByTheMemoryConfigured) {
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -415,6 +415,10 @@
 }
 
 void Scenario::discovery(const std::string& verb, const std::string& what, const std::string& rest) {
+  if (what == "calls") {
+    EXPECT_EQ(watches_.size(), std::stoul(rest)) << at_;
+    return;
+  }
   if (verb == "expect") {
     std::string request;
     until(
--- a/tests/scenario.hpp
+++ b/tests/scenario.hpp
@@ -9,7 +9,7 @@
 //   c1 open (sends its startup, waits for nothing)   c1 expect greeted            time passes MS
 //   proxy expect quiet       s2 send spoilt KIND      s2 report TEXT
 //   list expect endless TEXT (answers with neither chunks nor a length)      list send raw TEXT
-//   list send indented JSON  list reset
+//   list send indented JSON  list reset      list expect calls N (since the start, wherever it is)
 //   c1 expect told to come back (a refusal with a number in the field D)
 //   s2 drop probes N         s2 load TEXT (comes with its answers, in place of applied_ms)
 //   s2 expect connections N (since its start)     s2 expect gone (closed by now, no wait)
