--- a/fuzz/list.cpp
+++ b/fuzz/list.cpp
@@ -1,12 +1,11 @@
 // The HTTP registry's answer, in pieces whose sizes the input chooses, and the lists in it.
-#include "membership/list.hpp"
-
 #include <string>
 
+#include "codec/http/http.hpp"
+#include "discovery/endpoint_list.hpp"
 #include "fuzz/target.hpp"
-#include "wire/http/http.hpp"
 
-using namespace sablespur;
+using namespace stonebay;
 
 int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
   if (size == 0) return 0;
--- a/include/knotstack/balancer.hpp
+++ b/include/stonebay/load_balancer.hpp
@@ -1,4 +1,4 @@
-// The whole interface of knotstack: settings, events, actions and the Balancer that joins them.
+// The whole interface of stonebay: settings, events, actions and the Balancer that joins them.
 //
 // An embedding program owns the network and the clock. It tells a Balancer what happened, one event at a
 // time and in order, and carries out the actions that come back through the Sink before the call returns.
@@ -12,7 +12,7 @@
 #include <string>
 #include <vector>
 
-namespace knotstack {
+namespace stonebay {
 
 using Time = std::chrono::microseconds;  // an instant on the caller's clock, or an interval; never negative
 using MemberId = std::uint64_t;          // opaque, the same as long as the member keeps its address
@@ -157,4 +157,4 @@
   std::unique_ptr<Core> core_;
 };
 
-}  // namespace knotstack
+}  // namespace stonebay
--- a/src/app/cli.cpp
+++ b/src/app/cli.cpp
@@ -10,7 +10,7 @@
 #include "app/serve.hpp"
 #include "config/config.hpp"
 
-namespace sablespur {
+namespace stonebay {
 namespace {
 
 constexpr const char* kVersion = "0.2.0";
@@ -42,8 +42,8 @@
 int commandLine(int argc, char** argv) {
   try {
     if (argc < 2) return byPlatform();
-    CLI::App app{"sablespur: a proxy before replicated databases", "sablespur"};
-    app.set_version_flag("--version", std::string("sablespur ") + kVersion);
+    CLI::App app{"stonebay: a proxy before replicated databases", "stonebay"};
+    app.set_version_flag("--version", std::string("stonebay ") + kVersion);
     app.require_subcommand(1);
     app.footer("With no arguments it serves by the JSON file that NODE_CONFIG names.");
 
@@ -75,9 +75,9 @@
     if (listing->parsed()) return showMembers(config, members);
     return serve(config, [path] { return readSettings(path); });
   } catch (const std::exception& e) {
-    std::fprintf(stderr, "sablespur: %s\n", e.what());
+    std::fprintf(stderr, "stonebay: %s\n", e.what());
     return 1;
   }
 }
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/app/list_source.cpp
+++ b/src/app/discovery_source.cpp
@@ -1,12 +1,12 @@
-#include "app/list_source.hpp"
+#include "app/discovery_source.hpp"
 
+#include "discovery/registry/registry_watch.hpp"
 #include "log/log.hpp"
-#include "membership/registry/watch.hpp"
-#ifdef SABLESPUR_DNSSD
-#include "membership/dnssd/source.hpp"
+#ifdef STONEBAY_DNSSD
+#include "discovery/dnssd/source.hpp"
 #endif
 
-namespace sablespur {
+namespace stonebay {
 namespace {
 
 // What cannot change while the program serves.
@@ -25,7 +25,7 @@
   }
 
  private:
-  Discovery watch_;
+  RegistryWatch watch_;
 };
 
 class FixedSource final : public ListSource {
@@ -34,7 +34,7 @@
   void move(const Config& c) override { sameSource(c, Source::Fixed); }
 };
 
-#ifdef SABLESPUR_DNSSD
+#ifdef STONEBAY_DNSSD
 class DnsSdSource final : public ListSource {
  public:
   DnsSdSource(event_base* base, const Clock& clock, MemberFeed& feed, const Config& c)
@@ -76,11 +76,11 @@
     case Source::Fixed:
       return std::make_unique<FixedSource>();
     case Source::DnsSd:
-#ifdef SABLESPUR_DNSSD
+#ifdef STONEBAY_DNSSD
       return std::make_unique<DnsSdSource>(base, clock, feed, c);
 #else
       (void)clock;
-      throw BadInput("key [discovery] source: this build has no DNS-SD; build it with -DSABLESPUR_DNSSD=ON");
+      throw BadInput("key [discovery] source: this build has no DNS-SD; build it with -DSTONEBAY_DNSSD=ON");
 #endif
     case Source::Registry:
       break;
@@ -88,4 +88,4 @@
   return std::make_unique<RegistrySource>(base, feed, c);
 }
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/app/list_source.hpp
+++ b/src/app/discovery_source.hpp
@@ -3,10 +3,10 @@
 
 #include <memory>
 
-#include "core/engine.hpp"
-#include "core/member_feed.hpp"
+#include "discovery/endpoint_feed.hpp"
+#include "dispatch/dispatcher.hpp"
 
-namespace sablespur {
+namespace stonebay {
 
 class ListSource : public Lists {
  public:
@@ -19,4 +19,4 @@
 // Throws BadInput where this build lacks the source.
 std::unique_ptr<ListSource> openSource(event_base*, const Clock&, MemberFeed&, const Config&);
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/app/members.cpp
+++ b/src/app/members.cpp
@@ -7,19 +7,17 @@
 #include <cstdio>
 #include <nlohmann/json.hpp>
 
-#include "app/list_source.hpp"
-#include "core/event.hpp"
+#include "app/discovery_source.hpp"
 #include "log/log.hpp"
+#include "util/event.hpp"
 
-namespace sablespur {
+namespace stonebay {
 namespace {
 
-using knotstack::Lifecycle;
-
 const char* stateName(Lifecycle s) {
   return s == Lifecycle::Ready ? "active" : s == Lifecycle::Draining ? "leaving" : "left";
 }
-std::string groupName(const Config& c, knotstack::GroupId id) {
+std::string groupName(const Config& c, GroupId id) {
   for (const GroupName& g : c.groups)
     if (g.id == id) return g.name;
   return std::to_string(id);
@@ -130,7 +128,7 @@
     MembersView view{known.view(clock.now()), {}, clock.now()};
     view.members.toldAt.reset();
     std::fputs((options.json ? membersJson(config, view) : membersTable(config, view)).c_str(), stdout);
-    std::fprintf(stderr, "sablespur: discovery: %s; shown is what the settings know\n", taker.why.c_str());
+    std::fprintf(stderr, "stonebay: discovery: %s; shown is what the settings know\n", taker.why.c_str());
     return 1;
   }
   std::map<std::string, std::string> faults = source->faults();
@@ -139,4 +137,4 @@
   return 0;
 }
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -3,16 +3,16 @@
 #include <csignal>
 #include <exception>
 
-#include "app/list_source.hpp"
-#include "back/pg/upstream.hpp"
-#include "core/engine.hpp"
-#include "core/event.hpp"
-#include "core/member_feed.hpp"
-#include "front/pg/clients.hpp"
+#include "app/discovery_source.hpp"
+#include "discovery/endpoint_feed.hpp"
+#include "dispatch/dispatcher.hpp"
+#include "downstream/pg/client_listener.hpp"
+#include "gossip/gossip_socket.hpp"
 #include "log/log.hpp"
-#include "peer/peers.hpp"
+#include "upstream/pg/connection_pool.hpp"
+#include "util/event.hpp"
 
-namespace sablespur {
+namespace stonebay {
 
 int serve(const Config& config, const std::function<Config()>& reread) {
   setLog(config.logForm, config.logLevel);
@@ -66,4 +66,4 @@
   return 0;
 }
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/balance.cpp
+++ b/src/balancer/load_balancer.cpp
@@ -1,4 +1,6 @@
-// Every decision of knotstack. Its interface is include/knotstack/balancer.hpp; its records are in state.hpp.
+// Every decision of stonebay. Its interface is include/stonebay/balancer.hpp; its records are in state.hpp.
+#include "stonebay/load_balancer.hpp"
+
 #include <algorithm>
 #include <cmath>
 #include <iterator>
@@ -7,10 +9,9 @@
 #include <stdexcept>
 #include <unordered_map>
 
-#include "knotstack/balancer.hpp"
-#include "state.hpp"
+#include "balancer/state.hpp"
 
-namespace knotstack {
+namespace stonebay {
 namespace {
 
 using std::chrono::milliseconds;
@@ -980,4 +981,4 @@
 
 void Balancer::countFrom(Time zero) { core_->s.zero = zero; }
 
-}  // namespace knotstack
+}  // namespace stonebay
--- a/src/state.hpp
+++ b/src/balancer/state.hpp
@@ -6,9 +6,9 @@
 #include <utility>
 #include <vector>
 
-#include "knotstack/balancer.hpp"
+#include "stonebay/load_balancer.hpp"
 
-namespace knotstack {
+namespace stonebay {
 
 constexpr Time never{-1};
 
@@ -91,4 +91,4 @@
   double expected;
 };
 
-}  // namespace knotstack
+}  // namespace stonebay
--- a/src/wire/peer/words.cpp
+++ b/src/codec/gossip/message.cpp
@@ -1,8 +1,8 @@
-#include "wire/peer/words.hpp"
+#include "codec/gossip/message.hpp"
 
 #include <algorithm>
 
-namespace sablespur::peer {
+namespace stonebay::gossip {
 namespace {
 
 constexpr char kVersion = 1;
@@ -56,4 +56,4 @@
   return words;
 }
 
-}  // namespace sablespur::peer
+}  // namespace stonebay::gossip
--- a/src/wire/peer/words.hpp
+++ b/src/codec/gossip/message.hpp
@@ -7,7 +7,7 @@
 #include <string_view>
 #include <vector>
 
-namespace sablespur::peer {
+namespace stonebay::gossip {
 
 constexpr std::size_t kLongest = 256;  // bytes of a datagram
 constexpr std::uint64_t kKeyBits = 48;
@@ -25,4 +25,4 @@
 // that is nearest to the present.
 std::vector<Word> parse(std::string_view bytes, std::int64_t nowMs);
 
-}  // namespace sablespur::peer
+}  // namespace stonebay::gossip
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -4,7 +4,7 @@
 #include <tuple>
 #include <utility>
 
-namespace sablespur {
+namespace stonebay {
 namespace {
 
 // The process itself: code, the loop, the listener, discovery, standard streams, connections about to be
@@ -45,4 +45,4 @@
 
 BadSettings::BadSettings(std::vector<Fault> all) : BadInput(summary(all)), faults(std::move(all)) {}
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -8,33 +8,31 @@
 #include <string>
 #include <vector>
 
-#include "base/fault.hpp"
-#include "knotstack/balancer.hpp"
+#include "discovery/endpoint_list.hpp"
 #include "log/log.hpp"
-#include "membership/list.hpp"
+#include "stonebay/load_balancer.hpp"
+#include "util/config_error.hpp"
 
-namespace sablespur {
-
-using knotstack::Time;
+namespace stonebay {
 
 enum class Source { Registry, DnsSd, Fixed };  // where the list of data servers comes from
 
 struct GroupName {
   std::string name;
-  knotstack::GroupId id = 0;
+  GroupId id = 0;
 };
 
 // DNS-SD: what is asked, whom, how often.
 struct DnsSdSettings {
-  std::string domain, service;         // "ruwi.example.org", "_postgresql._tcp"
-  std::vector<Address> servers;        // name servers, the first is asked first
-  Time refreshLeast{}, refreshMost{};  // records are asked for again after their TTL, bounded by these
-  double jitter = 0;                   // and sooner by a random part of up to this
-  Time tryTimeout{};                   // of one question to one name server
-  double queriesPerSecond = 50;        // for single records, where an answer has no room for all
-  int udpPayload = 0;                  // EDNS0
-  std::optional<knotstack::GroupId> defaultGroup;  // of instances that do not say
-  std::string defaultGroupName;                    // as the file has it
+  std::string domain, service;          // "ruwi.example.org", "_postgresql._tcp"
+  std::vector<Address> servers;         // name servers, the first is asked first
+  Time refreshLeast{}, refreshMost{};   // records are asked for again after their TTL, bounded by these
+  double jitter = 0;                    // and sooner by a random part of up to this
+  Time tryTimeout{};                    // of one question to one name server
+  double queriesPerSecond = 50;         // for single records, where an answer has no room for all
+  int udpPayload = 0;                   // EDNS0
+  std::optional<GroupId> defaultGroup;  // of instances that do not say
+  std::string defaultGroupName;         // as the file has it
   Time keepFor{};                   // the last list stands so long when no name server answers; 0: for ever
   Time flapHalfLife{}, flapMost{};  // see MembershipPolicy
   double flapSuppress = 0, flapReuse = 0;
@@ -53,7 +51,7 @@
   std::size_t askingClients = 0;    // of the clients, those that have asked something, idle ones included
   std::size_t largeStatements = 0;  // bytes that statements too long to be read ahead may take, all together
   InstanceList known;
-  knotstack::Settings settings;
+  Settings settings;
   std::vector<std::string> classes;  // names, in the order of settings.classes
   std::vector<std::string> zones;
   std::vector<std::string> reportNames;  // in the order of settings.figures
@@ -90,4 +88,4 @@
 
 std::string settingsPage();  // every key with its unit, default and meaning, in Markdown
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/config/ini_config.cpp
+++ b/src/config/ini_config.cpp
@@ -6,16 +6,13 @@
 #include <set>
 #include <sstream>
 
-#include "base/ini.hpp"
 #include "config/config.hpp"
 #include "config/keys.hpp"
+#include "util/ini.hpp"
 
-namespace sablespur {
+namespace stonebay {
 namespace {
 
-using knotstack::Effect;
-using knotstack::Need;
-
 class Reader {
  public:
   Reader(IniFile file, std::string path)
@@ -191,10 +188,10 @@
     if (!faults_.empty()) return;
     config_.settings.cancel = true;
     config_.settings.step = std::chrono::milliseconds(5);
-    config_.settings.discovery = config_.source == Source::Registry ? knotstack::Discovery::Subscribe
-                                                                    : knotstack::Discovery::Automatic;
+    config_.settings.discovery =
+        config_.source == Source::Registry ? Discovery::Subscribe : Discovery::Automatic;
     if (config_.source != Source::Registry) config_.settings.mustAskIn = Time(0);
-    if (config_.settings.reports == knotstack::Reports::Silent) {
+    if (config_.settings.reports == Reports::Silent) {
       config_.settings.figures.clear();
       config_.reportNames.clear();
     }
@@ -233,12 +230,12 @@
       wrong("group", {"'" + d.defaultGroupName + "' is neither a [group] nor a number up to 65535",
                       "add [group " + d.defaultGroupName + "] with its number"});
   }
-  std::optional<knotstack::GroupId> groupOf(const std::string& text) const {
+  std::optional<GroupId> groupOf(const std::string& text) const {
     for (const GroupName& g : config_.groups)
       if (g.name == text) return g.id;
     const auto number = readCount(text);
     const std::int64_t* const id = std::get_if<std::int64_t>(&number);
-    if (id && *id >= 0 && *id <= 65535) return static_cast<knotstack::GroupId>(*id);
+    if (id && *id >= 0 && *id <= 65535) return static_cast<GroupId>(*id);
     return std::nullopt;
   }
   int sectionLine(const std::string& type) const {
@@ -269,4 +266,4 @@
   return parseSettings(text.str(), path);
 }
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/config/json_config.cpp
+++ b/src/config/json_config.cpp
@@ -5,10 +5,10 @@
 #include <sstream>
 
 #include "config/config.hpp"
-#include "membership/json.hpp"
-#include "wire.hpp"
+#include "discovery/json.hpp"
+#include "simulator/adapter.hpp"
 
-namespace sablespur {
+namespace stonebay {
 namespace {
 
 using simdjson::dom::element;
@@ -117,8 +117,8 @@
   std::string lines;
   flatten(settings, "", lines);
   try {
-    c.settings = knotstack::wire::parseSettings(lines);
-  } catch (const knotstack::wire::BadSetting& e) {
+    c.settings = simulator::parseSettings(lines);
+  } catch (const simulator::BadSetting& e) {
     throw BadInput(std::string("key settings: ") + e.what());
   }
   // allowed.retryAfter tells of the simulator's clients. Those on sockets may always be told when to come
@@ -130,7 +130,7 @@
     c.classes.emplace_back(
         jsonField<std::string_view>(e, "name", "settings.classes[" + std::to_string(n++) + "]."));
   c.zones = names(settings, "settings.", "zones");
-  if (c.settings.reports != knotstack::Reports::Silent)
+  if (c.settings.reports != Reports::Silent)
     c.reportNames = names(jsonField<element>(settings, "report", "settings."), "settings.report.", "names");
   const auto allowed = jsonField<element>(settings, "allowed", "settings.");
   const std::string path = "settings.allowed.";
@@ -138,7 +138,7 @@
   c.idleClose = Time(whole(allowed, "idleCloseUs", path, 1000000, 2000000000));
   for (std::size_t k = 0; k < c.settings.classes.size(); ++k) {
     const auto& cls = c.settings.classes[k];
-    c.sessions = c.sessions || cls.need == knotstack::Need::Session;
+    c.sessions = c.sessions || cls.need == Need::Session;
     if (cls.aim <= Time(0) || cls.deadline < cls.aim)
       throw BadInput("key settings.classes[" + std::to_string(k) + "].promiseUs: 0 or past deadlineUs");
   }
@@ -155,4 +155,4 @@
   return parseConfig(text.str());
 }
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/config/keys.cpp
+++ b/src/config/keys.cpp
@@ -4,17 +4,9 @@
 #include <charconv>
 #include <sstream>
 
-namespace sablespur {
+namespace stonebay {
 namespace {
 
-using knotstack::Checks;
-using knotstack::Effect;
-using knotstack::Figure;
-using knotstack::KeyScope;
-using knotstack::Need;
-using knotstack::Reports;
-using knotstack::RoleListed;
-
 constexpr double kMillisecond = 1e3, kSecond = 1e6, kHour = 3600e6;
 
 template <typename T>
@@ -311,7 +303,7 @@
        "The share of the worth that an answer after the aim still earns."},
 
       {"group", "number", Kind::Count, nullptr, 0, 65535, "",
-       [](Draft& d, const KeyValue& v) { d.group.id = static_cast<knotstack::GroupId>(as<std::int64_t>(v)); },
+       [](Draft& d, const KeyValue& v) { d.group.id = static_cast<GroupId>(as<std::int64_t>(v)); },
        "The number that statements carry (`cluster=`)."},
 
       {"member", "address", Kind::Address, nullptr, 0, 0, "",
@@ -506,4 +498,4 @@
   return page.str();
 }
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/membership/dnssd/directory.cpp
+++ b/src/discovery/dnssd/directory.cpp
@@ -1,10 +1,10 @@
-#include "membership/dnssd/directory.hpp"
+#include "discovery/dnssd/directory.hpp"
 
 #include <algorithm>
 
-#include "membership/dnssd/records.hpp"
+#include "discovery/dnssd/records.hpp"
 
-namespace sablespur {
+namespace stonebay {
 
 using dns::Data;
 using dns::Message;
@@ -425,4 +425,4 @@
   return all;
 }
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/membership/dnssd/resolver.cpp
+++ b/src/discovery/dnssd/resolver.cpp
@@ -1,4 +1,4 @@
-#include "membership/dnssd/resolver.hpp"
+#include "discovery/dnssd/resolver.hpp"
 
 #include <sys/socket.h>
 #include <unistd.h>
@@ -7,10 +7,10 @@
 #include <cstring>
 #include <utility>
 
+#include "discovery/dnssd/directory.hpp"
 #include "log/log.hpp"
-#include "membership/dnssd/directory.hpp"
 
-namespace sablespur {
+namespace stonebay {
 namespace {
 
 constexpr std::size_t kLongestDatagram = 65535;
@@ -235,4 +235,4 @@
   done_(q, reply);
 }
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/membership/dnssd/source.cpp
+++ b/src/discovery/dnssd/source.cpp
@@ -1,8 +1,8 @@
-#include "membership/dnssd/source.hpp"
+#include "discovery/dnssd/source.hpp"
 
 #include "log/log.hpp"
 
-namespace sablespur {
+namespace stonebay {
 
 DnsSd::DnsSd(event_base* base, const Clock& clock, MemberFeed& feed, const Config& config)
     : base_(base),
@@ -68,4 +68,4 @@
   feed_.found(directory_->instances(), first);
 }
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/membership/dnssd/source.hpp
+++ b/src/discovery/dnssd/source.hpp
@@ -8,11 +8,11 @@
 #include <string>
 #include <vector>
 
-#include "core/member_feed.hpp"
-#include "membership/dnssd/directory.hpp"
-#include "membership/dnssd/resolver.hpp"
+#include "discovery/dnssd/directory.hpp"
+#include "discovery/dnssd/resolver.hpp"
+#include "discovery/endpoint_feed.hpp"
 
-namespace sablespur {
+namespace stonebay {
 
 class DnsSd {
  public:
@@ -44,4 +44,4 @@
   std::map<std::string, std::string> logged_;  // faults that the log has
 };
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/core/member_feed.cpp
+++ b/src/discovery/endpoint_feed.cpp
@@ -1,16 +1,14 @@
-#include "core/member_feed.hpp"
+#include "discovery/endpoint_feed.hpp"
 
 #include "log/log.hpp"
 
-namespace sablespur {
+namespace stonebay {
 namespace {
 
 constexpr std::chrono::microseconds kLogAgain = std::chrono::seconds(30);
 
-const char* stateName(knotstack::Lifecycle s) {
-  return s == knotstack::Lifecycle::Ready      ? "active"
-         : s == knotstack::Lifecycle::Draining ? "leaving"
-                                               : "gone";
+const char* stateName(Lifecycle s) {
+  return s == Lifecycle::Ready ? "active" : s == Lifecycle::Draining ? "leaving" : "gone";
 }
 
 }  // namespace
@@ -67,4 +65,4 @@
     event_del(timer_.get());
 }
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/core/member_feed.hpp
+++ b/src/discovery/endpoint_feed.hpp
@@ -3,11 +3,11 @@
 // told.
 #pragma once
 
-#include "core/clock.hpp"
-#include "core/event.hpp"
-#include "membership/membership.hpp"
+#include "discovery/endpoint_tracker.hpp"
+#include "util/clock.hpp"
+#include "util/event.hpp"
 
-namespace sablespur {
+namespace stonebay {
 
 class MemberFeed final : public ListTaker {
  public:
@@ -33,4 +33,4 @@
   std::chrono::microseconds logged_{};  // when the age of the list was last logged
 };
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/membership/list.cpp
+++ b/src/discovery/endpoint_list.cpp
@@ -1,10 +1,9 @@
-#include "membership/list.hpp"
+#include "discovery/endpoint_list.hpp"
 
-#include "membership/json.hpp"
+#include "discovery/json.hpp"
 
-namespace sablespur {
+namespace stonebay {
 
-using knotstack::Lifecycle;
 using simdjson::dom::element;
 
 bool operator==(const Instance& a, const Instance& b) {
@@ -45,7 +44,7 @@
   if (has("cell")) {
     const auto cell = jsonField<std::int64_t>(e, "cell", path);
     if (cell < 0 || cell > 65535) throw BadInput("key " + path + "cell: out of range");
-    i.group = static_cast<knotstack::GroupId>(cell);
+    i.group = static_cast<GroupId>(cell);
   }
   if (has("weight")) i.weight = jsonField<double>(e, "weight", path);
   if (has("startedAtMs")) i.startedMs = jsonField<std::int64_t>(e, "startedAtMs", path);
@@ -97,4 +96,4 @@
   return readInstances(object, "");
 }
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/membership/list.hpp
+++ b/src/discovery/endpoint_list.hpp
@@ -8,18 +8,18 @@
 #include <string_view>
 #include <vector>
 
-#include "knotstack/balancer.hpp"
-#include "membership/address.hpp"
+#include "discovery/address.hpp"
+#include "stonebay/load_balancer.hpp"
 
-namespace sablespur {
+namespace stonebay {
 
 struct Instance {
   std::string name;
   Address address;  // none: not told, as it may be for one that has left
   std::string zone;
   std::string kind;  // of machine; empty: not told
-  knotstack::GroupId group = 0;
-  knotstack::Lifecycle state = knotstack::Lifecycle::Ready;
+  GroupId group = 0;
+  Lifecycle state = Lifecycle::Ready;
   double weight = 1;
   std::int64_t startedMs = 0;  // Unix time; 0: long ago
 };
@@ -61,4 +61,4 @@
   bool quoted_ = false, escaped_ = false;
 };
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/membership/membership.cpp
+++ b/src/discovery/endpoint_tracker.cpp
@@ -1,13 +1,11 @@
-#include "membership/membership.hpp"
+#include "discovery/endpoint_tracker.hpp"
 
 #include <algorithm>
 #include <cmath>
 #include <set>
 #include <utility>
 
-namespace sablespur {
-
-using knotstack::Lifecycle;
+namespace stonebay {
 
 namespace {
 
@@ -216,4 +214,4 @@
   return v;
 }
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/membership/membership.hpp
+++ b/src/discovery/endpoint_tracker.hpp
@@ -24,9 +24,9 @@
 #include <string>
 #include <vector>
 
-#include "membership/list.hpp"
+#include "discovery/endpoint_list.hpp"
 
-namespace sablespur {
+namespace stonebay {
 
 struct MembershipPolicy {
   using Time = std::chrono::microseconds;
@@ -104,4 +104,4 @@
   bool expired_ = false;
 };
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/membership/json.hpp
+++ b/src/discovery/json.hpp
@@ -5,9 +5,9 @@
 
 #include <string>
 
-#include "membership/list.hpp"
+#include "discovery/endpoint_list.hpp"
 
-namespace sablespur {
+namespace stonebay {
 
 template <typename T>
 T jsonField(const simdjson::dom::element& of, const char* key, const std::string& path) {
@@ -20,4 +20,4 @@
 
 InstanceList readInstances(const simdjson::dom::element& object, const std::string& path);
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/membership/registry/watch.hpp
+++ b/src/discovery/registry/registry_watch.hpp
@@ -1,16 +1,16 @@
-// Discovery's watch: one connection at a time, from the call to its end.
+// RegistryWatch's watch: one connection at a time, from the call to its end.
 #pragma once
 
-#include "core/engine.hpp"
-#include "core/event.hpp"
-#include "membership/list.hpp"
-#include "wire/http/http.hpp"
+#include "codec/http/http.hpp"
+#include "discovery/endpoint_list.hpp"
+#include "dispatch/dispatcher.hpp"
+#include "util/event.hpp"
 
-namespace sablespur {
+namespace stonebay {
 
-class Discovery final : public Lists {
+class RegistryWatch final : public Lists {
  public:
-  Discovery(event_base*, ListTaker&, const Address&);
+  RegistryWatch(event_base*, ListTaker&, const Address&);
   void watch(std::uint64_t after) override;  // nothing, while one is on
   void move(const Address&);                 // goes on with the watch at another address
 
@@ -27,4 +27,4 @@
   ListReader lists_;
 };
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/core/engine.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -1,16 +1,13 @@
-#include "core/engine.hpp"
+#include "dispatch/dispatcher.hpp"
 
 #include <algorithm>
 #include <cmath>
 #include <cstdlib>
 
-#include "core/hash.hpp"
 #include "log/log.hpp"
+#include "util/hash.hpp"
 
-namespace sablespur {
-
-using knotstack::Lifecycle;
-using knotstack::ListKind;
+namespace stonebay {
 
 namespace {
 
@@ -21,9 +18,9 @@
 constexpr Time kRebase = std::chrono::hours(2);
 constexpr Time kSweep = std::chrono::seconds(1);
 
-std::uint64_t keyOf(const std::string& name) { return fnv1a(name) >> (64 - peer::kKeyBits); }
+std::uint64_t keyOf(const std::string& name) { return fnv1a(name) >> (64 - gossip::kKeyBits); }
 
-const char* nameOf(Result r) {
+const char* resultName(Result r) {
   switch (r) {
     case Result::Ok:
       return "ok";
@@ -73,10 +70,9 @@
           base, -1, 0, [](evutil_socket_t, short, void*) {}, nullptr)) {
   // Positions are whole milliseconds of Unix time; so is zero, lest rounding make data look newer.
   zero_ = std::chrono::duration_cast<std::chrono::milliseconds>(zero_);
-  knotstack::Settings settings = config.settings;
+  Settings settings = config.settings;
   settings.zero = zero_;
-  balancer_ =
-      std::make_unique<knotstack::Balancer>(settings, config.seed, static_cast<knotstack::Sink&>(*this));
+  balancer_ = std::make_unique<Balancer>(settings, config.seed, static_cast<Sink&>(*this));
 }
 Engine::~Engine() = default;
 
@@ -87,7 +83,7 @@
   events_.emplace_back(Listed{false, config_.known});
 }
 
-RequestId Engine::request(Requester& asker, knotstack::Request q, Message message) {
+RequestId Engine::request(Requester& asker, Request q, Message message) {
   q.id = ++lastId_;
   held_[q.id] = Held{&asker, std::make_shared<const Message>(std::move(message)), q, clock_.now()};
   events_.emplace_back(Arrived{q});
@@ -106,7 +102,7 @@
 void Engine::probed(MemberId member, bool ok, const std::vector<double>& report) {
   events_.emplace_back(Probed{member, ok, report});
 }
-void Engine::heard(const peer::Word& w) { events_.emplace_back(Heard{w}); }
+void Engine::heard(const gossip::Word& w) { events_.emplace_back(Heard{w}); }
 void Engine::listed(InstanceList list) { events_.emplace_back(Listed{false, std::move(list)}); }
 void Engine::listFailed(const std::string&) { events_.emplace_back(Listed{true, {}}); }
 
@@ -166,7 +162,7 @@
 
 void Engine::tell(Ended& e) {
   const auto it = held_.find(e.id);
-  knotstack::Outcome o;
+  Outcome o;
   o.request = e.id;
   o.attempt = e.attempt;
   o.member = e.member;
@@ -181,7 +177,7 @@
   if (it != held_.end()) {
     Tried& t = it->second.sent[static_cast<std::size_t>(e.attempt)];
     t.ended = now_;
-    t.how = sablespur::nameOf(o.result);
+    t.how = resultName(o.result);
   }
   if (it != held_.end() && o.closed) {
     const Held& h = it->second;
@@ -201,7 +197,7 @@
 }
 
 void Engine::tell(Probed& e) {
-  knotstack::Probe p;
+  Probe p;
   p.member = e.member;
   p.ok = e.ok;
   p.report = figuresOf(e.report);
@@ -211,16 +207,15 @@
 std::vector<float> Engine::figuresOf(const std::vector<double>& report) const {
   std::vector<float> figures;
   for (std::size_t k = 0; k < report.size() && k < config_.settings.figures.size(); ++k)
-    figures.push_back(config_.settings.figures[k] == knotstack::Figure::Position
-                          ? secondsSince(zero_, report[k])
-                          : static_cast<float>(report[k]));
+    figures.push_back(config_.settings.figures[k] == Figure::Position ? secondsSince(zero_, report[k])
+                                                                      : static_cast<float>(report[k]));
   return figures;
 }
 
 void Engine::tell(Heard& e) {
   const auto it = keys_.find(e.word.key);
   if (it == keys_.end() || it->second == 0) return;  // of a member that the list here does not name
-  knotstack::Word w;
+  Word w;
   w.member = it->second;
   w.position = std::chrono::milliseconds(e.word.positionMs);
   w.primary = e.word.primary;
@@ -236,11 +231,11 @@
 }
 
 void Engine::tellList(ListKind kind, const InstanceList& list) {
-  std::vector<knotstack::ListedMember> entries;
+  std::vector<ListedMember> entries;
   for (const Instance& i : list.instances) {
     const bool unknown = ids_.find(i.name) == ids_.end();
     if (unknown && i.state == Lifecycle::Gone) continue;  // it came and went unseen
-    knotstack::ListedMember m;
+    ListedMember m;
     m.id = idOf(i.name);
     m.group = i.group;
     const auto zone = std::find(config_.zones.begin(), config_.zones.end(), i.zone);
@@ -328,8 +323,8 @@
 void Engine::probe(MemberId member) {
   actions_.emplace_back([this, member] { members_->probe(member); });
 }
-void Engine::tell(const knotstack::Word& w) {
-  peer::Word word;
+void Engine::tell(const Word& w) {
+  gossip::Word word;
   word.key = keyOf(nameOf(w.member));
   word.positionMs = w.position.count() / 1000;
   word.primary = w.primary;
@@ -341,4 +336,4 @@
 }
 void Engine::log(const std::string& line) { logEvent(LogLevel::Info, "decision", {{"text", line}}); }
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/core/engine.hpp
+++ b/src/dispatch/dispatcher.hpp
@@ -10,17 +10,13 @@
 #include <variant>
 #include <vector>
 
+#include "codec/gossip/message.hpp"
 #include "config/config.hpp"
-#include "core/clock.hpp"
-#include "core/event.hpp"
-#include "knotstack/balancer.hpp"
-#include "wire/peer/words.hpp"
+#include "stonebay/load_balancer.hpp"
+#include "util/clock.hpp"
+#include "util/event.hpp"
 
-namespace sablespur {
-
-using knotstack::MemberId;
-using knotstack::RequestId;
-using knotstack::Result;
+namespace stonebay {
 
 // A request as it goes on to a member; between the two parts stands what is left of its time, in ms.
 struct Message {
@@ -61,7 +57,7 @@
 class Peers {
  public:
   virtual ~Peers() = default;
-  virtual void tell(const std::vector<peer::Word>&) = 0;
+  virtual void tell(const std::vector<gossip::Word>&) = 0;
 };
 
 enum class Role { Unknown, Primary, Replica };
@@ -80,19 +76,19 @@
 float secondsSince(Time zero, double unixSeconds);
 std::uint32_t millisecondsSince(Time zero, std::int64_t unixMs);  // below 2^30
 
-class Engine final : public ListTaker, knotstack::Sink {
+class Engine final : public ListTaker, Sink {
  public:
   Engine(event_base*, const Config&);
   ~Engine() override;
   void start(Members&, Lists&, Peers* = nullptr);  // tells the Balancer the list that the configuration holds
 
   // What has come in; it waits for the turn.
-  RequestId request(Requester&, knotstack::Request, Message);  // its id is given here
+  RequestId request(Requester&, Request, Message);  // its id is given here
   void left(RequestId);
   void connected(RequestId, int attempt);  // a new connection stands: may the attempt still go out?
   void ended(RequestId, int attempt, MemberId, Ending);
   void probed(MemberId, bool ok, const std::vector<double>& report);  // positions in Unix seconds
-  void heard(const peer::Word&);
+  void heard(const gossip::Word&);
   void listed(InstanceList) override;
   void listFailed(const std::string& why) override;
 
@@ -105,7 +101,7 @@
 
  private:
   struct Arrived {
-    knotstack::Request request;
+    Request request;
   };
   struct Left {
     RequestId id;
@@ -130,7 +126,7 @@
     InstanceList list;
   };
   struct Heard {
-    peer::Word word;
+    gossip::Word word;
   };
   using Incoming = std::variant<Arrived, Left, Connected, Ended, Probed, Listed, Heard>;
   struct Tried {
@@ -141,7 +137,7 @@
   struct Held {
     Requester* asker;
     std::shared_ptr<const Message> message;
-    knotstack::Request q;
+    Request q;
     Time arrived;
     std::vector<Tried> sent{};  // by attempt
   };
@@ -158,7 +154,7 @@
   void tell(Probed&);
   void tell(Listed&);
   void tell(Heard&);
-  void tellList(knotstack::ListKind, const InstanceList&);
+  void tellList(ListKind, const InstanceList&);
   std::vector<float> figuresOf(const std::vector<double>& report) const;
   void rebase();
   MemberId idOf(const std::string& name);
@@ -171,7 +167,7 @@
   void cancel(RequestId, int attempt) override;
   void timer(Time in, std::uint64_t token) override;
   void probe(MemberId) override;
-  void tell(const knotstack::Word&) override;
+  void tell(const Word&) override;
   void subscribe() override;
   void log(const std::string& line) override;
 
@@ -182,7 +178,7 @@
   Members* members_ = nullptr;
   Lists* lists_ = nullptr;
   Peers* peers_ = nullptr;
-  std::vector<peer::Word> words_;  // for the peers, of this turn
+  std::vector<gossip::Word> words_;  // for the peers, of this turn
   std::vector<Incoming> events_;
   std::vector<std::function<void()>> actions_;  // recorded in the order in which they take effect
   std::unordered_map<RequestId, Held> held_;
@@ -195,7 +191,7 @@
   std::priority_queue<Timer, std::vector<Timer>, std::greater<Timer>> timers_;
   std::uint64_t timersSet_ = 0;
   Event alarm_;  // wakes the loop for the first timer
-  std::unique_ptr<knotstack::Balancer> balancer_;
+  std::unique_ptr<Balancer> balancer_;
 };
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/front/pg/clients.cpp
+++ b/src/downstream/pg/client_listener.cpp
@@ -1,4 +1,4 @@
-#include "front/pg/clients.hpp"
+#include "downstream/pg/client_listener.hpp"
 
 #include <netinet/tcp.h>
 #include <poll.h>
@@ -11,11 +11,11 @@
 #include <stdexcept>
 #include <utility>
 
-#include "core/hash.hpp"
+#include "codec/pg/pg.hpp"
 #include "log/log.hpp"
-#include "wire/pg/pg.hpp"
+#include "util/hash.hpp"
 
-namespace sablespur {
+namespace stonebay {
 namespace {
 
 constexpr std::size_t kTail = 512;   // the comment at a statement's end is shorter
@@ -339,7 +339,7 @@
     if (owner_.lastCallOver() && arrivalOfTaken() > owner_.lastCalled_)
       return refused(std::chrono::milliseconds(1));
     const Time now = owner_.engine_.now();
-    knotstack::Request q;
+    Request q;
     q.cls = static_cast<int>(cls - classes.begin());
     q.group = comment.cluster;
     const auto& settings = owner_.config_.settings.classes[static_cast<std::size_t>(q.cls)];
@@ -519,4 +519,4 @@
   startTimer(lastCall_.get(), longest + kFinish);
 }
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/front/pg/clients.hpp
+++ b/src/downstream/pg/client_listener.hpp
@@ -6,10 +6,10 @@
 #include <unordered_map>
 #include <unordered_set>
 
-#include "core/engine.hpp"
-#include "core/event.hpp"
+#include "dispatch/dispatcher.hpp"
+#include "util/event.hpp"
 
-namespace sablespur {
+namespace stonebay {
 
 class Clients {
  public:
@@ -50,4 +50,4 @@
   std::unordered_map<Session*, std::unique_ptr<Session>> sessions_;
 };
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/peer/peers.cpp
+++ b/src/gossip/gossip_socket.cpp
@@ -1,4 +1,4 @@
-#include "peer/peers.hpp"
+#include "gossip/gossip_socket.hpp"
 
 #include <sys/socket.h>
 #include <unistd.h>
@@ -10,7 +10,7 @@
 
 #include "log/log.hpp"
 
-namespace sablespur {
+namespace stonebay {
 namespace {
 
 constexpr int kAtOnce = 64;  // datagrams read before others have their turn
@@ -38,16 +38,16 @@
 }
 
 // A datagram that cannot go out now is lost like any other: the next one brings newer words.
-void PeerSocket::tell(const std::vector<peer::Word>& words) {
+void PeerSocket::tell(const std::vector<gossip::Word>& words) {
   if (fd_ < 0) return;
-  for (const std::string& bytes : peer::encode(words))
+  for (const std::string& bytes : gossip::encode(words))
     sendto(fd_, bytes.data(), bytes.size(), MSG_DONTWAIT, config_.peersAll.data(), config_.peersAll.size());
 }
 
 // Guards against words of anyone else: a position that is too new makes reads stale.
 void PeerSocket::read() {
   for (int k = 0; k < kAtOnce; ++k) {
-    char bytes[peer::kLongest + 1];
+    char bytes[gossip::kLongest + 1];
     sockaddr_storage from{};
     socklen_t length = sizeof from;
     const ssize_t n =
@@ -56,8 +56,8 @@
     const Address sender = Address::fromSocket(reinterpret_cast<const sockaddr*>(&from));
     if (std::find(config_.peers.begin(), config_.peers.end(), sender) == config_.peers.end()) continue;
     const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(engine_.now()).count();
-    for (const peer::Word& w : peer::parse({bytes, static_cast<std::size_t>(n)}, ms)) engine_.heard(w);
+    for (const gossip::Word& w : gossip::parse({bytes, static_cast<std::size_t>(n)}, ms)) engine_.heard(w);
   }
 }
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/peer/peers.hpp
+++ b/src/gossip/gossip_socket.hpp
@@ -3,10 +3,10 @@
 
 #include <vector>
 
-#include "core/engine.hpp"
-#include "core/event.hpp"
+#include "dispatch/dispatcher.hpp"
+#include "util/event.hpp"
 
-namespace sablespur {
+namespace stonebay {
 
 class PeerSocket final : public Peers {
  public:
@@ -14,7 +14,7 @@
   ~PeerSocket() override;
   PeerSocket(const PeerSocket&) = delete;
 
-  void tell(const std::vector<peer::Word>&) override;
+  void tell(const std::vector<gossip::Word>&) override;
 
  private:
   void read();
@@ -25,4 +25,4 @@
   Event readable_;
 };
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/wire.cpp
+++ b/src/simulator/adapter.cpp
@@ -1,4 +1,4 @@
-#include "wire.hpp"
+#include "simulator/adapter.hpp"
 
 #include <unistd.h>
 
@@ -12,7 +12,7 @@
 #include <set>
 #include <unordered_map>
 
-namespace knotstack::wire {
+namespace stonebay::simulator {
 namespace {
 
 constexpr std::uint8_t kReportBack = 1, kEstablished = 2, kProvision = 3, kFromPeer = 4, kDefineList = 5,
@@ -510,16 +510,16 @@
         const ssize_t k = ::write(out, reply.data() + at, reply.size() - at);
         if (k < 0 && errno == EINTR) continue;
         if (k <= 0) {
-          std::fprintf(stderr, "knotstack_wirehost: the reply could not be written\n");
+          std::fprintf(stderr, "stonebay_simhost: the reply could not be written\n");
           return 1;
         }
         at += static_cast<std::size_t>(k);
       }
     }
   } catch (const Malformed& e) {
-    std::fprintf(stderr, "knotstack_wirehost: %s\n", e.what());
+    std::fprintf(stderr, "stonebay_simhost: %s\n", e.what());
     return 1;
   }
 }
 
-}  // namespace knotstack::wire
+}  // namespace stonebay::simulator
--- a/src/wire.hpp
+++ b/src/simulator/adapter.hpp
@@ -8,9 +8,9 @@
 #include <string>
 #include <vector>
 
-#include "knotstack/balancer.hpp"
+#include "stonebay/load_balancer.hpp"
 
-namespace knotstack::wire {
+namespace stonebay::simulator {
 
 // A frame that cannot be read; `at` counts bytes from the start of the input.
 struct Malformed : std::runtime_error {
@@ -42,4 +42,4 @@
 // Reads batches until the input ends. 0: it ended between frames; 1: it was malformed (one line on stderr).
 int run(int in, int out);
 
-}  // namespace knotstack::wire
+}  // namespace stonebay::simulator
--- a/src/back/pg/upstream.cpp
+++ b/src/upstream/pg/connection_pool.cpp
@@ -1,4 +1,4 @@
-#include "back/pg/upstream.hpp"
+#include "upstream/pg/connection_pool.hpp"
 
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -11,7 +11,7 @@
 
 #include "log/log.hpp"
 
-namespace sablespur {
+namespace stonebay {
 namespace {
 
 // Connections kept idle for each member that is ready. Guards against probes and first requests that pay for
@@ -527,10 +527,10 @@
     double& v = figures[k];
     if (!figure(report, config_.reportNames[k], v) || !std::isfinite(v)) return {};
     switch (config_.settings.figures[k]) {
-      case knotstack::Figure::Position:
+      case Figure::Position:
         if (v < 0 || v > now + 1) return {};
         break;
-      case knotstack::Figure::Primary:
+      case Figure::Primary:
         if (v != 0 && v != 1) return {};
         break;
       default:
@@ -611,4 +611,4 @@
   connections_.erase(&c);
 }
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/back/pg/upstream.hpp
+++ b/src/upstream/pg/connection_pool.hpp
@@ -9,11 +9,11 @@
 #include <utility>
 #include <vector>
 
-#include "core/engine.hpp"
-#include "core/event.hpp"
-#include "wire/pg/pg.hpp"
+#include "codec/pg/pg.hpp"
+#include "dispatch/dispatcher.hpp"
+#include "util/event.hpp"
 
-namespace sablespur {
+namespace stonebay {
 
 class Upstream final : public Members {
  public:
@@ -68,4 +68,4 @@
   Event upkeep_;
 };
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/base/fault.hpp
+++ b/src/util/config_error.hpp
@@ -3,7 +3,7 @@
 
 #include <string>
 
-namespace sablespur {
+namespace stonebay {
 
 // `line` 0: the file as a whole.
 struct Fault {
@@ -17,4 +17,4 @@
   }
 };
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/base/ini.hpp
+++ b/src/util/ini.hpp
@@ -10,9 +10,9 @@
 #include <string_view>
 #include <vector>
 
-#include "base/fault.hpp"
+#include "util/config_error.hpp"
 
-namespace sablespur {
+namespace stonebay {
 
 struct IniEntry {
   std::string key, value;
@@ -33,4 +33,4 @@
 // and the line, without a comment behind it, as its value.
 IniFile parseIni(std::string_view text, const std::string& file, const std::set<std::string>& raw = {});
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/lab/experiment.cpp
+++ b/testbed/experiment.cpp
@@ -1,4 +1,4 @@
-#include "lab/experiment.hpp"
+#include "testbed/experiment.hpp"
 
 #include <algorithm>
 #include <fstream>
@@ -6,10 +6,10 @@
 #include <map>
 #include <sstream>
 
-#include "base/ini.hpp"
-#include "base/units.hpp"
+#include "util/ini.hpp"
+#include "util/units.hpp"
 
-namespace sablespur::lab {
+namespace stonebay::testbed {
 namespace {
 
 std::vector<std::string> split(const std::string& text) {
@@ -288,4 +288,4 @@
   return parseExperiment(text.str(), path, faults);
 }
 
-}  // namespace sablespur::lab
+}  // namespace stonebay::testbed
--- a/lab/experiment.hpp
+++ b/testbed/experiment.hpp
@@ -6,11 +6,11 @@
 #include <string>
 #include <vector>
 
-#include "base/fault.hpp"
-#include "lab/clients.hpp"
-#include "lab/fleet.hpp"
+#include "testbed/clients.hpp"
+#include "testbed/fleet.hpp"
+#include "util/config_error.hpp"
 
-namespace sablespur::lab {
+namespace stonebay::testbed {
 
 struct Claim {
   std::string text, figure, relation;
@@ -49,4 +49,4 @@
 Experiment parseExperiment(const std::string& text, const std::string& file, std::vector<Fault>& faults);
 Experiment readExperiment(const std::string& path, std::vector<Fault>& faults);
 
-}  // namespace sablespur::lab
+}  // namespace stonebay::testbed
--- a/tests/harness.hpp
+++ b/tests/balancer_fixture.hpp
@@ -7,9 +7,9 @@
 #include <string>
 #include <vector>
 
-#include "knotstack/balancer.hpp"
+#include "stonebay/load_balancer.hpp"
 
-namespace knotstack::test {
+namespace stonebay::test {
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
@@ -180,4 +180,4 @@
   void teachPrimary(MemberId m) { report(m, 0, true); }
 };
 
-}  // namespace knotstack::test
+}  // namespace stonebay::test
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -8,10 +8,10 @@
 #include <sstream>
 
 #include "app/members.hpp"
-#include "base/units.hpp"
 #include "scenario.hpp"
+#include "util/units.hpp"
 
-namespace sablespur {
+namespace stonebay {
 namespace {
 
 using std::chrono::microseconds;
@@ -77,7 +77,7 @@
   EXPECT_EQ(c.known.instances[0].group, 3u);
   EXPECT_EQ(c.known.instances[1].address.text(), "[::1]:6002");
   const auto& write = c.settings.classes[1];
-  EXPECT_EQ(write.need, knotstack::Need::Write);
+  EXPECT_EQ(write.need, Need::Write);
   EXPECT_EQ(write.memory, microseconds(2000000));
   EXPECT_EQ(write.lateWorth, 0.5);
 
@@ -200,20 +200,20 @@
   EXPECT_TRUE(std::holds_alternative<Wrong>(readSize("0.3B")));
 }
 
-// The operators' page is printed from the table of keys; `sablespur check --keys` writes it anew.
+// The operators' page is printed from the table of keys; `stonebay check --keys` writes it anew.
 TEST(Settings, ThePageListsEveryKeyAsItIsNow) {
-  std::ifstream file(SABLESPUR_SOURCE "/docs/operators/settings.md");
+  std::ifstream file(STONEBAY_SOURCE "/docs/operators/settings.md");
   std::stringstream page;
   page << file.rdbuf();
   EXPECT_NE(page.str().find(settingsPage()), std::string::npos)
-      << "docs/operators/settings.md differs from `sablespur check --keys`";
+      << "docs/operators/settings.md differs from `stonebay check --keys`";
 }
 
 TEST(Members, AreShownAsATableAndAsJson) {
   const Config c = parseSettings(kGood, "f.ini");
   Membership known;
   std::vector<Instance> all = c.known.instances;
-  all[1].state = knotstack::Lifecycle::Draining;
+  all[1].state = Lifecycle::Draining;
   all[1].startedMs = 1767225600123;
   all[1].kind = "a\"\xff";
   all.push_back(all[0]);
@@ -235,4 +235,4 @@
 }
 
 }  // namespace
-}  // namespace sablespur
+}  // namespace stonebay
--- a/tests/membership_test.cpp
+++ b/tests/discovery_test.cpp
@@ -1,16 +1,15 @@
 // What a member is since when: withdrawals at once, returns that are cold, flaps held back, one server an
 // address.
-#include "membership/membership.hpp"
-
 #include <gtest/gtest.h>
 
 #include <algorithm>
 #include <pcg_random.hpp>
 
-namespace sablespur {
+#include "discovery/endpoint_tracker.hpp"
+
+namespace stonebay {
 namespace {
 
-using knotstack::Lifecycle;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 using Time = Membership::Time;
@@ -239,4 +238,4 @@
 }
 
 }  // namespace
-}  // namespace sablespur
+}  // namespace stonebay
--- a/tests/engine_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -1,5 +1,5 @@
 // The engine between a fake way to the members and a fake asker: no sockets.
-#include "core/engine.hpp"
+#include "dispatch/dispatcher.hpp"
 
 #include <gtest/gtest.h>
 #include <sys/socket.h>
@@ -7,10 +7,10 @@
 
 #include <map>
 
-#include "peer/peers.hpp"
+#include "gossip/gossip_socket.hpp"
 #include "scenario.hpp"
 
-namespace sablespur {
+namespace stonebay {
 namespace {
 
 struct FakeMembers : Members {
@@ -67,7 +67,7 @@
     engine.turn();
   }
   RequestId ask(int cls = 0) {
-    knotstack::Request q;
+    Request q;
     q.cls = cls;
     q.group = 3;
     q.deadline = engine.now() + std::chrono::seconds(5);
@@ -89,7 +89,7 @@
   EXPECT_TRUE(members.ready[1] && members.ready[2]);
 }
 TEST_F(EngineTest, WhatIsGatheredWaitsForTheTurn) {
-  knotstack::Request q;
+  Request q;
   q.group = 3;
   q.deadline = engine.now() + std::chrono::seconds(5);
   engine.request(asker, q, Message{newBuffer(), newBuffer(), {}});
@@ -129,7 +129,7 @@
   engine.turn();
   EXPECT_EQ(members.started.back(), std::make_pair(0, true));
   InstanceList change{6, false, {config.known.instances[1]}};
-  change.instances[0].state = knotstack::Lifecycle::Draining;
+  change.instances[0].state = Lifecycle::Draining;
   engine.listed(change);
   engine.connected(id, 0);
   engine.turn();
@@ -178,7 +178,7 @@
       static_cast<double>((fresh.now() - std::chrono::seconds(6)).count()) / 1e6;  // bound: 5 s
   fresh.probed(2, true, {old, 0.0, 0.0});
   fresh.turn();
-  knotstack::Request q;
+  Request q;
   q.group = 3;
   q.deadline = fresh.now() + std::chrono::seconds(5);
   fresh.request(asker, q, Message{newBuffer(), newBuffer(), {}});
@@ -197,7 +197,7 @@
   FakeMembers its;
   fresh.start(its, lists);
   fresh.turn();
-  knotstack::Request read, write;
+  Request read, write;
   read.group = write.group = 3;
   read.deadline = write.deadline = fresh.now() + std::chrono::seconds(5);
   write.cls = 1;
@@ -249,13 +249,13 @@
   // The same word of member 1 as the primary, from a stranger and then from the peer.
   usleep(2000);  // a newer position than the one that member 2 reported
   const auto nowMs = one.now().count() / 1000;
-  peer::Word word = peer::parse({bytes, 13}, nowMs).at(0);
+  gossip::Word word = gossip::parse({bytes, 13}, nowMs).at(0);
   EXPECT_EQ(word.inflight, 3);
   EXPECT_FALSE(word.primary);
   word.primary = true;
   word.positionMs = nowMs;
-  const std::string said = peer::encode({word})[0];
-  knotstack::Request write;
+  const std::string said = gossip::encode({word})[0];
+  Request write;
   write.cls = 1;
   write.group = 3;
   write.deadline = one.now() + std::chrono::seconds(5);
@@ -292,4 +292,4 @@
 }
 
 }  // namespace
-}  // namespace sablespur
+}  // namespace stonebay
--- a/tests/example.cpp
+++ b/tests/example.cpp
@@ -1,9 +1,9 @@
 // Drives a Balancer by hand: a list, a write, a bounded read and a failure. Prints what it decides.
 #include <cstdio>
 
-#include "knotstack/balancer.hpp"
+#include "stonebay/load_balancer.hpp"
 
-using namespace knotstack;
+using namespace stonebay;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -21,7 +21,7 @@
   void cancel(RequestId id, int a) override { std::printf("  cancel %d/%d\n", static_cast<int>(id), a); }
   void timer(Time, std::uint64_t) override {}  // a real program calls Balancer::timer when it is due
   void probe(MemberId) override {}             // a real program asks the member for a report
-  void tell(const knotstack::Word&) override {}
+  void tell(const Word&) override {}
   void subscribe() override {}
   void log(const std::string& line) override { std::printf("  log: %s\n", line.c_str()); }
 };
--- a/tests/balance_test.cpp
+++ b/tests/load_balancer_test.cpp
@@ -1,8 +1,8 @@
 #include <set>
 
-#include "harness.hpp"
+#include "balancer_fixture.hpp"
 
-namespace knotstack::test {
+namespace stonebay::test {
 namespace {
 
 // ---- settings --------------------------------------------------------------------------------------------
@@ -1103,4 +1103,4 @@
 }
 
 }  // namespace
-}  // namespace knotstack::test
+}  // namespace stonebay::test
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -3,13 +3,13 @@
 
 #include <algorithm>
 
+#include "codec/gossip/message.hpp"
+#include "codec/http/http.hpp"
+#include "codec/pg/pg.hpp"
+#include "discovery/endpoint_list.hpp"
 #include "log/log.hpp"
-#include "membership/list.hpp"
-#include "wire/http/http.hpp"
-#include "wire/peer/words.hpp"
-#include "wire/pg/pg.hpp"
 
-namespace sablespur {
+namespace stonebay {
 namespace {
 
 TEST(Pg, CommentSaysWhatTheProtocolPutsThere) {
@@ -80,15 +80,15 @@
 
 TEST(Words, ComeBackAsTheyWentAndFitTheirDatagrams) {
   const std::int64_t now = 1796140835411;
-  std::vector<peer::Word> words;
+  std::vector<gossip::Word> words;
   for (int k = 0; k < 45; ++k)
     words.push_back({0xabcdef012345u + static_cast<unsigned>(k), now - 100 * k, k % 2 == 0, 10 * k});
-  const std::vector<std::string> all = peer::encode(words);
+  const std::vector<std::string> all = gossip::encode(words);
   ASSERT_EQ(all.size(), 3u);
   std::size_t at = 0;
   for (const std::string& bytes : all) {
-    EXPECT_LE(bytes.size(), peer::kLongest);
-    for (const peer::Word& w : peer::parse(bytes, now + 30)) {
+    EXPECT_LE(bytes.size(), gossip::kLongest);
+    for (const gossip::Word& w : gossip::parse(bytes, now + 30)) {
       EXPECT_EQ(w.key, words[at].key);
       EXPECT_EQ(w.positionMs, words[at].positionMs);
       EXPECT_EQ(w.primary, words[at].primary);
@@ -96,15 +96,15 @@
       ++at;
     }
     for (std::size_t cut = 0; cut < bytes.size(); cut += (cut + 1) % 12 == 1 ? 2 : 1)  // not between words
-      EXPECT_TRUE(peer::parse(bytes.substr(0, cut), now).empty()) << cut;
+      EXPECT_TRUE(gossip::parse(bytes.substr(0, cut), now).empty()) << cut;
   }
   EXPECT_EQ(at, words.size());
   std::string odd = all[0];
   odd[0] = 2;
-  EXPECT_TRUE(peer::parse(odd, now).empty()) << "a later version's";
+  EXPECT_TRUE(gossip::parse(odd, now).empty()) << "a later version's";
   // Across the wrap of the low 32 bits the nearest instant is meant.
   const std::int64_t wrap = (now >> 32 << 32) + (std::int64_t{1} << 32);
-  EXPECT_EQ(peer::parse(peer::encode({{1, wrap - 5, false, 0}})[0], wrap + 20)[0].positionMs, wrap - 5);
+  EXPECT_EQ(gossip::parse(gossip::encode({{1, wrap - 5, false, 0}})[0], wrap + 20)[0].positionMs, wrap - 5);
 }
 
 TEST(Http, ChunksMayBeSplitAnywhere) {
@@ -159,10 +159,10 @@
   EXPECT_FALSE(list.reset);
   ASSERT_EQ(list.instances.size(), 2u);
   EXPECT_EQ(list.instances[0].group, 3u);
-  EXPECT_EQ(list.instances[0].state, knotstack::Lifecycle::Draining);
+  EXPECT_EQ(list.instances[0].state, Lifecycle::Draining);
   EXPECT_EQ(list.instances[0].startedMs, 7);
   EXPECT_EQ(list.instances[0].address.port(), 5432);
-  EXPECT_EQ(list.instances[1].state, knotstack::Lifecycle::Gone);
+  EXPECT_EQ(list.instances[1].state, Lifecycle::Gone);
   const auto fault = [&](const std::string& from, const std::string& to) {
     std::string bad = text;
     bad.replace(bad.find(from), from.size(), to);
@@ -230,4 +230,4 @@
 }
 
 }  // namespace
-}  // namespace sablespur
+}  // namespace stonebay
--- a/tests/property_test.cpp
+++ b/tests/property_test.cpp
@@ -3,9 +3,9 @@
 #include <map>
 #include <random>
 
-#include "harness.hpp"
+#include "balancer_fixture.hpp"
 
-namespace knotstack::test {
+namespace stonebay::test {
 namespace {
 
 class Nasty : public testing::TestWithParam<int> {};
@@ -232,4 +232,4 @@
 INSTANTIATE_TEST_SUITE_P(Sequences, Nasty, testing::Range(0, 32));
 
 }  // namespace
-}  // namespace knotstack::test
+}  // namespace stonebay::test
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -9,7 +9,7 @@
 #include "config/config.hpp"
 #include "scenario.hpp"
 
-namespace sablespur::test {
+namespace stonebay::test {
 namespace {
 
 TEST(Proxy, ServesAReadFromAReplicaAndPassesTheStatementOn) {
@@ -704,7 +704,7 @@
 
 // ---- configuration ---------------------------------------------------------------------------------------
 std::string complaint(const std::string& text) {
-  char path[] = "/tmp/sablespur-test-XXXXXX";
+  char path[] = "/tmp/stonebay-test-XXXXXX";
   close(mkstemp(path));
   std::ofstream(path) << text;
   int err = -1, status = 0;
@@ -741,7 +741,7 @@
   EXPECT_EQ(why, "/nonexistent: it cannot be read; see that it exists and may be read\n");
   EXPECT_EQ(command({"serve", "--config", "/nonexistent"}).first, 1);
 
-  char path[] = "/tmp/sablespur-test-XXXXXX";
+  char path[] = "/tmp/stonebay-test-XXXXXX";
   close(mkstemp(path));
   std::ofstream(path) << settingsFile({}, 1, {2});
   EXPECT_EQ(command({"check", path}).first, 0);
@@ -902,4 +902,4 @@
 }
 
 }  // namespace
-}  // namespace sablespur::test
+}  // namespace stonebay::test
--- a/tests/wire_test.cpp
+++ b/tests/simulator_adapter_test.cpp
@@ -1,12 +1,12 @@
-#include "wire.hpp"
-
 #include <gtest/gtest.h>
 #include <unistd.h>
 
 #include <cstring>
 #include <string>
 
-namespace knotstack::wire {
+#include "simulator/adapter.hpp"
+
+namespace stonebay::simulator {
 namespace {
 
 using Bytes = std::vector<std::uint8_t>;
@@ -223,4 +223,4 @@
 }
 
 }  // namespace
-}  // namespace knotstack::wire
+}  // namespace stonebay::simulator
--- a/tests/lab_test.cpp
+++ b/tests/testbed_test.cpp
@@ -1,15 +1,15 @@
-// The lab itself: its models, its auditors, and each auditor against a proxy that breaks its rule.
+// The testbed itself: its models, its auditors, and each auditor against a proxy that breaks its rule.
 #include <gtest/gtest.h>
 
 #include <cstdlib>
 #include <filesystem>
 
-#include "lab/audit.hpp"
-#include "lab/experiment.hpp"
-#include "lab/model.hpp"
-#include "lab/run.hpp"
+#include "testbed/audit.hpp"
+#include "testbed/experiment.hpp"
+#include "testbed/model.hpp"
+#include "testbed/run.hpp"
 
-namespace sablespur::lab {
+namespace stonebay::testbed {
 namespace {
 
 using std::chrono::milliseconds;
@@ -122,7 +122,7 @@
 TEST(LabExperiment, ThoseInTheFolderAreFreeOfFaults) {
   int n = 0;
   for (const auto& entry :
-       std::filesystem::recursive_directory_iterator(SABLESPUR_SOURCE "/lab/experiments")) {
+       std::filesystem::recursive_directory_iterator(STONEBAY_SOURCE "/testbed/experiments")) {
     if (entry.path().extension() != ".ini") continue;
     std::vector<Fault> faults;
     const Experiment e = readExperiment(entry.path().string(), faults);
@@ -188,12 +188,12 @@
     changed.script.clear();
     changed.script.push_back({milliseconds(200), {"withdraw", "s-3"}, 0});
   }
-  char dir[] = "/tmp/sablespur-lab-XXXXXX";
+  char dir[] = "/tmp/stonebay-testbed-XXXXXX";
   ASSERT_NE(mkdtemp(dir), nullptr);
   Run::Options o;
-  o.program = SABLESPUR_ROGUE;
+  o.program = STONEBAY_FAULT_INJECTION;
   o.directory = dir;
-  lab::Run run(changed, o);
+  testbed::Run run(changed, o);
   Outcome out = run.play();
   std::filesystem::remove_all(dir);
   EXPECT_GT(out.figures[GetParam().figure], 0) << "by " << GetParam().mode;
@@ -212,4 +212,4 @@
                          [](const auto& i) { return std::string(i.param.mode); });
 
 }  // namespace
-}  // namespace sablespur::lab
+}  // namespace stonebay::testbed
