--- a/fuzz/list.cpp
+++ b/fuzz/list.cpp
@@ -16,11 +16,11 @@
   for (std::size_t at = 0; at < text.size(); at += step)
     if (!response.feed(text.substr(at, step), body)) break;
   if (body.empty()) body = std::string(text);  // lists themselves, too
-  ListReader lists;
+  EndpointListReader lists;
   try {
     for (std::size_t at = 0; at < body.size(); at += step)
       lists.feed(std::string_view(body).substr(at, step), [](InstanceList) {});
-  } catch (const BadInput&) {
+  } catch (const InvalidInput&) {
   }
   return 0;
 }
--- a/src/app/cli.cpp
+++ b/src/app/cli.cpp
@@ -18,7 +18,7 @@
 
 int byPlatform() {
   const char* const path = std::getenv("NODE_CONFIG");
-  if (!path) throw BadInput("variable NODE_CONFIG is not set, and no command is given; see --help");
+  if (!path) throw InvalidInput("variable NODE_CONFIG is not set, and no command is given; see --help");
   return serve(readConfig(path), [path] { return readConfig(path); });
 }
 
@@ -29,10 +29,11 @@
     std::printf(
         "%s: good; %zu classes, %zu members known at the start, %zu client connections, %zu to data "
         "servers\n",
-        path.c_str(), c.classes.size(), c.known.instances.size(), c.clientConnections, c.serverConnections);
+        path.c_str(), c.classes.size(), c.knownEndpoints.instances.size(), c.maxClientConnections,
+        c.maxServerConnections);
     return 0;
-  } catch (const BadSettings& e) {
-    for (const Fault& f : e.faults) std::fprintf(stderr, "%s\n", f.text().c_str());
+  } catch (const InvalidSettings& e) {
+    for (const ConfigError& f : e.faults) std::fprintf(stderr, "%s\n", f.text().c_str());
     return 1;
   }
 }
--- a/src/app/discovery_source.hpp
+++ b/src/app/discovery_source.hpp
@@ -8,15 +8,15 @@
 
 namespace stonebay {
 
-class ListSource : public Lists {
+class DiscoverySource : public EndpointWatcher {
  public:
   virtual void move(const Config&) = 0;  // new settings of discovery, while it runs
   // Instances that are left out, by name, and why.
   virtual std::map<std::string, std::string> faults() const { return {}; }
 };
 
-MembershipPolicy sourcePolicy(const Config&);
-// Throws BadInput where this build lacks the source.
-std::unique_ptr<ListSource> openSource(event_base*, const Clock&, MemberFeed&, const Config&);
+EndpointTrackerPolicy trackerPolicy(const Config&);
+// Throws InvalidInput where this build lacks the source.
+std::unique_ptr<DiscoverySource> openDiscoverySource(event_base*, const Clock&, EndpointFeed&, const Config&);
 
 }  // namespace stonebay
--- a/src/app/members.hpp
+++ b/src/app/members.hpp
@@ -20,7 +20,7 @@
 
 // The same as text.
 struct MembersView {
-  Membership::View members;
+  EndpointTracker::View members;
   std::map<std::string, std::string> faults;  // instances that are no members, and why
   Time now{};
 };
--- a/src/balancer/state.hpp
+++ b/src/balancer/state.hpp
@@ -1,5 +1,4 @@
-// What a Balancer remembers: plain records, without any decision. The module that reads and writes them, and
-// gives the values their meaning, is balance.cpp.
+// What a LoadBalancer remembers: plain records, without any decision.
 #pragma once
 
 #include <cstdint>
@@ -10,85 +9,95 @@
 
 namespace stonebay {
 
+/// An instant that has not come.
 constexpr Time never{-1};
 
-struct Sample {
-  double latency;  // microseconds; infinite: never answered
-  int cls;
-  double load;  // requests there when it was sent
-  Time at;
+/// The latency of one attempt.
+struct LatencySample {
+  double latency;  ///< microseconds; infinite: never answered
+  int classIndex;
+  double load;  ///< requests at the endpoint when the attempt was sent
+  Time at;      ///< when it ended
 };
-struct Sent {
+
+/// An attempt that has been sent to an endpoint and has not ended.
+struct InFlightAttempt {
   RequestId request;
   int attempt;
-  int cls;
-  double load;
-  Time at;
-  bool held;  // the known position fell short of the need
+  int classIndex;
+  double load;  ///< requests at the endpoint when it was sent
+  Time sentAt;
+  bool knownStale;  ///< the endpoint's known position was older than the request requires
 };
-enum class Role { Unknown, Primary, Replica };
 
-struct Member {
-  ListedMember listed;
-  bool seenDraining = false;
-  Time goneAt = never;  // when the list first lacked it
+/// An endpoint, and what is known of it.
+struct Endpoint {
+  EndpointUpdate info;
+  bool drainingObserved = false;
+  Time departedAt = never;  ///< when the list first lacked it
   Role role = Role::Unknown;
-  Time roleAt = never;    // when the newest evidence of its role was true
-  Time position = never;  // it has applied all commits up to here; a lower bound that only grows
-  std::vector<std::pair<Time, Time>> lags;  // (seen at, age of the position then)
-  std::vector<Sample> immediate, held;
-  Time lastAnswer = never, lastUsed = never;
-  Time answeredSent = never;  // when the youngest of the answered attempts was sent
-  std::vector<Sent> out;
-  int failures = 0;
-  Time asideUntil = never;  // health: set aside until then, then one trial at a time
-  Time backoff{};
-  bool erring = false;  // set aside for errors alone: it answers
-  bool probing = false;
-  Time probedAt = never;
-  Time wordAt = never;  // last answer of any kind, probes included
-  int told = 0;         // requests held there, by the newest report
-  Time toldAt = never;
-  Time spreadAt = never;   // when routers last heard of it, from here or from another one
-  Time tellAt = never;     // when they did from here
-  std::uint64_t salt = 0;  // this router's own order of members that are alike
+  Time roleObservedAt = never;  ///< when the newest evidence of its role was true
+  Time position = never;        ///< it has applied all commits up to here; a lower bound that only grows
+  std::vector<std::pair<Time, Time>> positionLags;        ///< (observed at, age of the position then)
+  std::vector<LatencySample> freshSamples, staleSamples;  ///< of attempts that were not, or were, known stale
+  Time lastAnswerAt = never, lastUsedAt = never;
+  Time latestAnsweredSentAt = never;  ///< when the youngest of the answered attempts was sent
+  std::vector<InFlightAttempt> inFlight;
+  int consecutiveFailures = 0;
+  Time ejectedUntil = never;  ///< ejected until then, then one trial request at a time
+  Time ejectionBackoff{};
+  bool failingFast = false;  ///< ejected for errors alone: it answers
+  bool healthCheckPending = false;
+  Time healthCheckSentAt = never;
+  Time lastResponseAt = never;  ///< of any kind, answers to health checks included
+  int reportedInFlight = 0;     ///< requests at the endpoint, by its newest load report
+  Time loadReportedAt = never;
+  Time lastBroadcastAt = never;     ///< when the proxies last heard of it, from this one or another
+  Time lastOwnBroadcastAt = never;  ///< when they did from this one
+  std::uint64_t tieBreaker = 0;     ///< this proxy's own order of endpoints that are alike
 };
 
-struct Group {
-  std::vector<MemberId> members;  // ascending: the order in which writes look for a primary
-  MemberId primary = 0;           // 0: none known
-  Time troubleAt = never;
-  Time primaryWanted = never;
-  RequestId scout = 0;  // the one write that looks for the primary
-  bool scouted = false;
-  Time forgotten = never;  // sessions no longer remembered may have written until then
+/// A primary and its replicas.
+struct ReplicaGroup {
+  std::vector<EndpointId> endpoints;  ///< ascending: the order in which writes look for a primary
+  EndpointId primary = 0;             ///< 0: none known
+  Time lastFaultAt = never;
+  Time primaryWantedAt = never;
+  RequestId discoveryRequest = 0;   ///< the one write that looks for the primary; 0: none
+  bool discoveryExhausted = false;  ///< it has tried all endpoints in vain
+  Time evictedCommit = never;       ///< sessions that are no longer remembered may have written until then
   std::vector<RequestId> waiting;
 };
 
+/// One attempt of a pending request.
 struct Attempt {
-  MemberId member;
-  Time at;
+  EndpointId endpoint;
+  Time sentAt;
   bool open = true;
   bool cancelled = false;
 };
-struct Open {
-  Request q;
-  Time arrived{};
-  Time commit = never;  // session and fresh reads: data must reach this
+
+/// A request that is owed its final response.
+struct PendingRequest {
+  Request request;
+  Time arrivedAt{};
+  Time requiredCommit = never;  ///< ReadYourWrites and Strong: data must reach this
   std::vector<Attempt> attempts;
-  std::vector<MemberId> tried;
-  int outstanding = 0;
-  bool reached = false;  // some member has had it, whatever came of it
-  bool ran = false;      // some attempt may have run
-  Time ranAt{};          // when the earliest such was sent, and where
-  MemberId ranWhere = 0;
+  std::vector<EndpointId> attemptedEndpoints;
+  int outstandingAttempts = 0;
+  bool reachedEndpoint = false;  ///< some endpoint has had it, whatever came of it
+  bool maybeExecuted = false;    ///< some attempt may have run
+  Time maybeExecutedAt{};        ///< when the earliest such attempt was sent, and where
+  EndpointId maybeExecutedOn = 0;
   bool waiting = false;
-  bool asked = false;  // probes were sent for its next attempt
+  bool healthChecksSent = false;  ///< for its next attempt
 };
-struct Choice {
-  Member* member;
-  double miss;
-  double expected;
+
+/// An endpoint that a read may go to.
+struct Candidate {
+  Endpoint* endpoint;
+  double missProbability;  ///< of no response within the budget
+  double expectedLatency;  ///< microseconds
 };
 
 }  // namespace stonebay
--- a/src/discovery/dnssd/source.hpp
+++ b/src/discovery/dnssd/source.hpp
@@ -1,4 +1,4 @@
-// The list from DNS-SD: asks what the Directory finds due, and gives the MemberFeed what it makes of the
+// The list from DNS-SD: asks what the Directory finds due, and gives the EndpointFeed what it makes of the
 // answers.
 #pragma once
 
@@ -16,8 +16,8 @@
 
 class DnsSd {
  public:
-  // Throws BadInput where the settings name no domain. Asks from the loop's next pass on.
-  DnsSd(event_base*, const Clock&, MemberFeed&, const Config&);
+  // Throws InvalidInput where the settings name no domain. Asks from the loop's next pass on.
+  DnsSd(event_base*, const Clock&, EndpointFeed&, const Config&);
   // New settings: the members stand until the new ones have told a whole list. The same ones change nothing.
   void move(const Config&);
 
@@ -34,7 +34,7 @@
 
   event_base* const base_;
   const Clock& clock_;
-  MemberFeed& feed_;
+  EndpointFeed& feed_;
   DnsSdSettings settings_;
   std::unique_ptr<Directory> directory_;
   std::unique_ptr<Resolver> resolver_;
--- a/src/discovery/endpoint_feed.cpp
+++ b/src/discovery/endpoint_feed.cpp
@@ -13,25 +13,26 @@
 
 }  // namespace
 
-MemberFeed::MemberFeed(event_base* base, const Clock& clock, ListTaker& to, const MembershipPolicy& policy)
+EndpointFeed::EndpointFeed(event_base* base, const Clock& clock, EndpointListHandler& to,
+                           const EndpointTrackerPolicy& policy)
     : clock_(clock),
       to_(to),
       members_(policy),
       timer_(event_new(
-          base, -1, 0, [](evutil_socket_t, short, void* self) { static_cast<MemberFeed*>(self)->pass(); },
+          base, -1, 0, [](evutil_socket_t, short, void* self) { static_cast<EndpointFeed*>(self)->pass(); },
           this)) {}
 
-void MemberFeed::found(std::vector<Instance> all, bool first) {
+void EndpointFeed::found(std::vector<Instance> all, bool first) {
   members_.found(clock_.now(), std::move(all), first);
   pass();
 }
 
-void MemberFeed::listed(InstanceList list) {
+void EndpointFeed::onEndpointList(InstanceList list) {
   members_.changed(clock_.now(), std::move(list));
   pass();
 }
 
-void MemberFeed::listFailed(const std::string& why) {
+void EndpointFeed::onListFailure(const std::string& why) {
   const auto now = clock_.now();
   members_.failed(now, why);
   const auto view = members_.view(now);
@@ -43,11 +44,11 @@
     else
       logEvent(LogLevel::Warning, "discovery_failed", {{"why", why}, {"list", "none yet"}});
   }
-  to_.listFailed(why);
+  to_.onListFailure(why);
   pass();
 }
 
-void MemberFeed::pass() {
+void EndpointFeed::pass() {
   const auto now = clock_.now();
   while (auto list = members_.take(now)) {
     for (const Instance& i : list->instances)
@@ -57,7 +58,7 @@
                 {"address", i.address.text()},
                 {"group", i.group},
                 {"started_ms", i.startedMs}});
-    to_.listed(std::move(*list));
+    to_.onEndpointList(std::move(*list));
   }
   if (const auto at = members_.next())
     startTimer(timer_.get(), *at - now);
--- a/src/discovery/endpoint_feed.hpp
+++ b/src/discovery/endpoint_feed.hpp
@@ -1,6 +1,6 @@
 // Between a source of the list and whoever takes it (the engine): what a member is since when is
-// Membership's; this gives it the time, wakes it when something changes by itself, and logs what the taker is
-// told.
+// EndpointTracker's; this gives it the time, wakes it when something changes by itself, and logs what the
+// taker is told.
 #pragma once
 
 #include "discovery/endpoint_tracker.hpp"
@@ -9,26 +9,26 @@
 
 namespace stonebay {
 
-class MemberFeed final : public ListTaker {
+class EndpointFeed final : public EndpointListHandler {
  public:
-  MemberFeed(event_base*, const Clock&, ListTaker& to, const MembershipPolicy&);
+  EndpointFeed(event_base*, const Clock&, EndpointListHandler& to, const EndpointTrackerPolicy&);
 
-  // From a source that tells everything each time; see Membership::found.
+  // From a source that tells everything each time; see EndpointTracker::found.
   void found(std::vector<Instance>, bool first);
   // From a source with generations.
-  void listed(InstanceList) override;
-  void listFailed(const std::string& why) override;
+  void onEndpointList(InstanceList) override;
+  void onListFailure(const std::string& why) override;
   std::uint64_t generation() const override { return members_.generation(); }
 
-  void policy(const MembershipPolicy& p) { members_.policy(p); }
-  Membership::View view() const { return members_.view(clock_.now()); }
+  void policy(const EndpointTrackerPolicy& p) { members_.policy(p); }
+  EndpointTracker::View view() const { return members_.view(clock_.now()); }
 
  private:
   void pass();
 
   const Clock& clock_;
-  ListTaker& to_;
-  Membership members_;
+  EndpointListHandler& to_;
+  EndpointTracker members_;
   Event timer_;
   std::chrono::microseconds logged_{};  // when the age of the list was last logged
 };
--- a/src/discovery/endpoint_list.hpp
+++ b/src/discovery/endpoint_list.hpp
@@ -32,27 +32,28 @@
 };
 
 // Whoever takes the list from its source: the whole list first, then changes, or the source's failure.
-class ListTaker {
+class EndpointListHandler {
  public:
-  virtual ~ListTaker() = default;
-  virtual void listed(InstanceList) = 0;
-  virtual void listFailed(const std::string& why) = 0;
+  virtual ~EndpointListHandler() = default;
+  virtual void onEndpointList(InstanceList) = 0;
+  virtual void onListFailure(const std::string& why) = 0;
   virtual std::uint64_t generation() const = 0;  // of the list as it is known
 };
 
 // What cannot be read; the message names the key.
-struct BadInput : std::runtime_error {
+struct InvalidInput : std::runtime_error {
   using std::runtime_error::runtime_error;
 };
 
-Address parseAddress(std::string_view text, const std::string& key);  // Address::parse, or BadInput
+Address parseAddress(std::string_view text, const std::string& key);  // Address::parse, or InvalidInput
 InstanceList parseInstances(std::string_view json);
 
 // Cuts a stream of lists into lists: JSON objects, each on a line of its own or indented over several,
 // wherever the stream happens to be split. What has come of an object that has not ended is kept.
-class ListReader {
+class EndpointListReader {
  public:
-  // Hands on each list that is whole, in order. Throws BadInput; those before the fault have been handed on.
+  // Hands on each list that is whole, in order. Throws InvalidInput; those before the fault have been handed
+  // on.
   void feed(std::string_view bytes, const std::function<void(InstanceList)>& take);
 
  private:
--- a/src/discovery/json.hpp
+++ b/src/discovery/json.hpp
@@ -13,8 +13,8 @@
 T jsonField(const simdjson::dom::element& of, const char* key, const std::string& path) {
   T value;
   if (const auto error = of[key].get(value))
-    throw BadInput("key " + path + key + ": " +
-                   (error == simdjson::NO_SUCH_FIELD ? "missing" : simdjson::error_message(error)));
+    throw InvalidInput("key " + path + key + ": " +
+                       (error == simdjson::NO_SUCH_FIELD ? "missing" : simdjson::error_message(error)));
   return value;
 }
 
--- a/src/discovery/registry/registry_watch.cpp
+++ b/src/discovery/registry/registry_watch.cpp
@@ -12,7 +12,7 @@
 
 }  // namespace
 
-RegistryWatch::RegistryWatch(event_base* base, ListTaker& taker, const Address& address)
+RegistryWatch::RegistryWatch(event_base* base, EndpointListHandler& taker, const Address& address)
     : base_(base),
       taker_(taker),
       address_(address),
@@ -24,7 +24,7 @@
 void RegistryWatch::watch(std::uint64_t after) {
   if (connection_) return;  // it is watched, or being called; what is silent ends by itself
   response_ = http::Response();
-  lists_ = ListReader();
+  lists_ = EndpointListReader();
   connection_.reset(bufferevent_socket_new(base_, -1, BEV_OPT_CLOSE_ON_FREE));
   const std::string target = "/registry/instances?watch=1&after=" + std::to_string(after);
   append(bufferevent_get_output(connection_.get()), http::get(target, address_.text()));
@@ -62,8 +62,8 @@
   }
   if (response_.refused()) return fail(("status " + std::to_string(response_.status())).c_str());
   try {
-    lists_.feed(body, [this](InstanceList list) { taker_.listed(std::move(list)); });
-  } catch (const BadInput& e) {
+    lists_.feed(body, [this](InstanceList list) { taker_.onEndpointList(std::move(list)); });
+  } catch (const InvalidInput& e) {
     return fail(e.what());
   }
   if (response_.done()) fail("watch ended");
@@ -74,7 +74,7 @@
   logEvent(LogLevel::Warning, "watch_ended", {{"why", why}});
   connection_.reset();
   event_del(silence_.get());
-  taker_.listFailed(why);
+  taker_.onListFailure(why);
 }
 
 }  // namespace stonebay
--- a/src/discovery/registry/registry_watch.hpp
+++ b/src/discovery/registry/registry_watch.hpp
@@ -1,4 +1,4 @@
-// RegistryWatch's watch: one connection at a time, from the call to its end.
+// Discovery's watch: one connection at a time, from the call to its end.
 #pragma once
 
 #include "codec/http/http.hpp"
@@ -8,9 +8,9 @@
 
 namespace stonebay {
 
-class RegistryWatch final : public Lists {
+class RegistryWatch final : public EndpointWatcher {
  public:
-  RegistryWatch(event_base*, ListTaker&, const Address&);
+  RegistryWatch(event_base*, EndpointListHandler&, const Address&);
   void watch(std::uint64_t after) override;  // nothing, while one is on
   void move(const Address&);                 // goes on with the watch at another address
 
@@ -19,12 +19,12 @@
   void fail(const char* why);
 
   event_base* const base_;
-  ListTaker& taker_;
+  EndpointListHandler& taker_;
   Address address_;
   BufferEvent connection_;
   Event silence_;
   http::Response response_;
-  ListReader lists_;
+  EndpointListReader lists_;
 };
 
 }  // namespace stonebay
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -12,33 +12,33 @@
 namespace {
 
 // Positions older than this at the start, or at a rebase, are told as unknown.
-constexpr Time kBeforeZero = std::chrono::minutes(1);
+constexpr Time kEpochLead = std::chrono::minutes(1);
 // After so long, zero moves on: at two hours an f32 of seconds still tells half a millisecond apart, and
 // 4 x milliseconds fill a u32 only after twelve days.
-constexpr Time kRebase = std::chrono::hours(2);
-constexpr Time kSweep = std::chrono::seconds(1);
+constexpr Time kEpochInterval = std::chrono::hours(2);
+constexpr Time kDepartedRemovalInterval = std::chrono::seconds(1);
 
 std::uint64_t keyOf(const std::string& name) { return fnv1a(name) >> (64 - gossip::kKeyBits); }
 
-const char* resultName(Result r) {
+const char* resultName(AttemptStatus r) {
   switch (r) {
-    case Result::Ok:
+    case AttemptStatus::Ok:
       return "ok";
-    case Result::Error:
+    case AttemptStatus::Error:
       return "error";
-    case Result::Full:
+    case AttemptStatus::Rejected:
       return "full";
-    case Result::Timeout:
+    case AttemptStatus::Timeout:
       return "timeout";
-    case Result::ConnectFailed:
+    case AttemptStatus::ConnectFailed:
       return "connect_failed";
-    case Result::Reset:
+    case AttemptStatus::Reset:
       return "reset";
-    case Result::Cancelled:
+    case AttemptStatus::Cancelled:
       return "cancelled";
-    case Result::Moot:
+    case AttemptStatus::NotSent:
       return "moot";
-    case Result::Miss:
+    case AttemptStatus::TooStale:
       return "miss";
   }
   return "unknown";
@@ -62,64 +62,65 @@
   return since > 0 && since < (std::int64_t{1} << 30) ? static_cast<std::uint32_t>(since) : 0;
 }
 
-Engine::Engine(event_base* base, const Config& config)
+Dispatcher::Dispatcher(event_base* base, const Config& config)
     : config_(config),
       now_(clock_.now()),
-      zero_(std::max(now_ - kBeforeZero, Time(0))),
+      positionEpoch_(std::max(now_ - kEpochLead, Time(0))),
       alarm_(event_new(
           base, -1, 0, [](evutil_socket_t, short, void*) {}, nullptr)) {
   // Positions are whole milliseconds of Unix time; so is zero, lest rounding make data look newer.
-  zero_ = std::chrono::duration_cast<std::chrono::milliseconds>(zero_);
+  positionEpoch_ = std::chrono::duration_cast<std::chrono::milliseconds>(positionEpoch_);
   Settings settings = config.settings;
-  settings.zero = zero_;
-  balancer_ = std::make_unique<Balancer>(settings, config.seed, static_cast<Sink&>(*this));
+  settings.positionEpoch = positionEpoch_;
+  balancer_ = std::make_unique<LoadBalancer>(settings, config.seed, static_cast<ActionSink&>(*this));
 }
-Engine::~Engine() = default;
+Dispatcher::~Dispatcher() = default;
 
-void Engine::start(Members& members, Lists& lists, Peers* peers) {
-  members_ = &members;
-  lists_ = &lists;
-  peers_ = peers;
-  events_.emplace_back(Listed{false, config_.known});
+void Dispatcher::start(EndpointPool& endpoints, EndpointWatcher& watcher, GossipChannel* gossip) {
+  endpoints_ = &endpoints;
+  watcher_ = &watcher;
+  gossip_ = gossip;
+  events_.emplace_back(Listed{false, config_.knownEndpoints});
 }
 
-RequestId Engine::request(Requester& asker, Request q, Message message) {
-  q.id = ++lastId_;
-  held_[q.id] = Held{&asker, std::make_shared<const Message>(std::move(message)), q, clock_.now()};
+RequestId Dispatcher::submit(ResponseHandler& handler, Request q, ForwardedRequest message) {
+  q.id = ++lastRequestId_;
+  inFlight_[q.id] = InFlightRequest{&handler, std::make_shared<const ForwardedRequest>(std::move(message)), q,
+                                    clock_.now()};
   events_.emplace_back(Arrived{q});
   return q.id;
 }
-void Engine::left(RequestId id) {
-  const auto it = held_.find(id);
-  if (it == held_.end()) return;
-  it->second.asker = nullptr;
+void Dispatcher::onClientLeft(RequestId id) {
+  const auto it = inFlight_.find(id);
+  if (it == inFlight_.end()) return;
+  it->second.handler = nullptr;
   events_.emplace_back(Left{id});
 }
-void Engine::connected(RequestId id, int attempt) { events_.emplace_back(Connected{id, attempt}); }
-void Engine::ended(RequestId id, int attempt, MemberId member, Ending ending) {
+void Dispatcher::onConnected(RequestId id, int attempt) { events_.emplace_back(Connected{id, attempt}); }
+void Dispatcher::onAttemptEnded(RequestId id, int attempt, EndpointId member, AttemptResult ending) {
   events_.emplace_back(Ended{id, attempt, member, std::move(ending)});
 }
-void Engine::probed(MemberId member, bool ok, const std::vector<double>& report) {
+void Dispatcher::onHealthCheck(EndpointId member, bool ok, const std::vector<double>& report) {
   events_.emplace_back(Probed{member, ok, report});
 }
-void Engine::heard(const gossip::Word& w) { events_.emplace_back(Heard{w}); }
-void Engine::listed(InstanceList list) { events_.emplace_back(Listed{false, std::move(list)}); }
-void Engine::listFailed(const std::string&) { events_.emplace_back(Listed{true, {}}); }
+void Dispatcher::onGossip(const gossip::Message& w) { events_.emplace_back(Heard{w}); }
+void Dispatcher::onEndpointList(InstanceList list) { events_.emplace_back(Listed{false, std::move(list)}); }
+void Dispatcher::onListFailure(const std::string&) { events_.emplace_back(Listed{true, {}}); }
 
-void Engine::turn() {
+void Dispatcher::processEvents() {
   now_ = std::max(now_, clock_.now());
-  rebase();
+  advanceEpoch();
   std::vector<Incoming> events;
   events.swap(events_);
-  for (Incoming& event : events) std::visit([&](auto& e) { tell(e); }, event);
+  for (Incoming& event : events) std::visit([&](auto& e) { deliver(e); }, event);
   while (!timers_.empty() && timers_.top().due <= now_) {
-    const std::uint64_t token = timers_.top().token;
+    const TimerToken token = timers_.top().token;
     timers_.pop();
-    balancer_->timer(now_, token);
+    balancer_->onTimer(now_, token);
   }
-  if (now_ - swept_ >= kSweep) sweep(now_);
-  if (peers_ && !words_.empty()) peers_->tell(words_);
-  words_.clear();
+  if (now_ - departedRemovedAt_ >= kDepartedRemovalInterval) removeDeparted(now_);
+  if (gossip_ && !gossipMessages_.empty()) gossip_->broadcast(gossipMessages_);
+  gossipMessages_.clear();
   std::vector<std::function<void()>> actions;
   actions.swap(actions_);
   for (const auto& act : actions) act();
@@ -130,112 +131,118 @@
 }
 
 // Guards against growth where data servers are replaced: each new one has a new name.
-void Engine::sweep(Time now) {
-  swept_ = now_ = std::max(now_, now);
-  for (const MemberId id : balancer_->forget(now_)) {
+void Dispatcher::removeDeparted(Time now) {
+  departedRemovedAt_ = now_ = std::max(now_, now);
+  for (const EndpointId id : balancer_->removeDeparted(now_)) {
     for (auto it = ids_.begin(); it != ids_.end();) it = it->second == id ? ids_.erase(it) : std::next(it);
     for (auto it = keys_.begin(); it != keys_.end();) it = it->second == id ? keys_.erase(it) : std::next(it);
-    actions_.emplace_back([this, id] { members_->forget(id); });
+    actions_.emplace_back([this, id] { endpoints_->removeEndpoint(id); });
   }
 }
 
-void Engine::rebase() {
-  if (now_ - zero_ < kRebase) return;
-  zero_ = std::chrono::duration_cast<std::chrono::milliseconds>(now_ - kBeforeZero);
-  balancer_->countFrom(zero_);
+void Dispatcher::advanceEpoch() {
+  if (now_ - positionEpoch_ < kEpochInterval) return;
+  positionEpoch_ = std::chrono::duration_cast<std::chrono::milliseconds>(now_ - kEpochLead);
+  balancer_->setPositionEpoch(positionEpoch_);
 }
 
 // ---- events ----------------------------------------------------------------------------------------------
-void Engine::tell(Arrived& e) { balancer_->request(now_, e.request); }
+void Dispatcher::deliver(Arrived& e) { balancer_->onRequest(now_, e.request); }
 
-void Engine::tell(Left& e) {
-  balancer_->clientLeft(now_, e.id);
-  held_.erase(e.id);
+void Dispatcher::deliver(Left& e) {
+  balancer_->onClientLeft(now_, e.id);
+  inFlight_.erase(e.id);
 }
 
-void Engine::tell(Connected& e) {
-  const auto it = held_.find(e.id);
-  const bool fit = it != held_.end() &&
-                   balancer_->fit(now_, e.id, it->second.sent[static_cast<std::size_t>(e.attempt)].member);
-  actions_.emplace_back([this, id = e.id, attempt = e.attempt, fit] { members_->start(id, attempt, fit); });
+void Dispatcher::deliver(Connected& e) {
+  const auto it = inFlight_.find(e.id);
+  const bool eligible = it != inFlight_.end() &&
+                        balancer_->isStillEligible(
+                            now_, e.id, it->second.attempts[static_cast<std::size_t>(e.attempt)].endpoint);
+  actions_.emplace_back(
+      [this, id = e.id, attempt = e.attempt, eligible] { endpoints_->resumeAttempt(id, attempt, eligible); });
 }
 
-void Engine::tell(Ended& e) {
-  const auto it = held_.find(e.id);
-  Outcome o;
+void Dispatcher::deliver(Ended& e) {
+  const auto it = inFlight_.find(e.id);
+  AttemptOutcome o;
   o.request = e.id;
   o.attempt = e.attempt;
-  o.member = e.member;
-  o.result = e.ending.result;
+  o.endpoint = e.endpoint;
+  o.status = e.result.status;
   // A bad statement is the client's fault: it is not tried elsewhere, nor held against the member.
-  if (e.ending.badStatement) o.result = Result::Cancelled;
-  o.closed = it == held_.end() || o.result == Result::Ok || e.ending.badStatement;
-  o.note = millisecondsSince(zero_, e.ending.positionMs) << 2;
-  if (e.ending.role == Role::Primary) o.note |= 1;
-  if (e.ending.role == Role::Replica) o.note |= 2;
-  o.report = figuresOf(e.ending.report);
-  if (it != held_.end()) {
-    Tried& t = it->second.sent[static_cast<std::size_t>(e.attempt)];
-    t.ended = now_;
-    t.how = resultName(o.result);
+  if (e.result.invalidStatement) o.status = AttemptStatus::Cancelled;
+  o.requestClosed = it == inFlight_.end() || o.status == AttemptStatus::Ok || e.result.invalidStatement;
+  o.role = e.result.role;
+  if (const auto ms = millisecondsSince(positionEpoch_, e.result.positionMs); ms > 0)
+    o.position = positionEpoch_ + std::chrono::milliseconds(ms);
+  o.report = reportValues(e.result.report);
+  if (it != inFlight_.end()) {
+    AttemptRecord& t = it->second.attempts[static_cast<std::size_t>(e.attempt)];
+    t.endedAt = now_;
+    t.how = resultName(o.status);
   }
-  if (it != held_.end() && o.closed) {
-    const Held& h = it->second;
-    const auto& cls = config_.settings.classes[static_cast<std::size_t>(h.q.cls)];
-    if (e.ending.badStatement || now_ - h.arrived > cls.aim)
-      logEnd(h, e.ending.badStatement ? "failed" : "late");
-    Requester* const asker = it->second.asker;
-    if (asker && e.ending.badStatement)
-      actions_.emplace_back([asker] { asker->failed(); });
-    else if (asker)
-      actions_.emplace_back([asker, answer = std::make_shared<Buffer>(std::move(e.ending.answer))] {
-        asker->served(std::move(*answer));
+  if (it != inFlight_.end() && o.requestClosed) {
+    const InFlightRequest& h = it->second;
+    const auto& cls = config_.settings.classes[static_cast<std::size_t>(h.request.classIndex)];
+    if (e.result.invalidStatement || now_ - h.arrivedAt > cls.latencyObjective)
+      logRequestEnd(h, e.result.invalidStatement ? "failed" : "late");
+    ResponseHandler* const handler = it->second.handler;
+    if (handler && e.result.invalidStatement)
+      actions_.emplace_back([handler] { handler->onFailed(); });
+    else if (handler)
+      actions_.emplace_back([handler, answer = std::make_shared<Buffer>(std::move(e.result.response))] {
+        handler->onResponse(std::move(*answer));
       });
-    held_.erase(it);
+    inFlight_.erase(it);
   }
-  balancer_->outcome(now_, o);
+  balancer_->onAttemptOutcome(now_, o);
 }
 
-void Engine::tell(Probed& e) {
-  Probe p;
-  p.member = e.member;
+void Dispatcher::deliver(Probed& e) {
+  HealthCheckResult p;
+  p.endpoint = e.endpoint;
   p.ok = e.ok;
-  p.report = figuresOf(e.report);
-  balancer_->probed(now_, p);
+  p.report = reportValues(e.report);
+  balancer_->onHealthCheck(now_, p);
 }
 
-std::vector<float> Engine::figuresOf(const std::vector<double>& report) const {
+std::vector<float> Dispatcher::reportValues(const std::vector<double>& report) const {
   std::vector<float> figures;
-  for (std::size_t k = 0; k < report.size() && k < config_.settings.figures.size(); ++k)
-    figures.push_back(config_.settings.figures[k] == Figure::Position ? secondsSince(zero_, report[k])
-                                                                      : static_cast<float>(report[k]));
+  for (std::size_t k = 0; k < report.size() && k < config_.settings.reportFields.size(); ++k)
+    figures.push_back(config_.settings.reportFields[k] == ReportField::Position
+                          ? secondsSince(positionEpoch_, report[k])
+                          : static_cast<float>(report[k]));
   return figures;
 }
 
-void Engine::tell(Heard& e) {
-  const auto it = keys_.find(e.word.key);
+void Dispatcher::deliver(Heard& e) {
+  const auto it = keys_.find(e.message.key);
   if (it == keys_.end() || it->second == 0) return;  // of a member that the list here does not name
-  Word w;
-  w.member = it->second;
-  w.position = std::chrono::milliseconds(e.word.positionMs);
-  w.primary = e.word.primary;
-  w.inflight = e.word.inflight;
-  if (e.word.positionMs > 0) balancer_->heard(now_, w);
+  GossipMessage w;
+  w.endpoint = it->second;
+  w.position = std::chrono::milliseconds(e.message.positionMs);
+  w.primary = e.message.primary;
+  w.inFlight = e.message.inFlight;
+  if (e.message.positionMs > 0) balancer_->onGossip(now_, w);
 }
 
-void Engine::tell(Listed& e) {
-  if (e.failed) return balancer_->list(now_, ListKind::Failed, {});
-  const bool first = lastMember_ == 0 && generation_ == 0;
+void Dispatcher::deliver(Listed& e) {
+  if (e.failed) return balancer_->onEndpointList(now_, EndpointListKind::Failed, {});
+  const bool first = lastEndpointId_ == 0 && generation_ == 0;
   generation_ = e.list.generation;
-  tellList(first ? ListKind::Cached : e.list.reset ? ListKind::Full : ListKind::Delta, e.list);
+  deliverList(first          ? EndpointListKind::Cached
+              : e.list.reset ? EndpointListKind::Full
+                             : EndpointListKind::Delta,
+              e.list);
 }
 
-void Engine::tellList(ListKind kind, const InstanceList& list) {
-  std::vector<ListedMember> entries;
+void Dispatcher::deliverList(EndpointListKind kind, const InstanceList& list) {
+  std::vector<EndpointUpdate> entries;
   for (const Instance& i : list.instances) {
     const bool unknown = ids_.find(i.name) == ids_.end();
     if (unknown && i.state == Lifecycle::Gone) continue;  // it came and went unseen
-    ListedMember m;
+    EndpointUpdate m;
     m.id = idOf(i.name);
     m.group = i.group;
     const auto zone = std::find(config_.zones.begin(), config_.zones.end(), i.zone);
@@ -244,18 +251,18 @@
     m.weight = i.weight;
     m.started = std::chrono::milliseconds(i.startedMs);
     entries.push_back(m);
-    members_->listed(m.id, i.address, i.state == Lifecycle::Ready);
+    endpoints_->updateEndpoint(m.id, i.address, i.state == Lifecycle::Ready);
   }
-  if (kind != ListKind::Delta)
+  if (kind != EndpointListKind::Delta)
     for (const auto& [name, id] : ids_) {
-      const MemberId key = id;
+      const EndpointId key = id;
       if (std::none_of(entries.begin(), entries.end(), [&](const auto& m) { return m.id == key; }))
-        members_->listed(id, Address(), false);
+        endpoints_->updateEndpoint(id, Address(), false);
     }
-  balancer_->list(now_, kind, entries);
+  balancer_->onEndpointList(now_, kind, entries);
 }
 
-const std::string& Engine::nameOf(MemberId id) const {
+const std::string& Dispatcher::nameOf(EndpointId id) const {
   static const std::string none = "?";
   for (const auto& [name, known] : ids_)
     if (known == id) return name;
@@ -265,75 +272,78 @@
 // A request that its client will complain of: its way from its last byte to its final answer, by the id that
 // the client and the data servers know. Of each attempt: the member, when it was decided, how and when it
 // ended.
-void Engine::logEnd(const Held& h, const char* how) const {
+void Dispatcher::logRequestEnd(const InFlightRequest& h, const char* how) const {
   std::string attempts;
-  for (const Tried& t : h.sent) {
+  for (const AttemptRecord& t : h.attempts) {
     if (!attempts.empty()) attempts += ' ';
-    attempts += nameOf(t.member) + "@" + inMs(t.at - h.arrived) + ":" + t.how;
-    if (t.ended > Time(0)) attempts += "@" + inMs(t.ended - h.arrived);
+    attempts += nameOf(t.endpoint) + "@" + inMs(t.sentAt - h.arrivedAt) + ":" + t.how;
+    if (t.endedAt > Time(0)) attempts += "@" + inMs(t.endedAt - h.arrivedAt);
   }
   logEvent(LogLevel::Info, "request_ended",
            {{"id", h.message->id},
-            {"class", config_.classes[static_cast<std::size_t>(h.q.cls)]},
-            {"group", h.q.group},
+            {"class", config_.classes[static_cast<std::size_t>(h.request.classIndex)]},
+            {"group", h.request.group},
             {"how", how},
-            {"after_ms", inMs(now_ - h.arrived)},
-            {"of_ms", inMs(h.q.deadline - h.arrived)},
+            {"after_ms", inMs(now_ - h.arrivedAt)},
+            {"of_ms", inMs(h.request.deadline - h.arrivedAt)},
             {"attempts", attempts}});
 }
 
-MemberId Engine::idOf(const std::string& name) {
-  const auto [it, added] = ids_.emplace(name, lastMember_ + 1);
-  lastMember_ += added;  // no id is given twice, for late events bear them
+EndpointId Dispatcher::idOf(const std::string& name) {
+  const auto [it, added] = ids_.emplace(name, lastEndpointId_ + 1);
+  lastEndpointId_ += added;  // no id is given twice, for late events bear them
   if (added && !keys_.emplace(keyOf(name), it->second).second) keys_[keyOf(name)] = 0;
   return it->second;
 }
 
 // ---- actions: recorded here, carried out at the end of the turn
 // ---------------------------------------------
-void Engine::send(RequestId id, MemberId member, Time until) {
-  const auto it = held_.find(id);
-  if (it == held_.end()) return;  // no send is decided for what has been answered
-  Held& h = it->second;
-  const int attempt = static_cast<int>(h.sent.size());
-  h.sent.push_back({member, now_});
+void Dispatcher::send(RequestId id, EndpointId member, Time until) {
+  const auto it = inFlight_.find(id);
+  if (it == inFlight_.end()) return;  // no send is decided for what has been answered
+  InFlightRequest& h = it->second;
+  const int attempt = static_cast<int>(h.attempts.size());
+  h.attempts.push_back({member, now_});
   actions_.emplace_back([this, id, attempt, member, until, message = h.message] {
-    members_->send(id, attempt, member, until, message);
+    endpoints_->send(id, attempt, member, until, message);
   });
 }
-void Engine::refuse(RequestId id, Time retryAfter) {
-  const auto it = held_.find(id);
-  if (it == held_.end()) return;
-  if (Requester* const asker = it->second.asker)
-    actions_.emplace_back([asker, retryAfter] { asker->refused(retryAfter); });
-  logEnd(it->second, "refused");
-  held_.erase(it);
-}
-void Engine::fail(RequestId id) {
-  const auto it = held_.find(id);
-  if (it == held_.end()) return;
-  if (Requester* const asker = it->second.asker) actions_.emplace_back([asker] { asker->failed(); });
-  logEnd(it->second, "failed");
-  held_.erase(it);
-}
-void Engine::cancel(RequestId id, int attempt) {
-  actions_.emplace_back([this, id, attempt] { members_->cancel(id, attempt); });
-}
-void Engine::timer(Time in, std::uint64_t token) { timers_.push({now_ + in, ++timersSet_, token}); }
-void Engine::probe(MemberId member) {
-  actions_.emplace_back([this, member] { members_->probe(member); });
-}
-void Engine::tell(const Word& w) {
-  gossip::Word word;
-  word.key = keyOf(nameOf(w.member));
+void Dispatcher::reject(RequestId id, Time retryAfter) {
+  const auto it = inFlight_.find(id);
+  if (it == inFlight_.end()) return;
+  if (ResponseHandler* const handler = it->second.handler)
+    actions_.emplace_back([handler, retryAfter] { handler->onRejected(retryAfter); });
+  logRequestEnd(it->second, "refused");
+  inFlight_.erase(it);
+}
+void Dispatcher::fail(RequestId id) {
+  const auto it = inFlight_.find(id);
+  if (it == inFlight_.end()) return;
+  if (ResponseHandler* const handler = it->second.handler)
+    actions_.emplace_back([handler] { handler->onFailed(); });
+  logRequestEnd(it->second, "failed");
+  inFlight_.erase(it);
+}
+void Dispatcher::cancel(RequestId id, int attempt) {
+  actions_.emplace_back([this, id, attempt] { endpoints_->cancel(id, attempt); });
+}
+void Dispatcher::scheduleTimer(Time in, TimerToken token) {
+  timers_.push({now_ + in, ++timersScheduled_, token});
+}
+void Dispatcher::checkHealth(EndpointId member) {
+  actions_.emplace_back([this, member] { endpoints_->checkHealth(member); });
+}
+void Dispatcher::broadcast(const GossipMessage& w) {
+  gossip::Message word;
+  word.key = keyOf(nameOf(w.endpoint));
   word.positionMs = w.position.count() / 1000;
   word.primary = w.primary;
-  word.inflight = w.inflight;
-  words_.push_back(word);
+  word.inFlight = w.inFlight;
+  gossipMessages_.push_back(word);
 }
-void Engine::subscribe() {
-  actions_.emplace_back([this] { lists_->watch(generation_); });
+void Dispatcher::pollDiscovery() {
+  actions_.emplace_back([this] { watcher_->watch(generation_); });
 }
-void Engine::log(const std::string& line) { logEvent(LogLevel::Info, "decision", {{"text", line}}); }
+void Dispatcher::log(const std::string& line) { logEvent(LogLevel::Info, "decision", {{"text", line}}); }
 
 }  // namespace stonebay
--- a/src/gossip/gossip_socket.hpp
+++ b/src/gossip/gossip_socket.hpp
@@ -8,18 +8,18 @@
 
 namespace stonebay {
 
-class PeerSocket final : public Peers {
+class GossipSocket final : public GossipChannel {
  public:
-  PeerSocket(event_base*, Engine&, const Config&);  // throws std::runtime_error where it cannot listen
-  ~PeerSocket() override;
-  PeerSocket(const PeerSocket&) = delete;
+  GossipSocket(event_base*, Dispatcher&, const Config&);  // throws std::runtime_error where it cannot listen
+  ~GossipSocket() override;
+  GossipSocket(const GossipSocket&) = delete;
 
-  void tell(const std::vector<gossip::Word>&) override;
+  void broadcast(const std::vector<gossip::Message>&) override;
 
  private:
   void read();
 
-  Engine& engine_;
+  Dispatcher& dispatcher_;
   const Config& config_;
   evutil_socket_t fd_ = -1;
   Event readable_;
--- a/src/upstream/pg/connection_pool.hpp
+++ b/src/upstream/pg/connection_pool.hpp
@@ -15,42 +15,42 @@
 
 namespace stonebay {
 
-class Upstream final : public Members {
+class ConnectionPool final : public EndpointPool {
  public:
-  Upstream(event_base*, Engine&, const Config&);
-  ~Upstream() override;
+  ConnectionPool(event_base*, Dispatcher&, const Config&);
+  ~ConnectionPool() override;
 
-  void listed(MemberId, const Address&, bool ready) override;
-  void send(RequestId, int attempt, MemberId, Time until, std::shared_ptr<const Message>) override;
-  void start(RequestId, int attempt, bool fit) override;
+  void updateEndpoint(EndpointId, const Address&, bool ready) override;
+  void send(RequestId, int attempt, EndpointId, Time until, std::shared_ptr<const ForwardedRequest>) override;
+  void resumeAttempt(RequestId, int attempt, bool fit) override;
   void cancel(RequestId, int attempt) override;
-  void probe(MemberId) override;
-  void forget(MemberId) override;
+  void checkHealth(EndpointId) override;
+  void removeEndpoint(EndpointId) override;
 
  private:
-  struct Job;
+  struct UpstreamRequest;
   class Connection;
   struct Endpoint {
     Address address;
     bool ready = false;
-    std::vector<Connection*> idle;  // the last one used comes last
-    std::deque<Job*> waiting;       // for a connection
+    std::vector<Connection*> idle;         // the last one used comes last
+    std::deque<UpstreamRequest*> waiting;  // for a connection
     int dialing = 0;
     Time dialAgain{};  // no connection is opened in advance before then
-    std::unique_ptr<Job> probe;
+    std::unique_ptr<UpstreamRequest> probe;
   };
   using AttemptKey = std::pair<RequestId, int>;
 
-  void run(Job&);  // on an idle connection, or once a new one stands
-  void dial(MemberId, Endpoint&);
+  void run(UpstreamRequest&);  // on an idle connection, or once a new one stands
+  void dial(EndpointId, Endpoint&);
   bool stands(Connection&);  // dialed or released: takes the next job or idles; false: it was dropped
-  void write(Job&);
-  void lost(Connection&, Result);              // its end; tells that of its job
+  void write(UpstreamRequest&);
+  void lost(Connection&, AttemptStatus);       // its end; tells that of its job
   void spoilt(Connection&, const char* what);  // the same, by what it sent
-  void dialFailed(Endpoint&, Result);
-  void timedOut(Job&);
-  void finish(Job&, Ending);  // the end of a job, told once
-  void finishProbe(Job&, bool ok, std::string_view report = {});
+  void dialFailed(Endpoint&, AttemptStatus);
+  void timedOut(UpstreamRequest&);
+  void finish(UpstreamRequest&, AttemptResult);  // the end of a job, told once
+  void finishProbe(UpstreamRequest&, bool ok, std::string_view report = {});
   std::vector<double> believed(std::string_view report) const;
   void drop(Connection&);
   void dropIdle(Endpoint&);
@@ -58,13 +58,13 @@
   bool makeRoom();
 
   event_base* const base_;
-  Engine& engine_;
+  Dispatcher& dispatcher_;
   const Config& config_;
   const std::size_t most_;  // connections at once
   const std::size_t warm_;  // kept idle for each member that is ready
-  std::unordered_map<MemberId, Endpoint> endpoints_;
+  std::unordered_map<EndpointId, Endpoint> endpoints_;
   std::unordered_map<Connection*, std::unique_ptr<Connection>> connections_;
-  std::map<AttemptKey, std::unique_ptr<Job>> attempts_;
+  std::map<AttemptKey, std::unique_ptr<UpstreamRequest>> attempts_;
   Event upkeep_;
 };
 
--- a/src/util/config_error.hpp
+++ b/src/util/config_error.hpp
@@ -6,7 +6,7 @@
 namespace stonebay {
 
 // `line` 0: the file as a whole.
-struct Fault {
+struct ConfigError {
   std::string file;
   int line = 0;
   std::string where;  // "[section] key", or empty
--- a/src/util/ini.hpp
+++ b/src/util/ini.hpp
@@ -26,7 +26,7 @@
 };
 struct IniFile {
   std::vector<IniSection> sections;  // as they stand; the same title may come again
-  std::vector<Fault> faults;         // lines that are no INI
+  std::vector<ConfigError> faults;   // lines that are no INI
 };
 
 // In the sections of the types named raw every line that is no header is an entry by itself, with the key ""
--- a/testbed/experiment.hpp
+++ b/testbed/experiment.hpp
@@ -46,7 +46,8 @@
 };
 
 // Everything that is wrong with the file goes to `faults`; then the experiment is of no use.
-Experiment parseExperiment(const std::string& text, const std::string& file, std::vector<Fault>& faults);
-Experiment readExperiment(const std::string& path, std::vector<Fault>& faults);
+Experiment parseExperiment(const std::string& text, const std::string& file,
+                           std::vector<ConfigError>& faults);
+Experiment readExperiment(const std::string& path, std::vector<ConfigError>& faults);
 
 }  // namespace stonebay::testbed
--- a/tests/dnssd_test.cpp
+++ b/tests/dnssd_test.cpp
@@ -179,8 +179,8 @@
   DirectoryTest() {
     settings.domain = kDomain;
     settings.service = kService;
-    settings.refreshLeast = seconds(1);
-    settings.refreshMost = seconds(10);
+    settings.minRefresh = seconds(1);
+    settings.maxRefresh = seconds(10);
     settings.jitter = 0.1;
     settings.defaultGroup = 3;
     d.emplace(settings, std::vector<GroupName>{}, 1);
@@ -380,12 +380,12 @@
 
 // ---- the source, over sockets
 // ------------------------------------------------------------------------------
-struct SourceTest : testing::Test, ListTaker {
+struct SourceTest : testing::Test, EndpointListHandler {
   EventBase base{event_base_new()};
   Clock clock;
   testbed::NameServer first{base.get(), kDomain, kService}, second{base.get(), kDomain, kService};
   Config config;
-  std::unique_ptr<MemberFeed> feed;
+  std::unique_ptr<EndpointFeed> feed;
   std::unique_ptr<DnsSd> source;
   std::map<std::string, Instance> members;
   std::uint64_t lists = 0, failures = 0;
@@ -397,13 +397,13 @@
     s.service = kService;
     for (const auto* n : {&first, &second})
       s.servers.push_back(*Address::parse("127.0.0.1:" + std::to_string(n->port())));
-    s.refreshLeast = milliseconds(100);
-    s.refreshMost = milliseconds(200);
-    s.tryTimeout = milliseconds(150);
+    s.minRefresh = milliseconds(100);
+    s.maxRefresh = milliseconds(200);
+    s.queryTimeout = milliseconds(150);
     s.udpPayload = 1232;
     s.defaultGroup = 3;
     s.flapHalfLife = seconds(15);
-    s.flapMost = seconds(60);
+    s.maxSuppression = seconds(60);
     s.flapSuppress = 1.5;
     s.flapReuse = 0.75;
     for (int k = 1; k <= 3; ++k) publish("s-" + std::to_string(k), 6000 + k);
@@ -415,7 +415,7 @@
     i.port = static_cast<std::uint16_t>(port);
     for (auto* n : {&first, &second}) n->publish(i);
   }
-  void listed(InstanceList list) override {
+  void onEndpointList(InstanceList list) override {
     ++lists;
     if (list.reset) members.clear();
     for (const Instance& i : list.instances)
@@ -424,13 +424,13 @@
       else
         members[i.name] = i;
   }
-  void listFailed(const std::string& w) override {
+  void onListFailure(const std::string& w) override {
     ++failures;
     why = w;
   }
   std::uint64_t generation() const override { return 0; }
   void start() {
-    feed = std::make_unique<MemberFeed>(base.get(), clock, *this, MembershipPolicy());
+    feed = std::make_unique<EndpointFeed>(base.get(), clock, *this, EndpointTrackerPolicy());
     source = std::make_unique<DnsSd>(base.get(), clock, *feed, config);
   }
   template <typename Done>
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -80,7 +80,7 @@
 
 TEST(Words, ComeBackAsTheyWentAndFitTheirDatagrams) {
   const std::int64_t now = 1796140835411;
-  std::vector<gossip::Word> words;
+  std::vector<gossip::Message> words;
   for (int k = 0; k < 45; ++k)
     words.push_back({0xabcdef012345u + static_cast<unsigned>(k), now - 100 * k, k % 2 == 0, 10 * k});
   const std::vector<std::string> all = gossip::encode(words);
@@ -88,11 +88,11 @@
   std::size_t at = 0;
   for (const std::string& bytes : all) {
     EXPECT_LE(bytes.size(), gossip::kLongest);
-    for (const gossip::Word& w : gossip::parse(bytes, now + 30)) {
+    for (const gossip::Message& w : gossip::parse(bytes, now + 30)) {
       EXPECT_EQ(w.key, words[at].key);
       EXPECT_EQ(w.positionMs, words[at].positionMs);
       EXPECT_EQ(w.primary, words[at].primary);
-      EXPECT_EQ(w.inflight, std::min(words[at].inflight, 255));
+      EXPECT_EQ(w.inFlight, std::min(words[at].inFlight, 255));
       ++at;
     }
     for (std::size_t cut = 0; cut < bytes.size(); cut += (cut + 1) % 12 == 1 ? 2 : 1)  // not between words
@@ -168,7 +168,7 @@
     bad.replace(bad.find(from), from.size(), to);
     try {
       parseInstances(bad);
-    } catch (const BadInput& e) {
+    } catch (const InvalidInput& e) {
       return std::string(e.what());
     }
     return std::string("no fault");
@@ -178,7 +178,7 @@
   EXPECT_NE(fault("\"cell\":3", "\"cell\":70000").find("instances[0].cell"), std::string::npos);
   EXPECT_NE(fault("leaving", "gone").find("instances[0].lifecycle"), std::string::npos);
   EXPECT_NE(fault("\"instanceId\":\"s-2\"", "\"x\":1").find("instances[1].instanceId"), std::string::npos);
-  EXPECT_THROW(parseInstances("{\"generation\":"), BadInput);
+  EXPECT_THROW(parseInstances("{\"generation\":"), InvalidInput);
 }
 
 TEST(List, IsCutFromAStreamWhereverItIsSplitOrIndented) {
@@ -188,7 +188,7 @@
       "\"a}]\\\"{\\\\\",\n      \"lifecycle\": \"left\"\n    }\n  ]\n}";
   const std::string text = "\n" + one + "\r\n\n" + two + one;
   for (std::size_t step : {std::size_t{1}, std::size_t{7}, text.size()}) {
-    ListReader reader;
+    EndpointListReader reader;
     std::vector<InstanceList> lists;
     for (std::size_t at = 0; at < text.size(); at += step)
       reader.feed(std::string_view(text).substr(at, step),
@@ -199,10 +199,10 @@
     EXPECT_EQ(lists[2].generation, 1u);
   }
   const auto none = [](InstanceList) {};
-  EXPECT_THROW(ListReader().feed("x", none), BadInput);
-  EXPECT_THROW(ListReader().feed("{]", none), BadInput);
+  EXPECT_THROW(EndpointListReader().feed("x", none), InvalidInput);
+  EXPECT_THROW(EndpointListReader().feed("{]", none), InvalidInput);
   int before = 0;
-  EXPECT_THROW(ListReader().feed(one + "]", [&](InstanceList) { ++before; }), BadInput);
+  EXPECT_THROW(EndpointListReader().feed(one + "]", [&](InstanceList) { ++before; }), InvalidInput);
   EXPECT_EQ(before, 1);
 }
 
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -219,7 +219,7 @@
 // same.
 TEST(Proxy, ARefusalSaysWhenToComeBack) {
   Setting s;
-  s.retryAfter = false;
+  s.retryAfterAllowed = false;
   Scenario t(s);
   t.run(R"(
     s1 wait silent
@@ -289,7 +289,7 @@
 // tables, and those that had something to ask were turned away.
 TEST(Proxy, OneOfManyProxiesDialsOnNeedAlone) {
   Setting s;
-  s.balancers = 100;
+  s.proxyCount = 100;
   Scenario t(s);
   t.run(R"(
     proxy expect quiet
@@ -870,10 +870,10 @@
     s.memoryMb = memory;
     s.sockets = sockets;
     const Config c = parseConfig(configuration(s, 1, {2}));
-    EXPECT_GE(c.clientConnections, static_cast<std::size_t>(sockets) / 3);
-    EXPECT_GE(c.serverConnections, c.clientConnections);
-    EXPECT_LE(c.clientConnections + c.serverConnections, static_cast<std::size_t>(sockets));
-    EXPECT_GE(c.largeStatements, std::size_t{20} * 2 * 65536);
+    EXPECT_GE(c.maxClientConnections, static_cast<std::size_t>(sockets) / 3);
+    EXPECT_GE(c.maxServerConnections, c.maxClientConnections);
+    EXPECT_LE(c.maxClientConnections + c.maxServerConnections, static_cast<std::size_t>(sockets));
+    EXPECT_GE(c.maxLargeStatementBytes, std::size_t{20} * 2 * 65536);
   }
 }
 TEST(Configuration, ErrorsNameTheKey) {
--- a/tests/testbed_test.cpp
+++ b/tests/testbed_test.cpp
@@ -105,14 +105,14 @@
   EXPECT_EQ(f["worth_share"], 0.5);
 }
 TEST(LabExperiment, FaultsNameTheLine) {
-  std::vector<Fault> faults;
+  std::vector<ConfigError> faults;
   parseExperiment(
       "[experiment]\nduration = 5\n[fleet]\nmember = 3\n[class r]\nshare = 1\n[script]\n5s withdraw\n5x kill "
       "s-1\n"
       "from 1s every 0 until 5s kill s-1\n[claims]\nlost == 0\n",
       "x.ini", faults);
   std::string all;
-  for (const Fault& f : faults) all += f.text() + "\n";
+  for (const ConfigError& f : faults) all += f.text() + "\n";
   for (const char* wanted :
        {"x.ini:2: [experiment] duration: '5' has no unit", "x.ini:4: [fleet] member: there is no",
         "x.ini:8: [script]", "x.ini:9: [script]", "x.ini:10: [script]: it repeats without end",
@@ -124,7 +124,7 @@
   for (const auto& entry :
        std::filesystem::recursive_directory_iterator(STONEBAY_SOURCE "/testbed/experiments")) {
     if (entry.path().extension() != ".ini") continue;
-    std::vector<Fault> faults;
+    std::vector<ConfigError> faults;
     const Experiment e = readExperiment(entry.path().string(), faults);
     EXPECT_TRUE(faults.empty()) << faults.front().text();
     EXPECT_FALSE(e.claims.empty()) << entry.path();
@@ -144,7 +144,7 @@
 class LabRogue : public testing::TestWithParam<Rogue> {};
 TEST_P(LabRogue, IsFound) {
   setenv("ROGUE", GetParam().mode, 1);
-  std::vector<Fault> faults;
+  std::vector<ConfigError> faults;
   const Experiment e = parseExperiment(R"(
 [experiment]
 duration = 3s
