Split the decision module into parts with one job each

Cause: one struct of 65 functions over 20 shared fields, in which every concern could touch every other. Change: endpoint_table, slow_start, latency_model, consistency, retry_policy, health_checker, outlier_detection, admission_control, gossip_policy, discovery_polling, replica_selection and write_routing decide and own their state; core joins them and holds no rule of its own. Thresholds stand in tuning.hpp. Mechanisms that decide nothing (sample window, token budget, miss tally, seeded hash, session commits, report decoding, settings validation) serve under names and tests of their own.

--- a/include/stonebay/load_balancer.hpp
+++ b/include/stonebay/load_balancer.hpp
@@ -171,19 +171,19 @@
  public:
   virtual ~ActionSink() = default;
   /// Sends an attempt; `until` 0: it ends when the client leaves. Answered by LoadBalancer::onAttemptOutcome.
-  virtual void send(RequestId, EndpointId, Time until) = 0;
+  virtual void send(RequestId request, EndpointId endpoint, Time until) = 0;
   /// Final: a new request is harmless. `retryAfter` 0: nothing is said about when to come back.
-  virtual void reject(RequestId, Time retryAfter) = 0;
+  virtual void reject(RequestId request, Time retryAfter) = 0;
   /// Final: the request may have run.
-  virtual void fail(RequestId) = 0;
+  virtual void fail(RequestId request) = 0;
   /// Cancels an attempt; its AttemptOutcome still has to come.
-  virtual void cancel(RequestId, int attempt) = 0;
+  virtual void cancel(RequestId request, int attempt) = 0;
   /// Answered by LoadBalancer::onTimer, never early.
-  virtual void scheduleTimer(Time in, TimerToken) = 0;
+  virtual void scheduleTimer(Time in, TimerToken token) = 0;
   /// Answered by LoadBalancer::onHealthCheck.
-  virtual void checkHealth(EndpointId) = 0;
+  virtual void checkHealth(EndpointId endpoint) = 0;
   /// To all other proxies; may be late or lost.
-  virtual void broadcast(const GossipMessage&) = 0;
+  virtual void broadcast(const GossipMessage& message) = 0;
   /// Answered by LoadBalancer::onEndpointList.
   virtual void pollDiscovery() = 0;
   /// For the operators.
@@ -198,35 +198,35 @@
 class LoadBalancer {
  public:
   /// Throws std::invalid_argument for settings that contradict each other.
-  LoadBalancer(const Settings&, std::uint64_t seed, ActionSink&);
+  LoadBalancer(const Settings& settings, std::uint64_t seed, ActionSink& sink);
   ~LoadBalancer();
-  LoadBalancer(LoadBalancer&&) noexcept;
-  LoadBalancer& operator=(LoadBalancer&&) = delete;
+  LoadBalancer(LoadBalancer&& other) noexcept;
+  LoadBalancer& operator=(LoadBalancer&& other) = delete;
 
   /// The first one comes right after construction.
-  void onEndpointList(Time now, EndpointListKind, const std::vector<EndpointUpdate>&);
+  void onEndpointList(Time now, EndpointListKind kind, const std::vector<EndpointUpdate>& updates);
   /// From here on one final response is owed.
-  void onRequest(Time now, const Request&);
+  void onRequest(Time now, const Request& request);
   /// Exactly one for each send, the client's timeout included.
-  void onAttemptOutcome(Time now, const AttemptOutcome&);
+  void onAttemptOutcome(Time now, const AttemptOutcome& outcome);
   /// Nothing is owed any more; outcomes still come.
-  void onClientLeft(Time now, RequestId);
+  void onClientLeft(Time now, RequestId id);
   /// Exactly one for each health check.
-  void onHealthCheck(Time now, const HealthCheckResult&);
-  void onTimer(Time now, TimerToken);
+  void onHealthCheck(Time now, const HealthCheckResult& result);
+  void onTimer(Time now, TimerToken token);
   /// From another proxy.
-  void onGossip(Time now, const GossipMessage&);
+  void onGossip(Time now, const GossipMessage& message);
 
   /// Whether a send that had to wait for its connection may still go out: since it was decided the endpoint
   /// may have drained, or its data grown too old. If not, its outcome is AttemptStatus::NotSent.
-  bool isStillEligible(Time now, RequestId, EndpointId);
+  bool isStillEligible(Time now, RequestId id, EndpointId to);
   /// Removes the endpoints that have been gone and quiet for long, and names them: their ids may be dropped.
   std::vector<EndpointId> removeDeparted(Time now);
   /// Positions in later responses and reports count from here.
   void setPositionEpoch(Time epoch);
 
  private:
-  struct Core;
+  class Core;
   std::unique_ptr<Core> core_;
 };
 
--- /dev/null
+++ b/src/balancer/consistency.cpp
@@ -0,0 +1,77 @@
+#include "balancer/consistency.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace stonebay::balancer {
+namespace {
+
+Time tightestStalenessOf(const Settings& settings) {
+  Time tightest = never;
+  for (const ClassSettings& requestClass : settings.classes) {
+    if (requestClass.consistency != Consistency::BoundedStaleness) continue;
+    if (tightest == never || requestClass.maxStaleness < tightest) tightest = requestClass.maxStaleness;
+  }
+  return tightest == never ? seconds(1) : tightest;
+}
+
+}  // namespace
+
+ConsistencyPolicy::ConsistencyPolicy(const Context& context, EndpointTable& table)
+    : context_(context), table_(table), tightestStaleness_(tightestStalenessOf(context.settings)) {}
+
+Time ConsistencyPolicy::requiredPosition(const PendingRequest& pending) const {
+  const ClassSettings& requestClass = context_.classOf(pending);
+  const bool isBounded = requestClass.consistency == Consistency::BoundedStaleness;
+  return isBounded ? context_.now - requestClass.maxStaleness : pending.requiredCommit;
+}
+
+void ConsistencyPolicy::setRequiredCommit(PendingRequest& pending) {
+  const Consistency consistency = context_.classOf(pending).consistency;
+  if (consistency == Consistency::Strong) pending.requiredCommit = context_.now;
+  if (consistency != Consistency::ReadYourWrites) return;
+  const Request& request = pending.request;
+  if (!context_.settings.sessionTokensCarried) {
+    const Time evicted = table_.group(request.group).evictedCommit;
+    pending.requiredCommit = commits_.find(request.session).value_or(evicted);
+  } else if (request.sessionTokenAgeMs > 0) {
+    // The age may have been rounded up: the next f32 below it makes the required position err on the new
+    // side.
+    const double age = static_cast<double>(std::nextafterf(request.sessionTokenAgeMs, 0.0F)) * 1e3;
+    const double bounded = std::min(age, static_cast<double>(context_.now.count()));
+    pending.requiredCommit = context_.now - Time(static_cast<std::int64_t>(bounded));
+  }
+}
+
+void ConsistencyPolicy::recordCommit(const PendingRequest& pending, const AttemptOutcome& outcome) {
+  if (context_.settings.sessionTokensCarried || !context_.isWrite(pending)) return;
+  if (pending.request.session == 0) return;
+  commits_.record(pending.request.session, outcome.position.value_or(context_.now));
+  if (commits_.size() > kMaxRememberedSessions) evictSessions();
+}
+
+// Forgetting must not make a read stale: one commit stands for all.
+void ConsistencyPolicy::evictSessions() {
+  const Time latest = commits_.evictAll();
+  for (auto& [id, group] : table_.groups()) group.evictedCommit = std::max(group.evictedCommit, latest);
+}
+
+bool ConsistencyPolicy::isKnownStale(const Endpoint& endpoint, Time required) const {
+  return required != never && !table_.isPrimary(endpoint) && endpoint.position < required;
+}
+
+std::optional<double> ConsistencyPolicy::freshnessProbability(const Endpoint& endpoint, Time required) const {
+  if (!isKnownStale(endpoint, required)) return 1;
+  if (context_.settings.staleReadPolicy == StaleReadPolicy::Serve) return std::nullopt;
+  const Time tolerated = context_.now - required;
+  double fresh = 0;
+  double observed = 0;
+  for (const PositionLag& lag : endpoint.positionLags) {
+    if (lag.observedAt + kMaxSampleAge < context_.now) continue;
+    observed += 1;
+    if (lag.age <= tolerated) fresh += 1;
+  }
+  return observed > 0 ? fresh / observed : 0.5;
+}
+
+}  // namespace stonebay::balancer
--- /dev/null
+++ b/src/balancer/endpoint_table.hpp
@@ -0,0 +1,62 @@
+// Who is known: the endpoints, their groups, roles and positions.
+#pragma once
+
+#include <map>
+#include <vector>
+
+#include "balancer/context.hpp"
+
+namespace stonebay::balancer {
+
+/// Owns the records of endpoints and replica groups, and what the endpoint lists say of them.
+class EndpointTable {
+ public:
+  explicit EndpointTable(const Context& context) : context_(context) {}
+
+  Endpoint* find(EndpointId id);
+  Endpoint& at(EndpointId id) { return endpoints_.at(id); }
+  const Endpoint& at(EndpointId id) const { return endpoints_.at(id); }
+  std::map<EndpointId, Endpoint>& endpoints() { return endpoints_; }
+  std::map<GroupId, ReplicaGroup>& groups() { return groups_; }
+  /// Clients may name groups that have no endpoint: such a group is created.
+  ReplicaGroup& group(GroupId id) { return groups_[id]; }
+  ReplicaGroup& groupOf(const Endpoint& endpoint) { return groups_.at(endpoint.info.group); }
+  const ReplicaGroup& groupOf(const Endpoint& endpoint) const { return groups_.at(endpoint.info.group); }
+
+  void applyList(EndpointListKind kind, const std::vector<EndpointUpdate>& updates);
+  /// Removes the endpoints that have departed and been quiet for long; gives their ids. What is in flight, a
+  /// health check included, must still find its endpoint.
+  std::vector<EndpointId> removeDeparted();
+
+  /// False for what drains or is gone, from the very event that reports it.
+  bool isRoutable(const Endpoint& endpoint) const;
+  bool isPrimary(const Endpoint& endpoint) const { return groupOf(endpoint).primary == endpoint.info.id; }
+  /// The group's primary, if one is known and may be sent requests.
+  Endpoint* routablePrimary(const ReplicaGroup& group);
+  /// The most routable endpoints that any group has had.
+  int largestGroupSize() const { return largestGroupSize_; }
+  void updateLargestGroupSize(const ReplicaGroup& group);
+  bool hasFreshLoadReport(const Endpoint& endpoint) const;
+
+  /// The newest evidence of a role wins, however it came. A report is as old as the position in it.
+  void observeRole(Endpoint& endpoint, Role role, Time observedAt);
+  void observePosition(Endpoint& endpoint, Time position);
+  /// What the end of an attempt says of its endpoint's role and position, and when it answered.
+  void observeOutcome(Endpoint& endpoint, const AttemptOutcome& outcome, bool isWrite);
+  void recordFault(const Endpoint& endpoint) { groupOf(endpoint).lastFaultAt = context_.now; }
+
+ private:
+  void markAbsentAsGone(const std::vector<EndpointUpdate>& updates);
+  void applyUpdate(const EndpointUpdate& update);
+  void moveToGroup(const Endpoint& endpoint, const EndpointUpdate& update);
+  void observeListedRole(Endpoint& endpoint);
+  bool isForgettable(const Endpoint& endpoint) const;
+  void removeUnusedGroups();
+
+  const Context& context_;
+  std::map<EndpointId, Endpoint> endpoints_;
+  std::map<GroupId, ReplicaGroup> groups_;
+  int largestGroupSize_ = 1;
+};
+
+}  // namespace stonebay::balancer
--- /dev/null
+++ b/src/balancer/health_checker.cpp
@@ -0,0 +1,68 @@
+#include "balancer/health_checker.hpp"
+
+#include <algorithm>
+
+namespace stonebay::balancer {
+
+void HealthChecker::check(Endpoint& endpoint) const {
+  endpoint.healthCheck.pending = true;
+  endpoint.healthCheck.sentAt = context_.now;
+  context_.sink.checkHealth(endpoint.info.id);
+}
+
+bool HealthChecker::isAwaited(const Endpoint& endpoint) const {
+  const HealthCheck& check = endpoint.healthCheck;
+  return check.pending && context_.now - check.sentAt <= kHealthCheckTimeout;
+}
+
+// Recent enough for a choice: where endpoints serve stale reads, a proven position; where reports say their
+// load, or for a write that must not be lost, any response within the class's latency objective.
+bool HealthChecker::hasRecentEvidence(const PendingRequest& pending, const Endpoint& endpoint) const {
+  const bool servesStale = context_.settings.staleReadPolicy == StaleReadPolicy::Serve;
+  if (servesStale && consistency_.isKnownStale(endpoint, consistency_.requiredPosition(pending)))
+    return false;
+  const bool isWrite = context_.isWrite(pending);
+  if (!loadIsReported_ && !isWrite) return true;
+  const Time maxAge = isWrite ? context_.classOf(pending).latencyObjective : kMaxLoadReportAge;
+  return endpoint.lastResponseAt != never && context_.now - endpoint.lastResponseAt < maxAge;
+}
+
+bool HealthChecker::checkBeforeSend(PendingRequest& pending, std::vector<Endpoint*> next) {
+  if (!context_.canCheckHealth() || pending.healthChecksSent) return false;
+  // No replica's answer can be new enough for a strong read.
+  if (context_.classOf(pending).consistency == Consistency::Strong) return false;
+  if (!context_.isWrite(pending)) {
+    const Endpoint* const primary = table_.find(table_.group(pending.request.group).primary);
+    next.erase(std::remove(next.begin(), next.end(), primary), next.end());
+  }
+  const auto isKnown = [&](const Endpoint* endpoint) { return hasRecentEvidence(pending, *endpoint); };
+  if (std::any_of(next.begin(), next.end(), isKnown)) return false;
+  next.resize(std::min(next.size(), kHealthChecksPerSend));
+  const Time interval = loadIsReported_ ? kTickInterval : consistency_.tightestStaleness() / 4;
+  for (Endpoint* endpoint : next) {
+    const HealthCheck& last = endpoint->healthCheck;
+    const bool isDue = last.sentAt == never || context_.now - last.sentAt >= interval;
+    if (!last.pending && isDue) check(*endpoint);
+    if (last.pending) pending.healthChecksSent = true;
+  }
+  return pending.healthChecksSent;
+}
+
+Time HealthChecker::waitLimit(const PendingRequest& pending) const {
+  const Time objective = context_.classOf(pending).latencyObjective;
+  return std::max(context_.settings.timeStep, objective / kHealthCheckWaitDivisor);
+}
+
+void HealthChecker::recordAnswer(Endpoint& endpoint) const {
+  endpoint.lastResponseAt = context_.now;
+  // Guards against checking the same lagging endpoints for ever: a check in vain counts as use.
+  const Time tolerated = context_.now - consistency_.tightestStaleness();
+  if (endpoint.position < tolerated) endpoint.lastUsedAt = context_.now;
+}
+
+bool HealthChecker::mayServeWaiting(const ReplicaGroup& group) const {
+  const auto mayAnswer = [&](EndpointId id) { return isAwaited(table_.at(id)); };
+  return !loadIsReported_ || std::none_of(group.endpoints.begin(), group.endpoints.end(), mayAnswer);
+}
+
+}  // namespace stonebay::balancer
--- a/src/balancer/state.hpp
+++ b/src/balancer/state.hpp
@@ -2,12 +2,13 @@
 #pragma once
 
 #include <cstdint>
-#include <utility>
 #include <vector>
 
+#include "balancer/fixed_window.hpp"
+#include "balancer/tuning.hpp"
 #include "stonebay/load_balancer.hpp"
 
-namespace stonebay {
+namespace stonebay::balancer {
 
 /// An instant that has not come.
 constexpr Time never{-1};
@@ -20,6 +21,8 @@
   Time at;      ///< when it ended
 };
 
+using LatencyWindow = FixedWindow<LatencySample, kLatencyWindowSize>;
+
 /// An attempt that has been sent to an endpoint and has not ended.
 struct InFlightAttempt {
   RequestId request;
@@ -30,31 +33,65 @@
   bool knownStale;  ///< the endpoint's known position was older than the request requires
 };
 
+/// How old an endpoint's data was at some instant.
+struct PositionLag {
+  Time observedAt;
+  Time age;
+};
+
+/// Whether an endpoint is ejected; owned by OutlierDetector.
+struct Ejection {
+  int consecutiveFailures = 0;
+  Time until = never;  ///< ejected until then, afterwards one trial request at a time
+  Time backoff{};
+  bool failingFast = false;  ///< ejected for errors alone: it answers
+};
+
+/// The health check of an endpoint; owned by HealthChecker.
+struct HealthCheck {
+  bool pending = false;
+  Time sentAt = never;
+};
+
+/// The load that an endpoint reported.
+struct ReportedLoad {
+  int inFlight = 0;
+  Time reportedAt = never;
+};
+
+/// When the proxies last heard of an endpoint by gossip; owned by GossipPolicy.
+struct BroadcastTimes {
+  Time last = never;     ///< from this proxy or another
+  Time lastOwn = never;  ///< from this one
+};
+
 /// An endpoint, and what is known of it.
 struct Endpoint {
   EndpointUpdate info;
   bool drainingObserved = false;
-  Time departedAt = never;  ///< when the list first lacked it
-  Role role = Role::Unknown;
+  Time departedAt = never;      ///< when the list first lacked it
   Time roleObservedAt = never;  ///< when the newest evidence of its role was true
   Time position = never;        ///< it has applied all commits up to here; a lower bound that only grows
-  std::vector<std::pair<Time, Time>> positionLags;        ///< (observed at, age of the position then)
-  std::vector<LatencySample> freshSamples, staleSamples;  ///< of attempts that were not, or were, known stale
-  Time lastAnswerAt = never, lastUsedAt = never;
-  Time latestAnsweredSentAt = never;  ///< when the youngest of the answered attempts was sent
+  FixedWindow<PositionLag, kPositionWindowSize> positionLags;
+  LatencyWindow freshSamples;  ///< of attempts that were not known stale
+  LatencyWindow staleSamples;  ///< of those that were
   std::vector<InFlightAttempt> inFlight;
-  int consecutiveFailures = 0;
-  Time ejectedUntil = never;  ///< ejected until then, then one trial request at a time
-  Time ejectionBackoff{};
-  bool failingFast = false;  ///< ejected for errors alone: it answers
-  bool healthCheckPending = false;
-  Time healthCheckSentAt = never;
-  Time lastResponseAt = never;  ///< of any kind, answers to health checks included
-  int reportedInFlight = 0;     ///< requests at the endpoint, by its newest load report
-  Time loadReportedAt = never;
-  Time lastBroadcastAt = never;     ///< when the proxies last heard of it, from this one or another
-  Time lastOwnBroadcastAt = never;  ///< when they did from this one
-  std::uint64_t tieBreaker = 0;     ///< this proxy's own order of endpoints that are alike
+  Time lastUsedAt = never;
+  Time lastAnswerAt = never;          ///< to a request
+  Time lastResponseAt = never;        ///< of any kind: answers to health checks and gossip included
+  Time latestAnsweredSentAt = never;  ///< when the youngest of the answered attempts was sent
+  Ejection ejection;
+  HealthCheck healthCheck;
+  ReportedLoad load;
+  BroadcastTimes broadcast;
+  std::uint64_t tieBreaker = 0;  ///< this proxy's own order of endpoints that are alike
+
+  /// A new process has started: nothing of the former one's latencies and health holds on.
+  void forgetFormerProcess() {
+    freshSamples.clear();
+    staleSamples.clear();
+    ejection = Ejection();
+  }
 };
 
 /// A primary and its replicas.
@@ -67,6 +104,11 @@
   bool discoveryExhausted = false;  ///< it has tried all endpoints in vain
   Time evictedCommit = never;       ///< sessions that are no longer remembered may have written until then
   std::vector<RequestId> waiting;
+
+  /// Nothing of it has to be kept.
+  bool isUnused() const {
+    return endpoints.empty() && waiting.empty() && discoveryRequest == 0 && evictedCommit == never;
+  }
 };
 
 /// One attempt of a pending request.
@@ -91,13 +133,15 @@
   EndpointId maybeExecutedOn = 0;
   bool waiting = false;
   bool healthChecksSent = false;  ///< for its next attempt
+
+  int attemptCount() const { return static_cast<int>(attempts.size()); }
 };
 
-/// An endpoint that a read may go to.
-struct Candidate {
-  Endpoint* endpoint;
-  double missProbability;  ///< of no response within the budget
-  double expectedLatency;  ///< microseconds
+/// What to do with a pending request.
+struct Route {
+  enum class Action { Send, Wait, WaitForHealthChecks, GiveUp };
+  Action action = Action::Wait;
+  std::vector<Endpoint*> endpoints{};  ///< Send: all of these
 };
 
-}  // namespace stonebay
+}  // namespace stonebay::balancer
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -58,7 +58,7 @@
   std::vector<std::string> reportNames;  // in the order of settings.figures
   Time connectTimeout{};                 // a connection that is not up by then has failed
   Time idleTimeout{};                    // data servers close what stands idle for so long
-  bool tracksSessions = false;                 // some class needs to know a request's session
+  bool tracksSessions = false;           // some class needs to know a request's session
   Source source = Source::Registry;
   DnsSdSettings dnssd;            // of Source::DnsSd
   std::vector<GroupName> groups;  // those that have a name
