--- a/fuzz/dns.cpp
+++ b/fuzz/dns.cpp
@@ -2,10 +2,10 @@
 #include <cstdlib>
 #include <string>
 
+#include "codec/dns/message.hpp"
 #include "fuzz/target.hpp"
-#include "wire/dns/message.hpp"
 
-using namespace sablespur;
+using namespace stonebay;
 
 int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
   const auto m = dns::parse({reinterpret_cast<const char*>(data), size});
--- a/fuzz/list.cpp
+++ b/fuzz/list.cpp
@@ -1,12 +1,11 @@
 // The HTTP registry's answer, in pieces whose sizes the input chooses, and the lists in it.
-#include "membership/list.hpp"
-
 #include <string>
 
+#include "codec/http/http.hpp"
+#include "discovery/endpoint_list.hpp"
 #include "fuzz/target.hpp"
-#include "wire/http/http.hpp"
 
-using namespace sablespur;
+using namespace stonebay;
 
 int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
   if (size == 0) return 0;
@@ -17,11 +16,11 @@
   for (std::size_t at = 0; at < text.size(); at += step)
     if (!response.feed(text.substr(at, step), body)) break;
   if (body.empty()) body = std::string(text);  // lists themselves, too
-  ListReader lists;
+  EndpointListReader lists;
   try {
     for (std::size_t at = 0; at < body.size(); at += step)
       lists.feed(std::string_view(body).substr(at, step), [](InstanceList) {});
-  } catch (const BadInput&) {
+  } catch (const InvalidInput&) {
   }
   return 0;
 }
--- a/fuzz/pg.cpp
+++ b/fuzz/pg.cpp
@@ -1,5 +1,5 @@
 // PostgreSQL messages from either side: heads, errors, parameters, rows, tags and the comment of a statement.
-#include "wire/pg/pg.hpp"
+#include "codec/pg/pg.hpp"
 
 #include <algorithm>
 #include <cstdlib>
@@ -7,7 +7,7 @@
 
 #include "fuzz/target.hpp"
 
-using namespace sablespur;
+using namespace stonebay;
 
 int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
   const std::string_view text(reinterpret_cast<const char*>(data), size);
--- a/fuzz/target.hpp
+++ b/fuzz/target.hpp
@@ -1,4 +1,4 @@
-// Each fuzz target defines this one function: libFuzzer calls it (-DSABLESPUR_FUZZ=ON, clang), and so does
+// Each fuzz target defines this one function: libFuzzer calls it (-DSTONEBAY_FUZZ=ON, clang), and so does
 // replay.cpp, which plays a kept corpus and a fixed number of seeded mutations of it for CI.
 #pragma once
 
--- a/src/app/cli.cpp
+++ b/src/app/cli.cpp
@@ -10,7 +10,7 @@
 #include "app/serve.hpp"
 #include "config/config.hpp"
 
-namespace sablespur {
+namespace stonebay {
 namespace {
 
 constexpr const char* kVersion = "0.2.0";
@@ -18,7 +18,7 @@
 
 int byPlatform() {
   const char* const path = std::getenv("NODE_CONFIG");
-  if (!path) throw BadInput("variable NODE_CONFIG is not set, and no command is given; see --help");
+  if (!path) throw InvalidInput("variable NODE_CONFIG is not set, and no command is given; see --help");
   return serve(readConfig(path), [path] { return readConfig(path); });
 }
 
@@ -29,10 +29,11 @@
     std::printf(
         "%s: good; %zu classes, %zu members known at the start, %zu client connections, %zu to data "
         "servers\n",
-        path.c_str(), c.classes.size(), c.known.instances.size(), c.clientConnections, c.serverConnections);
+        path.c_str(), c.classes.size(), c.knownEndpoints.instances.size(), c.maxClientConnections,
+        c.maxServerConnections);
     return 0;
-  } catch (const BadSettings& e) {
-    for (const Fault& f : e.faults) std::fprintf(stderr, "%s\n", f.text().c_str());
+  } catch (const InvalidSettings& e) {
+    for (const ConfigError& f : e.faults) std::fprintf(stderr, "%s\n", f.text().c_str());
     return 1;
   }
 }
@@ -42,8 +43,8 @@
 int commandLine(int argc, char** argv) {
   try {
     if (argc < 2) return byPlatform();
-    CLI::App app{"sablespur: a proxy before replicated databases", "sablespur"};
-    app.set_version_flag("--version", std::string("sablespur ") + kVersion);
+    CLI::App app{"stonebay: a proxy before replicated databases", "stonebay"};
+    app.set_version_flag("--version", std::string("stonebay ") + kVersion);
     app.require_subcommand(1);
     app.footer("With no arguments it serves by the JSON file that NODE_CONFIG names.");
 
@@ -75,9 +76,9 @@
     if (listing->parsed()) return showMembers(config, members);
     return serve(config, [path] { return readSettings(path); });
   } catch (const std::exception& e) {
-    std::fprintf(stderr, "sablespur: %s\n", e.what());
+    std::fprintf(stderr, "stonebay: %s\n", e.what());
     return 1;
   }
 }
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/app/list_source.cpp
+++ b/src/app/discovery_source.cpp
@@ -1,12 +1,12 @@
-#include "app/list_source.hpp"
+#include "app/discovery_source.hpp"
 
+#include "discovery/registry/registry_watch.hpp"
 #include "log/log.hpp"
-#include "membership/registry/watch.hpp"
-#ifdef SABLESPUR_DNSSD
-#include "membership/dnssd/source.hpp"
+#ifdef STONEBAY_DNSSD
+#include "discovery/dnssd/source.hpp"
 #endif
 
-namespace sablespur {
+namespace stonebay {
 namespace {
 
 // What cannot change while the program serves.
@@ -16,47 +16,47 @@
   return false;
 }
 
-class RegistrySource final : public ListSource {
+class RegistrySource final : public DiscoverySource {
  public:
-  RegistrySource(event_base* base, MemberFeed& feed, const Config& c) : watch_(base, feed, c.discovery) {}
+  RegistrySource(event_base* base, EndpointFeed& feed, const Config& c) : watch_(base, feed, c.discovery) {}
   void watch(std::uint64_t after) override { watch_.watch(after); }
   void move(const Config& c) override {
     if (sameSource(c, Source::Registry)) watch_.move(c.discovery);
   }
 
  private:
-  Discovery watch_;
+  RegistryWatch watch_;
 };
 
-class FixedSource final : public ListSource {
+class FixedSource final : public DiscoverySource {
  public:
   void watch(std::uint64_t) override {}
   void move(const Config& c) override { sameSource(c, Source::Fixed); }
 };
 
-#ifdef SABLESPUR_DNSSD
-class DnsSdSource final : public ListSource {
+#ifdef STONEBAY_DNSSD
+class DnsSdSource final : public DiscoverySource {
  public:
-  DnsSdSource(event_base* base, const Clock& clock, MemberFeed& feed, const Config& c)
+  DnsSdSource(event_base* base, const Clock& clock, EndpointFeed& feed, const Config& c)
       : feed_(feed), dnssd_(base, clock, feed, c) {}
   void watch(std::uint64_t) override {}  // it tells by itself
   void move(const Config& c) override {
     if (!sameSource(c, Source::DnsSd)) return;
-    feed_.policy(sourcePolicy(c));
+    feed_.policy(trackerPolicy(c));
     dnssd_.move(c);
   }
   std::map<std::string, std::string> faults() const override { return dnssd_.faults(); }
 
  private:
-  MemberFeed& feed_;
+  EndpointFeed& feed_;
   DnsSd dnssd_;
 };
 #endif
 
 }  // namespace
 
-MembershipPolicy sourcePolicy(const Config& c) {
-  MembershipPolicy p;
+EndpointTrackerPolicy trackerPolicy(const Config& c) {
+  EndpointTrackerPolicy p;
   if (c.source != Source::DnsSd) {
     p.dampens = false;
     return p;
@@ -65,22 +65,23 @@
   p.suppressAt = s.flapSuppress;
   p.reuseAt = s.flapReuse;
   p.halfLife = s.flapHalfLife;
-  p.mostHeld = s.flapMost;
-  p.keepFor = s.keepFor;
+  p.maxSuppression = s.maxSuppression;
+  p.maxListAge = s.maxListAge;
   return p;
 }
 
-std::unique_ptr<ListSource> openSource(event_base* base, const Clock& clock, MemberFeed& feed,
-                                       const Config& c) {
+std::unique_ptr<DiscoverySource> openDiscoverySource(event_base* base, const Clock& clock, EndpointFeed& feed,
+                                                     const Config& c) {
   switch (c.source) {
     case Source::Fixed:
       return std::make_unique<FixedSource>();
     case Source::DnsSd:
-#ifdef SABLESPUR_DNSSD
+#ifdef STONEBAY_DNSSD
       return std::make_unique<DnsSdSource>(base, clock, feed, c);
 #else
       (void)clock;
-      throw BadInput("key [discovery] source: this build has no DNS-SD; build it with -DSABLESPUR_DNSSD=ON");
+      throw InvalidInput(
+          "key [discovery] source: this build has no DNS-SD; build it with -DSTONEBAY_DNSSD=ON");
 #endif
     case Source::Registry:
       break;
@@ -88,4 +89,4 @@
   return std::make_unique<RegistrySource>(base, feed, c);
 }
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/app/members.cpp
+++ b/src/app/members.cpp
@@ -7,19 +7,17 @@
 #include <cstdio>
 #include <nlohmann/json.hpp>
 
-#include "app/list_source.hpp"
-#include "core/event.hpp"
+#include "app/discovery_source.hpp"
 #include "log/log.hpp"
+#include "util/event.hpp"
 
-namespace sablespur {
+namespace stonebay {
 namespace {
 
-using knotstack::Lifecycle;
-
 const char* stateName(Lifecycle s) {
   return s == Lifecycle::Ready ? "active" : s == Lifecycle::Draining ? "leaving" : "left";
 }
-std::string groupName(const Config& c, knotstack::GroupId id) {
+std::string groupName(const Config& c, GroupId id) {
   for (const GroupName& g : c.groups)
     if (g.id == id) return g.name;
   return std::to_string(id);
@@ -35,15 +33,15 @@
 }
 
 // Takes the first list that comes.
-struct Taker final : ListTaker {
+struct Taker final : EndpointListHandler {
   event_base* base = nullptr;
   bool told = false;
   std::string why = "no word within the wait";
-  void listed(InstanceList) override {
+  void onEndpointList(InstanceList) override {
     told = true;
     event_base_loopbreak(base);
   }
-  void listFailed(const std::string& reason) override {
+  void onListFailure(const std::string& reason) override {
     why = reason;
     event_base_loopbreak(base);
   }
@@ -57,7 +55,7 @@
                                        "WEIGHT", "STATE",   "STARTED", "LEFT OUT"};
   std::vector<std::vector<std::string>> rows{heads};
   std::size_t used = 0;
-  for (const Membership::Row& r : view.members.rows) {
+  for (const EndpointTracker::Row& r : view.members.rows) {
     const Instance& i = r.instance;
     used += r.leftOut.empty();
     rows.push_back({i.name, i.address.text(), groupName(config, i.group), i.zone, i.kind,
@@ -81,7 +79,7 @@
 std::string membersJson(const Config& config, const MembersView& view) {
   using Json = nlohmann::ordered_json;
   Json all = Json::array(), out = Json::array();
-  for (const Membership::Row& r : view.members.rows) {
+  for (const EndpointTracker::Row& r : view.members.rows) {
     const Instance& i = r.instance;
     Json one{{"name", i.name},
              {"address", i.address.text()},
@@ -112,10 +110,10 @@
   const Clock clock;
   Taker taker;
   taker.base = base.get();
-  MemberFeed feed(base.get(), clock, taker, sourcePolicy(config));
-  const std::unique_ptr<ListSource> source = openSource(base.get(), clock, feed, config);
+  EndpointFeed feed(base.get(), clock, taker, trackerPolicy(config));
+  const std::unique_ptr<DiscoverySource> source = openDiscoverySource(base.get(), clock, feed, config);
   if (config.source == Source::Fixed) {
-    feed.found(config.known.instances, true);
+    feed.found(config.knownEndpoints.instances, true);
   } else {
     source->watch(0);
     const auto us = static_cast<std::int64_t>(options.waitSeconds * 1e6);
@@ -124,13 +122,13 @@
     event_base_dispatch(base.get());
   }
   if (!taker.told) {  // what the settings know, and that it is not discovery's word
-    Membership known;
-    known.found(clock.now(), config.known.instances);
+    EndpointTracker known;
+    known.found(clock.now(), config.knownEndpoints.instances);
     known.take(clock.now());
     MembersView view{known.view(clock.now()), {}, clock.now()};
     view.members.toldAt.reset();
     std::fputs((options.json ? membersJson(config, view) : membersTable(config, view)).c_str(), stdout);
-    std::fprintf(stderr, "sablespur: discovery: %s; shown is what the settings know\n", taker.why.c_str());
+    std::fprintf(stderr, "stonebay: discovery: %s; shown is what the settings know\n", taker.why.c_str());
     return 1;
   }
   std::map<std::string, std::string> faults = source->faults();
@@ -139,4 +137,4 @@
   return 0;
 }
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/app/members.hpp
+++ b/src/app/members.hpp
@@ -1,13 +1,13 @@
-// `sablespur members`: what discovery finds now.
+// `stonebay members`: what discovery finds now.
 #pragma once
 
 #include <map>
 #include <string>
 
 #include "config/config.hpp"
-#include "membership/membership.hpp"
+#include "discovery/endpoint_tracker.hpp"
 
-namespace sablespur {
+namespace stonebay {
 
 struct MembersOptions {
   bool json = false;
@@ -20,11 +20,11 @@
 
 // The same as text.
 struct MembersView {
-  Membership::View members;
+  EndpointTracker::View members;
   std::map<std::string, std::string> faults;  // instances that are no members, and why
   Time now{};
 };
 std::string membersTable(const Config&, const MembersView&);
 std::string membersJson(const Config&, const MembersView&);
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -3,30 +3,31 @@
 #include <csignal>
 #include <exception>
 
-#include "app/list_source.hpp"
-#include "back/pg/upstream.hpp"
-#include "core/engine.hpp"
-#include "core/event.hpp"
-#include "core/member_feed.hpp"
-#include "front/pg/clients.hpp"
+#include "app/discovery_source.hpp"
+#include "discovery/endpoint_feed.hpp"
+#include "dispatch/dispatcher.hpp"
+#include "downstream/pg/client_listener.hpp"
+#include "gossip/gossip_socket.hpp"
 #include "log/log.hpp"
-#include "peer/peers.hpp"
+#include "upstream/pg/connection_pool.hpp"
+#include "util/event.hpp"
 
-namespace sablespur {
+namespace stonebay {
 
 int serve(const Config& config, const std::function<Config()>& reread) {
   setLog(config.logForm, config.logLevel);
   const EventBase base(event_base_new());
-  Engine engine(base.get(), config);
-  Upstream upstream(base.get(), engine, config);
-  MemberFeed feed(base.get(), engine.clock(), engine, sourcePolicy(config));
-  const std::unique_ptr<ListSource> source = openSource(base.get(), engine.clock(), feed, config);
-  Clients clients(base.get(), engine, config);
-  PeerSocket peers(base.get(), engine, config);
+  Dispatcher dispatcher(base.get(), config);
+  ConnectionPool upstream(base.get(), dispatcher, config);
+  EndpointFeed feed(base.get(), dispatcher.clock(), dispatcher, trackerPolicy(config));
+  const std::unique_ptr<DiscoverySource> source =
+      openDiscoverySource(base.get(), dispatcher.clock(), feed, config);
+  ClientListener clients(base.get(), dispatcher, config);
+  GossipSocket gossip(base.get(), dispatcher, config);
   bool running = true;
 
   struct Stop {
-    Clients& clients;
+    ClientListener& clients;
     bool& running;
   } stop{clients, running};
   const auto onSignal = [](evutil_socket_t, short, void* p) {
@@ -42,7 +43,7 @@
   // SIGHUP: the file is read anew by the same checks; what may change while the program serves is discovery.
   // A file that does not pass changes nothing. It is read within the loop: it is small and local.
   struct Reload {
-    ListSource& source;
+    DiscoverySource& source;
     const std::function<Config()>& reread;
   } reload{*source, reread};
   const auto onReload = [](evutil_socket_t, short, void* p) {
@@ -57,13 +58,13 @@
   const Event hangup(evsignal_new(base.get(), SIGHUP, onReload, &reload));
   event_add(hangup.get(), nullptr);
 
-  engine.start(upstream, *source, &peers);
+  dispatcher.start(upstream, *source, &gossip);
   logEvent(LogLevel::Info, "listening", {{"name", config.name}, {"port", clients.port()}});
   while (running) {
-    event_base_loop(base.get(), EVLOOP_ONCE | (engine.pending() ? EVLOOP_NONBLOCK : 0));
-    engine.turn();
+    event_base_loop(base.get(), EVLOOP_ONCE | (dispatcher.hasPendingEvents() ? EVLOOP_NONBLOCK : 0));
+    dispatcher.processEvents();
   }
   return 0;
 }
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/app/serve.hpp
+++ b/src/app/serve.hpp
@@ -5,11 +5,11 @@
 
 #include "config/config.hpp"
 
-namespace sablespur {
+namespace stonebay {
 
 // Serves until SIGTERM or SIGINT has been carried out; gives the exit status. SIGHUP calls `reread`, which
-// reads and checks the settings anew (a fault is a BadInput). Throws std::runtime_error where it cannot
+// reads and checks the settings anew (a fault is a InvalidInput). Throws std::runtime_error where it cannot
 // listen.
 int serve(const Config&, const std::function<Config()>& reread);
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/wire/dns/message.cpp
+++ b/src/codec/dns/message.cpp
@@ -1,4 +1,4 @@
-#include "wire/dns/message.hpp"
+#include "codec/dns/message.hpp"
 
 #include <ldns/ldns.h>
 
@@ -7,7 +7,7 @@
 #include <cstring>
 #include <memory>
 
-namespace sablespur::dns {
+namespace stonebay::dns {
 namespace {
 
 struct Free {
@@ -278,4 +278,4 @@
   return m;
 }
 
-}  // namespace sablespur::dns
+}  // namespace stonebay::dns
--- a/src/wire/dns/message.hpp
+++ b/src/codec/dns/message.hpp
@@ -14,7 +14,7 @@
 #include <variant>
 #include <vector>
 
-namespace sablespur::dns {
+namespace stonebay::dns {
 
 using Name = std::string;
 
@@ -88,4 +88,4 @@
 // then says what was wrong.
 std::optional<Message> parse(std::string_view bytes, std::string* why = nullptr);
 
-}  // namespace sablespur::dns
+}  // namespace stonebay::dns
--- a/src/wire/peer/words.cpp
+++ b/src/codec/gossip/message.cpp
@@ -1,8 +1,8 @@
-#include "wire/peer/words.hpp"
+#include "codec/gossip/message.hpp"
 
 #include <algorithm>
 
-namespace sablespur::peer {
+namespace stonebay::gossip {
 namespace {
 
 constexpr char kVersion = 1;
@@ -23,26 +23,26 @@
 
 }  // namespace
 
-std::vector<std::string> encode(const std::vector<Word>& words) {
+std::vector<std::string> encode(const std::vector<Message>& words) {
   std::vector<std::string> all;
   for (std::size_t k = 0; k < words.size(); ++k) {
     if (k % kMostWords == 0) all.emplace_back(1, kVersion);
-    const Word& w = words[k];
+    const Message& w = words[k];
     put(all.back(), w.key, kKeyBytes);
     put(all.back(), static_cast<std::uint64_t>(w.positionMs), kPositionBytes);
     put(all.back(), w.primary, 1);
-    put(all.back(), static_cast<std::uint64_t>(std::clamp(w.inflight, 0, kMostInflight)), 1);
+    put(all.back(), static_cast<std::uint64_t>(std::clamp(w.inFlight, 0, kMostInflight)), 1);
   }
   return all;
 }
 
-std::vector<Word> parse(std::string_view bytes, std::int64_t nowMs) {
+std::vector<Message> parse(std::string_view bytes, std::int64_t nowMs) {
   if (bytes.empty() || bytes.size() > kLongest || bytes[0] != kVersion || (bytes.size() - 1) % kWord != 0)
     return {};
   bytes.remove_prefix(1);
-  std::vector<Word> words;
+  std::vector<Message> words;
   while (!bytes.empty()) {
-    Word w;
+    Message w;
     w.key = take(bytes, kKeyBytes);
     const auto low = static_cast<std::uint32_t>(take(bytes, kPositionBytes));
     // The difference in 32 bits, with its sign, is the way from the present to the nearest such instant.
@@ -50,10 +50,10 @@
     const std::uint64_t primary = take(bytes, 1);
     if (primary > 1) return {};
     w.primary = primary == 1;
-    w.inflight = static_cast<int>(take(bytes, 1));
+    w.inFlight = static_cast<int>(take(bytes, 1));
     words.push_back(w);
   }
   return words;
 }
 
-}  // namespace sablespur::peer
+}  // namespace stonebay::gossip
--- a/src/wire/peer/words.hpp
+++ b/src/codec/gossip/message.hpp
@@ -7,22 +7,22 @@
 #include <string_view>
 #include <vector>
 
-namespace sablespur::peer {
+namespace stonebay::gossip {
 
 constexpr std::size_t kLongest = 256;  // bytes of a datagram
 constexpr std::uint64_t kKeyBits = 48;
 
-struct Word {
+struct Message {
   std::uint64_t key = 0;        // of the data server's name; kKeyBits of it go out
   std::int64_t positionMs = 0;  // Unix time
   bool primary = false;
-  int inflight = 0;  // 255 stands for all that are more
+  int inFlight = 0;  // 255 stands for all that are more
 };
 
 // As many datagrams as the words need.
-std::vector<std::string> encode(const std::vector<Word>&);
+std::vector<std::string> encode(const std::vector<Message>&);
 // Nothing where the bytes are no such datagram. A position travels as its low 32 bits: it is taken as the one
 // that is nearest to the present.
-std::vector<Word> parse(std::string_view bytes, std::int64_t nowMs);
+std::vector<Message> parse(std::string_view bytes, std::int64_t nowMs);
 
-}  // namespace sablespur::peer
+}  // namespace stonebay::gossip
--- a/src/wire/http/http.cpp
+++ b/src/codec/http/http.cpp
@@ -1,10 +1,10 @@
-#include "wire/http/http.hpp"
+#include "codec/http/http.hpp"
 
 #include <algorithm>
 #include <cctype>
 #include <charconv>
 
-namespace sablespur::http {
+namespace stonebay::http {
 namespace {
 
 constexpr std::size_t kLongestLine = 8192;
@@ -105,4 +105,4 @@
   return true;
 }
 
-}  // namespace sablespur::http
+}  // namespace stonebay::http
--- a/src/wire/http/http.hpp
+++ b/src/codec/http/http.hpp
@@ -6,7 +6,7 @@
 #include <string>
 #include <string_view>
 
-namespace sablespur::http {
+namespace stonebay::http {
 
 std::string get(std::string_view target, std::string_view host);
 
@@ -30,4 +30,4 @@
   std::size_t left_ = 0;  // bytes to come of this chunk or of the counted body
 };
 
-}  // namespace sablespur::http
+}  // namespace stonebay::http
--- a/src/wire/pg/pg.cpp
+++ b/src/codec/pg/pg.cpp
@@ -1,9 +1,9 @@
-#include "wire/pg/pg.hpp"
+#include "codec/pg/pg.hpp"
 
 #include <algorithm>
 #include <charconv>
 
-namespace sablespur::pg {
+namespace stonebay::pg {
 namespace {
 
 // Guards against a client that fills the memory with groups that do not exist: the list knows no larger
@@ -189,4 +189,4 @@
   return to == std::string_view::npos ? std::string_view() : text.substr(from + 1, to - from - 1);
 }
 
-}  // namespace sablespur::pg
+}  // namespace stonebay::pg
--- a/src/wire/pg/pg.hpp
+++ b/src/codec/pg/pg.hpp
@@ -9,7 +9,7 @@
 #include <string_view>
 #include <utility>
 
-namespace sablespur::pg {
+namespace stonebay::pg {
 
 constexpr std::size_t kHead = 5;                    // type and length of a message
 constexpr std::size_t kLongestMessage = 160 << 10;  // a value of 64 KiB in hex, and the statement round it
@@ -66,4 +66,4 @@
 // The quoted key of a statement, from its beginning; empty where there is none.
 std::string_view parseKey(std::string_view text);
 
-}  // namespace sablespur::pg
+}  // namespace stonebay::pg
--- a/src/config/ini_config.cpp
+++ b/src/config/ini_config.cpp
@@ -6,16 +6,13 @@
 #include <set>
 #include <sstream>
 
-#include "base/ini.hpp"
 #include "config/config.hpp"
 #include "config/keys.hpp"
+#include "util/ini.hpp"
 
-namespace sablespur {
+namespace stonebay {
 namespace {
 
-using knotstack::Effect;
-using knotstack::Need;
-
 class Reader {
  public:
   Reader(IniFile file, std::string path)
@@ -34,8 +31,8 @@
     whole();
     if (!faults_.empty()) {
       std::stable_sort(faults_.begin(), faults_.end(),
-                       [](const Fault& a, const Fault& b) { return a.line < b.line; });
-      throw BadSettings(std::move(faults_));
+                       [](const ConfigError& a, const ConfigError& b) { return a.line < b.line; });
+      throw InvalidSettings(std::move(faults_));
     }
     return std::move(config_);
   }
@@ -137,15 +134,15 @@
     if (faults_.size() > before) return;
     const auto at = [&](const char* key) { return s.title() + " " + key; };
     const auto& c = draft_.cls;
-    if (c.deadline < c.aim)
+    if (c.deadline < c.latencyObjective)
       fault(lineOf(s, "give_up"), at("give_up"), {"it is shorter than the aim", "make it at least the aim"});
-    if (c.need == Need::Bounded && c.bound == Time(0))
+    if (c.consistency == Consistency::BoundedStaleness && c.maxStaleness == Time(0))
       fault(lineOf(s, "max_age"), at("max_age"),
             {"data = bounded needs it", "say how old data may be, such as max_age = 200ms"});
-    if (c.effect == Effect::Keyed && c.memory == Time(0))
+    if (c.idempotency == Idempotency::IdempotencyKey && c.deduplicationWindow == Time(0))
       fault(lineOf(s, "repeats_dropped_for"), at("repeats_dropped_for"),
             {"repeats = keyed needs it", "say how long a key is known, such as 2s"});
-    if (c.need == Need::Write && c.effect == Effect::Safe)
+    if (c.consistency == Consistency::Write && c.idempotency == Idempotency::Idempotent)
       fault(lineOf(s, "repeats"), at("repeats"),
             {"a write that is safe to repeat would be sent twice", "write keyed or unsafe"});
   }
@@ -171,11 +168,11 @@
       fault(lineOf(s, "group"), s.title() + " group",
             {"'" + draft_.memberGroup + "' is neither a [group] nor a number up to 65535",
              "add [group " + draft_.memberGroup + "] with its number"});
-    for (const Instance& other : config_.known.instances)
+    for (const Instance& other : config_.knownEndpoints.instances)
       if (!draft_.member.address.none() && other.address == draft_.member.address)
         fault(lineOf(s, "address"), s.title() + " address",
               {"[member " + other.name + "] has this address", "give each member one of its own"});
-    config_.known.instances.push_back(draft_.member);
+    config_.knownEndpoints.instances.push_back(draft_.member);
   }
 
   void whole() {
@@ -185,27 +182,27 @@
       fault(sectionLine("discovery"), "[discovery] registry",
             {"source = registry needs it", "say where the registry listens, or set source = fixed"});
     if (config_.source == Source::DnsSd) dnssd();
-    if (config_.source == Source::Fixed && config_.known.instances.empty())
+    if (config_.source == Source::Fixed && config_.knownEndpoints.instances.empty())
       fault(sectionLine("discovery"), "[discovery] source",
             {"source = fixed needs a [member NAME]", "add one for each data server"});
     if (!faults_.empty()) return;
-    config_.settings.cancel = true;
-    config_.settings.step = std::chrono::milliseconds(5);
-    config_.settings.discovery = config_.source == Source::Registry ? knotstack::Discovery::Subscribe
-                                                                    : knotstack::Discovery::Automatic;
-    if (config_.source != Source::Registry) config_.settings.mustAskIn = Time(0);
-    if (config_.settings.reports == knotstack::Reports::Silent) {
-      config_.settings.figures.clear();
+    config_.settings.cancellationAllowed = true;
+    config_.settings.timeStep = std::chrono::milliseconds(5);
+    config_.settings.discovery =
+        config_.source == Source::Registry ? DiscoveryMode::Poll : DiscoveryMode::Push;
+    if (config_.source != Source::Registry) config_.settings.maxPollInterval = Time(0);
+    if (config_.settings.reports == LoadReports::None) {
+      config_.settings.reportFields.clear();
       config_.reportNames.clear();
     }
     for (const auto& c : config_.settings.classes)
-      config_.sessions = config_.sessions || c.need == Need::Session;
+      config_.tracksSessions = config_.tracksSessions || c.consistency == Consistency::ReadYourWrites;
     if (config_.seed == 0) {
       std::random_device random;
       config_.seed = std::uint64_t{random()} << 32 | random();
     }
-    config_.known.reset = true;
-    deriveBounds(config_, draft_.descriptors, draft_.memory);
+    config_.knownEndpoints.reset = true;
+    deriveLimits(config_, draft_.descriptors, draft_.memory);
   }
   void dnssd() {
     DnsSdSettings& d = config_.dnssd;
@@ -222,7 +219,7 @@
     if (d.servers.empty())
       wrong("name_servers",
             {"source = dnssd needs one", "say where name servers listen, such as 10.2.0.1:53"});
-    if (d.refreshMost < d.refreshLeast)
+    if (d.maxRefresh < d.minRefresh)
       wrong("refresh_most", {"it is shorter than refresh_least", "make it at least refresh_least"});
     if (d.flapReuse >= d.flapSuppress)
       wrong("flap_reuse", {"it is not below flap_suppress", "make it less than flap_suppress"});
@@ -233,12 +230,12 @@
       wrong("group", {"'" + d.defaultGroupName + "' is neither a [group] nor a number up to 65535",
                       "add [group " + d.defaultGroupName + "] with its number"});
   }
-  std::optional<knotstack::GroupId> groupOf(const std::string& text) const {
+  std::optional<GroupId> groupOf(const std::string& text) const {
     for (const GroupName& g : config_.groups)
       if (g.name == text) return g.id;
     const auto number = readCount(text);
     const std::int64_t* const id = std::get_if<std::int64_t>(&number);
-    if (id && *id >= 0 && *id <= 65535) return static_cast<knotstack::GroupId>(*id);
+    if (id && *id >= 0 && *id <= 65535) return static_cast<GroupId>(*id);
     return std::nullopt;
   }
   int sectionLine(const std::string& type) const {
@@ -249,7 +246,7 @@
 
   const std::string path_;
   IniFile file_;
-  std::vector<Fault> faults_;
+  std::vector<ConfigError> faults_;
   Config config_;
   Draft draft_{config_, 0, 0, {}, {}, {}, {}};
 };
@@ -265,8 +262,8 @@
   std::stringstream text;
   text << file.rdbuf();
   if (!file || !text)
-    throw BadSettings({{path, 0, "", "it cannot be read", "see that it exists and may be read"}});
+    throw InvalidSettings({{path, 0, "", "it cannot be read", "see that it exists and may be read"}});
   return parseSettings(text.str(), path);
 }
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/config/json_config.cpp
+++ b/src/config/json_config.cpp
@@ -5,10 +5,10 @@
 #include <sstream>
 
 #include "config/config.hpp"
-#include "membership/json.hpp"
-#include "wire.hpp"
+#include "discovery/json.hpp"
+#include "simulator/adapter.hpp"
 
-namespace sablespur {
+namespace stonebay {
 namespace {
 
 using simdjson::dom::element;
@@ -68,7 +68,7 @@
   std::vector<std::string> v;
   for (const element e : jsonField<simdjson::dom::array>(array, key, path)) {
     std::string_view text;
-    if (e.get(text)) throw BadInput("key " + path + key + ": not all are strings");
+    if (e.get(text)) throw InvalidInput("key " + path + key + ": not all are strings");
     v.emplace_back(text);
   }
   return v;
@@ -78,8 +78,8 @@
           std::int64_t most) {
   const auto v = jsonField<std::int64_t>(of, key, path);
   if (v < least || v > most)
-    throw BadInput("key " + path + key + ": " + std::to_string(v) + " is not in " + std::to_string(least) +
-                   " to " + std::to_string(most));
+    throw InvalidInput("key " + path + key + ": " + std::to_string(v) + " is not in " +
+                       std::to_string(least) + " to " + std::to_string(most));
   return static_cast<int>(v);
 }
 
@@ -89,61 +89,62 @@
   simdjson::dom::parser parser;
   element root;
   if (const auto error = parser.parse(json).get(root))
-    throw BadInput(std::string("no JSON: ") + simdjson::error_message(error));
+    throw InvalidInput(std::string("no JSON: ") + simdjson::error_message(error));
   Config c;
   c.name = std::string(jsonField<std::string_view>(root, "name", ""));
   c.listen = parseAddress(jsonField<std::string_view>(root, "listen", ""), "listen");
   c.discovery = parseAddress(jsonField<std::string_view>(root, "discovery", ""), "discovery");
-  std::string_view peerListen, peersAll;
-  if (!root["peer_listen"].get(peerListen) && !root["peers_all"].get(peersAll)) {
-    c.peerListen = parseAddress(peerListen, "peer_listen");
-    c.peersAll = parseAddress(peersAll, "peers_all");
-    for (const std::string& peer : names(root, "", "peers")) c.peers.push_back(parseAddress(peer, "peers"));
+  std::string_view gossipListen, gossipBroadcast;
+  if (!root["peer_listen"].get(gossipListen) && !root["peers_all"].get(gossipBroadcast)) {
+    c.gossipListen = parseAddress(gossipListen, "peer_listen");
+    c.gossipBroadcast = parseAddress(gossipBroadcast, "peers_all");
+    for (const std::string& peer : names(root, "", "peers"))
+      c.gossipPeers.push_back(parseAddress(peer, "peers"));
   }
   const auto seed = jsonField<std::string_view>(root, "seed", "");
   const auto [stop, error] = std::from_chars(seed.data(), seed.data() + seed.size(), c.seed, 16);
   if (error != std::errc() || stop != seed.data() + seed.size())
-    throw BadInput("key seed: '" + std::string(seed) + "' is no hexadecimal number");
+    throw InvalidInput("key seed: '" + std::string(seed) + "' is no hexadecimal number");
   const auto limits = jsonField<element>(root, "limits", "");
   const auto sockets =
-      static_cast<std::size_t>(whole(limits, "sockets", "limits.", kLeastDescriptors, kMostDescriptors));
+      static_cast<std::size_t>(whole(limits, "sockets", "limits.", kMinDescriptors, kMaxDescriptors));
   const auto memory =
-      static_cast<std::uint64_t>(whole(limits, "memory_mb", "limits.", kLeastMemory >> 20, kMostMemory >> 20))
+      static_cast<std::uint64_t>(whole(limits, "memory_mb", "limits.", kMinMemory >> 20, kMaxMemory >> 20))
       << 20;
-  deriveBounds(c, sockets, memory);
-  c.known = readInstances(jsonField<element>(root, "known", ""), "known.");
+  deriveLimits(c, sockets, memory);
+  c.knownEndpoints = readInstances(jsonField<element>(root, "known", ""), "known.");
 
   const auto settings = jsonField<element>(root, "settings", "");
   std::string lines;
   flatten(settings, "", lines);
   try {
-    c.settings = knotstack::wire::parseSettings(lines);
-  } catch (const knotstack::wire::BadSetting& e) {
-    throw BadInput(std::string("key settings: ") + e.what());
+    c.settings = simulator::parseSettings(lines);
+  } catch (const simulator::InvalidSetting& e) {
+    throw InvalidInput(std::string("key settings: ") + e.what());
   }
   // allowed.retryAfter tells of the simulator's clients. Those on sockets may always be told when to come
   // back.
-  c.settings.retryAfter = true;
-  c.settings.peers = c.settings.peers && !c.peerListen.none();
+  c.settings.retryAfterAllowed = true;
+  c.settings.gossipAllowed = c.settings.gossipAllowed && !c.gossipListen.none();
   std::size_t n = 0;
   for (const element e : jsonField<simdjson::dom::array>(settings, "classes", "settings."))
     c.classes.emplace_back(
         jsonField<std::string_view>(e, "name", "settings.classes[" + std::to_string(n++) + "]."));
   c.zones = names(settings, "settings.", "zones");
-  if (c.settings.reports != knotstack::Reports::Silent)
+  if (c.settings.reports != LoadReports::None)
     c.reportNames = names(jsonField<element>(settings, "report", "settings."), "settings.report.", "names");
   const auto allowed = jsonField<element>(settings, "allowed", "settings.");
   const std::string path = "settings.allowed.";
-  c.dialTimeout = Time(whole(allowed, "dialTimeoutUs", path, 1000, 60000000));
-  c.idleClose = Time(whole(allowed, "idleCloseUs", path, 1000000, 2000000000));
+  c.connectTimeout = Time(whole(allowed, "dialTimeoutUs", path, 1000, 60000000));
+  c.idleTimeout = Time(whole(allowed, "idleCloseUs", path, 1000000, 2000000000));
   for (std::size_t k = 0; k < c.settings.classes.size(); ++k) {
     const auto& cls = c.settings.classes[k];
-    c.sessions = c.sessions || cls.need == knotstack::Need::Session;
-    if (cls.aim <= Time(0) || cls.deadline < cls.aim)
-      throw BadInput("key settings.classes[" + std::to_string(k) + "].promiseUs: 0 or past deadlineUs");
+    c.tracksSessions = c.tracksSessions || cls.consistency == Consistency::ReadYourWrites;
+    if (cls.latencyObjective <= Time(0) || cls.deadline < cls.latencyObjective)
+      throw InvalidInput("key settings.classes[" + std::to_string(k) + "].promiseUs: 0 or past deadlineUs");
   }
-  if (c.settings.startCapacity <= 0 || c.settings.startCapacity > 1)
-    throw BadInput("key settings.obligations.startCapacity: not above 0 and at most 1");
+  if (c.settings.initialCapacity <= 0 || c.settings.initialCapacity > 1)
+    throw InvalidInput("key settings.obligations.startCapacity: not above 0 and at most 1");
   return c;
 }
 
@@ -151,8 +152,8 @@
   std::ifstream file(path);
   std::stringstream text;
   text << file.rdbuf();
-  if (!file || !text) throw BadInput(std::string("file ") + path + " cannot be read");
+  if (!file || !text) throw InvalidInput(std::string("file ") + path + " cannot be read");
   return parseConfig(text.str());
 }
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/config/keys.cpp
+++ b/src/config/keys.cpp
@@ -4,17 +4,9 @@
 #include <charconv>
 #include <sstream>
 
-namespace sablespur {
+namespace stonebay {
 namespace {
 
-using knotstack::Checks;
-using knotstack::Effect;
-using knotstack::Figure;
-using knotstack::KeyScope;
-using knotstack::Need;
-using knotstack::Reports;
-using knotstack::RoleListed;
-
 constexpr double kMillisecond = 1e3, kSecond = 1e6, kHour = 3600e6;
 
 template <typename T>
@@ -60,7 +52,7 @@
        "Where clients connect. Port 0 lets the system choose; the log tells which."},
       {"proxy", "proxies", Kind::Count, "1", 1, 10000, "",
        [](Draft& d, const KeyValue& v) {
-         d.config.settings.balancers = static_cast<int>(as<std::int64_t>(v));
+         d.config.settings.proxyCount = static_cast<int>(as<std::int64_t>(v));
        },
        "How many proxies stand before the same data servers, this one included. Each takes its part of what "
        "a cold "
@@ -73,24 +65,24 @@
        "Of its random numbers; hexadecimal, or `random` for a new one at each start. Fix it only to repeat a "
        "run."},
 
-      {"limits", "memory", Kind::Size, "64MB", double(kLeastMemory), double(kMostMemory), "",
+      {"limits", "memory", Kind::Size, "64MB", double(kMinMemory), double(kMaxMemory), "",
        [](Draft& d, const KeyValue& v) { d.memory = as<std::uint64_t>(v); },
        "Resident memory that the process keeps to."},
-      {"limits", "descriptors", Kind::Count, "1024", kLeastDescriptors, kMostDescriptors, "",
+      {"limits", "descriptors", Kind::Count, "1024", kMinDescriptors, kMaxDescriptors, "",
        [](Draft& d, const KeyValue& v) { d.descriptors = static_cast<std::size_t>(as<std::int64_t>(v)); },
        "Descriptors that it may open. 45% go to clients, the rest to data servers, but for 24 of its own. "
        "Not above "
        "`ulimit -n`."},
       {"limits", "attempts", Kind::Count, "8", 1, 255, "",
        [](Draft& d, const KeyValue& v) {
-         d.config.settings.attemptsCap = static_cast<int>(as<std::int64_t>(v));
+         d.config.settings.maxAttempts = static_cast<int>(as<std::int64_t>(v));
        },
        "The most attempts for one request, its first included."},
       {"limits", "dial_timeout", Kind::Duration, "250ms", kMillisecond, 60 * kSecond, "",
-       [](Draft& d, const KeyValue& v) { d.config.dialTimeout = time(v); },
+       [](Draft& d, const KeyValue& v) { d.config.connectTimeout = time(v); },
        "A connection to a data server that is not up by then has failed; a probe not answered by then too."},
       {"limits", "idle_close", Kind::Duration, "15s", kSecond, kHour / 2, "",
-       [](Draft& d, const KeyValue& v) { d.config.idleClose = time(v); },
+       [](Draft& d, const KeyValue& v) { d.config.idleTimeout = time(v); },
        "Data servers close what stands idle for so long. The proxy retires its connections at 0.7 of it; "
        "with a "
        "figure that is too high, requests run into connections that have just been closed."},
@@ -121,7 +113,7 @@
        "Where the HTTP registry listens; wanted with `source = registry`. SIGHUP takes a new value while "
        "serving."},
       {"discovery", "ask_within", Kind::Duration, "10s", kSecond, kHour, "",
-       [](Draft& d, const KeyValue& v) { d.config.settings.mustAskIn = time(v); },
+       [](Draft& d, const KeyValue& v) { d.config.settings.maxPollInterval = time(v); },
        "A proxy that has neither watched nor asked for so long counts as told of what was listed then."},
 
       {"dnssd", "domain", Kind::Domain, "", 0, 0, "",
@@ -135,18 +127,18 @@
        "With commas between; the first is asked until it fails, then the next. All must serve the same "
        "zone."},
       {"dnssd", "refresh_least", Kind::Duration, "1s", 100 * kMillisecond, kHour, "",
-       [](Draft& d, const KeyValue& v) { d.config.dnssd.refreshLeast = time(v); },
+       [](Draft& d, const KeyValue& v) { d.config.dnssd.minRefresh = time(v); },
        "Records are asked for again after their TTL, but not sooner than this. The price is a query by each "
        "proxy."},
       {"dnssd", "refresh_most", Kind::Duration, "10s", 100 * kMillisecond, 24 * kHour, "",
-       [](Draft& d, const KeyValue& v) { d.config.dnssd.refreshMost = time(v); },
+       [](Draft& d, const KeyValue& v) { d.config.dnssd.maxRefresh = time(v); },
        "And not later than this, whatever their TTL: so long a withdrawn server may go on getting work."},
       {"dnssd", "jitter", Kind::Share, "10%", 0, 0.9, "",
        [](Draft& d, const KeyValue& v) { d.config.dnssd.jitter = as<double>(v); },
        "Each time is shortened by a random part of up to this, so that proxies started together drift "
        "apart."},
       {"dnssd", "try_timeout", Kind::Duration, "400ms", 10 * kMillisecond, 30 * kSecond, "",
-       [](Draft& d, const KeyValue& v) { d.config.dnssd.tryTimeout = time(v); },
+       [](Draft& d, const KeyValue& v) { d.config.dnssd.queryTimeout = time(v); },
        "A name server that has not answered by then is left for the next one."},
       {"dnssd", "queries_per_s", Kind::Number, "50", 1, 100000, "",
        [](Draft& d, const KeyValue& v) { d.config.dnssd.queriesPerSecond = as<double>(v); },
@@ -161,7 +153,7 @@
        "The group, by name or number, of instances whose TXT record names none. Without it they are left "
        "out."},
       {"dnssd", "keep_for", Kind::Duration, "24h", 0, 8760 * kHour, "",
-       [](Draft& d, const KeyValue& v) { d.config.dnssd.keepFor = time(v); },
+       [](Draft& d, const KeyValue& v) { d.config.dnssd.maxListAge = time(v); },
        "How long the last list stands when no name server answers; 0 is for ever."},
       {"dnssd", "flap_half_life", Kind::Duration, "15s", kSecond, kHour, "",
        [](Draft& d, const KeyValue& v) { d.config.dnssd.flapHalfLife = time(v); },
@@ -173,145 +165,145 @@
        [](Draft& d, const KeyValue& v) { d.config.dnssd.flapReuse = as<double>(v); },
        "until the count has fallen to this,"},
       {"dnssd", "flap_most", Kind::Duration, "60s", 0, 24 * kHour, "",
-       [](Draft& d, const KeyValue& v) { d.config.dnssd.flapMost = time(v); },
+       [](Draft& d, const KeyValue& v) { d.config.dnssd.maxSuppression = time(v); },
        "and no longer than this after it came back."},
 
       {"data_servers", "reports", Kind::Choice, "probes", 0, 0, "none answers probes",
        [](Draft& d, const KeyValue& v) {
-         d.config.settings.reports = word(v) == "none"      ? Reports::Silent
-                                     : word(v) == "answers" ? Reports::Piggyback
-                                                            : Reports::Pull;
+         d.config.settings.reports = word(v) == "none"      ? LoadReports::None
+                                     : word(v) == "answers" ? LoadReports::Piggyback
+                                                            : LoadReports::Pull;
        },
        "Where load reports travel: with answers (the parameter `load`), on being asked (`SHOW load`), or "
        "nowhere."},
       {"data_servers", "report_values", Kind::Words, "x0, x1, inflight", 0, 0, "",
        [](Draft& d, const KeyValue& v) {
          d.config.reportNames = as<std::vector<std::string>>(v);
-         d.config.settings.figures.clear();
+         d.config.settings.reportFields.clear();
          for (const std::string& name : d.config.reportNames)
-           d.config.settings.figures.push_back(name == "x0"         ? Figure::Position
-                                               : name == "x1"       ? Figure::Primary
-                                               : name == "inflight" ? Figure::Inflight
-                                               : name == "queue"    ? Figure::Queue
-                                                                    : Figure::Other);
+           d.config.settings.reportFields.push_back(name == "x0"         ? ReportField::Position
+                                                    : name == "x1"       ? ReportField::Primary
+                                                    : name == "inflight" ? ReportField::InFlight
+                                                    : name == "queue"    ? ReportField::Queue
+                                                                         : ReportField::Other);
        },
        "The values of a report: x0 (position in the log, Unix seconds), x1 (1 from a primary), inflight, "
        "queue; "
        "others are read and not used."},
       {"data_servers", "probes", Kind::Flag, "yes", 0, 0, "",
-       [](Draft& d, const KeyValue& v) { d.config.settings.probing = as<bool>(v); },
+       [](Draft& d, const KeyValue& v) { d.config.settings.healthChecksAllowed = as<bool>(v); },
        "Whether they may be probed. Each probe costs a data server a little work."},
       {"data_servers", "positions", Kind::Flag, "yes", 0, 0, "",
-       [](Draft& d, const KeyValue& v) { d.config.settings.positionsInAnswers = as<bool>(v); },
+       [](Draft& d, const KeyValue& v) { d.config.settings.positionsInResponses = as<bool>(v); },
        "Whether answers tell how far the log is applied (the parameter `applied_ms`)."},
       {"data_servers", "stale_reads", Kind::Choice, "served", 0, 0, "served refused held",
        [](Draft& d, const KeyValue& v) {
-         d.config.settings.checks = word(v) == "served"    ? Checks::Silent
-                                    : word(v) == "refused" ? Checks::Refuse
-                                                           : Checks::Wait;
+         d.config.settings.staleReadPolicy = word(v) == "served"    ? StaleReadPolicy::Serve
+                                             : word(v) == "refused" ? StaleReadPolicy::Reject
+                                                                    : StaleReadPolicy::Wait;
        },
        "What a data server does with a read that it lags for: serves what it has (the proxy alone then keeps "
        "the "
        "bound), refuses it (72000), or holds it for a while to catch up."},
       {"data_servers", "held_for", Kind::Duration, "0", 0, 60 * kSecond, "",
-       [](Draft& d, const KeyValue& v) { d.config.settings.holdsFor = time(v); },
+       [](Draft& d, const KeyValue& v) { d.config.settings.staleReadWait = time(v); },
        "With `stale_reads = held`: how long."},
       {"data_servers", "role_listed", Kind::Choice, "never", 0, 0, "never start late",
        [](Draft& d, const KeyValue& v) {
-         d.config.settings.roleListed = word(v) == "never"   ? RoleListed::Silent
-                                        : word(v) == "start" ? RoleListed::Start
-                                                             : RoleListed::Late;
+         d.config.settings.listedRole = word(v) == "never"   ? ListedRole::Never
+                                        : word(v) == "start" ? ListedRole::AtStart
+                                                             : ListedRole::Delayed;
        },
        "Whether the list names the primary: never, as it was at its start, or some seconds late."},
       {"data_servers", "synchronous", Kind::Flag, "no", 0, 0, "",
-       [](Draft& d, const KeyValue& v) { d.config.settings.synchronous = as<bool>(v); },
+       [](Draft& d, const KeyValue& v) { d.config.settings.synchronousReplication = as<bool>(v); },
        "Whether a write is answered only once a replica has it."},
       {"data_servers", "gone_still_serves", Kind::Flag, "no", 0, 0, "",
-       [](Draft& d, const KeyValue& v) { d.config.settings.droppedStayOpen = as<bool>(v); },
+       [](Draft& d, const KeyValue& v) { d.config.settings.removedEndpointsServe = as<bool>(v); },
        "Whether a server that is gone from the list may still be sent work, so that only draining binds. "
        "Leave it at "
        "no unless the list is known to lose servers that run."},
 
       {"clients", "come_again", Kind::Flag, "yes", 0, 0, "",
-       [](Draft& d, const KeyValue& v) { d.config.settings.retryAfter = as<bool>(v); },
+       [](Draft& d, const KeyValue& v) { d.config.settings.retryAfterAllowed = as<bool>(v); },
        "Whether refusals tell when to come back (field D, in ms)."},
       {"clients", "come_again_most", Kind::Duration, "1s", 0, kHour, "",
        [](Draft& d, const KeyValue& v) { d.config.settings.maxRetryAfter = time(v); },
        "The longest wait that clients keep to."},
       {"clients", "session_positions", Kind::Choice, "carried", 0, 0, "carried remembered",
-       [](Draft& d, const KeyValue& v) { d.config.settings.tokensCarried = word(v) == "carried"; },
+       [](Draft& d, const KeyValue& v) { d.config.settings.sessionTokensCarried = word(v) == "carried"; },
        "Whether session reads bring the position that they have to see (`after=`), or the proxy remembers "
        "what it "
        "served each session."},
 
       {"rules", "drain_grace", Kind::Duration, "1s", 0, kHour, "",
-       [](Draft& d, const KeyValue& v) { d.config.settings.drainGrace = time(v); },
+       [](Draft& d, const KeyValue& v) { d.config.settings.drainGracePeriod = time(v); },
        "Nothing new to a data server later than this after it was told that it drains or is gone."},
       {"rules", "cold_for", Kind::Duration, "18s", 0, kHour, "",
-       [](Draft& d, const KeyValue& v) { d.config.settings.coldFor = time(v); },
+       [](Draft& d, const KeyValue& v) { d.config.settings.slowStartWindow = time(v); },
        "After its start a data server is warm no later than this."},
       {"rules", "cold_capacity", Kind::Share, "21%", 0.0001, 1, "",
-       [](Draft& d, const KeyValue& v) { d.config.settings.startCapacity = as<double>(v); },
+       [](Draft& d, const KeyValue& v) { d.config.settings.initialCapacity = as<double>(v); },
        "The share of its capacity that it starts with, at least."},
       {"rules", "fall_multiple", Kind::Number, "2.5", 1, 1000, "",
-       [](Draft& d, const KeyValue& v) { d.config.settings.fallMultiple = as<double>(v); },
+       [](Draft& d, const KeyValue& v) { d.config.settings.overloadFactor = as<double>(v); },
        "A cold data server that is sent more than this multiple of what it can do falls over,"},
       {"rules", "fall_for", Kind::Duration, "1500ms", kMillisecond, kHour, "",
-       [](Draft& d, const KeyValue& v) { d.config.settings.fallFor = time(v); },
+       [](Draft& d, const KeyValue& v) { d.config.settings.overloadWindow = time(v); },
        "when it is sent that for so long."},
 
       {"goal", "whole", Kind::Share, "55%", 0, 1, "",
-       [](Draft& d, const KeyValue& v) { d.config.settings.goalWhole = as<double>(v); },
+       [](Draft& d, const KeyValue& v) { d.config.settings.totalServedGoal = as<double>(v); },
        "The weight of all that is served."},
       {"goal", "worst_class", Kind::Share, "30%", 0, 1, "",
-       [](Draft& d, const KeyValue& v) { d.config.settings.goalWorstClass = as<double>(v); },
+       [](Draft& d, const KeyValue& v) { d.config.settings.worstClassGoal = as<double>(v); },
        "The weight of the class that is served worst."},
 
       {"class", "data", Kind::Choice, nullptr, 0, 0, "any bounded session fresh write",
        [](Draft& d, const KeyValue& v) {
-         d.cls.need = word(v) == "any"       ? Need::Any
-                      : word(v) == "bounded" ? Need::Bounded
-                      : word(v) == "session" ? Need::Session
-                      : word(v) == "fresh"   ? Need::Fresh
-                                             : Need::Write;
+         d.cls.consistency = word(v) == "any"       ? Consistency::Eventual
+                             : word(v) == "bounded" ? Consistency::BoundedStaleness
+                             : word(v) == "session" ? Consistency::ReadYourWrites
+                             : word(v) == "fresh"   ? Consistency::Strong
+                                                    : Consistency::Write;
        },
        "What data a request needs: any; no older than max_age; all that its session wrote; all that was "
        "written "
        "before it came; or the primary, to write."},
       {"class", "max_age", Kind::Duration, "0", 0, 24 * kHour, "",
-       [](Draft& d, const KeyValue& v) { d.cls.bound = time(v); },
+       [](Draft& d, const KeyValue& v) { d.cls.maxStaleness = time(v); },
        "With `data = bounded`: the greatest age of the data when the request is sent."},
       {"class", "repeats", Kind::Choice, nullptr, 0, 0, "safe keyed unsafe",
        [](Draft& d, const KeyValue& v) {
-         d.cls.effect = word(v) == "safe"    ? Effect::Safe
-                        : word(v) == "keyed" ? Effect::Keyed
-                                             : Effect::Unsafe;
+         d.cls.idempotency = word(v) == "safe"    ? Idempotency::Idempotent
+                             : word(v) == "keyed" ? Idempotency::IdempotencyKey
+                                                  : Idempotency::NonIdempotent;
        },
        "Whether a request may run twice: always, within what drops repeats of its key (`k=`), or never."},
       {"class", "repeats_dropped_by", Kind::Choice, "group", 0, 0, "all zone group",
        [](Draft& d, const KeyValue& v) {
-         d.cls.scope = word(v) == "all"    ? KeyScope::All
-                       : word(v) == "zone" ? KeyScope::Zone
-                                           : KeyScope::Group;
+         d.cls.deduplicationScope = word(v) == "all"    ? DeduplicationScope::All
+                                    : word(v) == "zone" ? DeduplicationScope::Zone
+                                                        : DeduplicationScope::ReplicaGroup;
        },
        "With `repeats = keyed`: which data servers know a key that one of them has seen."},
       {"class", "repeats_dropped_for", Kind::Duration, "0", 0, 24 * kHour, "",
-       [](Draft& d, const KeyValue& v) { d.cls.memory = time(v); },
+       [](Draft& d, const KeyValue& v) { d.cls.deduplicationWindow = time(v); },
        "With `repeats = keyed`: how long they know it, from the first send."},
       {"class", "aim", Kind::Duration, nullptr, kMillisecond, kHour, "",
-       [](Draft& d, const KeyValue& v) { d.cls.aim = time(v); },
+       [](Draft& d, const KeyValue& v) { d.cls.latencyObjective = time(v); },
        "An answer within this earns its full worth."},
       {"class", "give_up", Kind::Duration, nullptr, kMillisecond, kHour, "",
        [](Draft& d, const KeyValue& v) { d.cls.deadline = time(v); },
        "How long a client waits that does not say so itself (`d=`)."},
       {"class", "worth", Kind::Number, "1", 0, 1e6, "",
-       [](Draft& d, const KeyValue& v) { d.cls.worth = as<double>(v); }, "Against other classes."},
+       [](Draft& d, const KeyValue& v) { d.cls.priorityWeight = as<double>(v); }, "Against other classes."},
       {"class", "late_worth", Kind::Share, "0", 0, 1, "",
-       [](Draft& d, const KeyValue& v) { d.cls.lateWorth = as<double>(v); },
+       [](Draft& d, const KeyValue& v) { d.cls.latePriorityShare = as<double>(v); },
        "The share of the worth that an answer after the aim still earns."},
 
       {"group", "number", Kind::Count, nullptr, 0, 65535, "",
-       [](Draft& d, const KeyValue& v) { d.group.id = static_cast<knotstack::GroupId>(as<std::int64_t>(v)); },
+       [](Draft& d, const KeyValue& v) { d.group.id = static_cast<GroupId>(as<std::int64_t>(v)); },
        "The number that statements carry (`cluster=`)."},
 
       {"member", "address", Kind::Address, nullptr, 0, 0, "",
@@ -506,4 +498,4 @@
   return page.str();
 }
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/config/keys.hpp
+++ b/src/config/keys.hpp
@@ -1,15 +1,15 @@
 // The table of all INI keys: section, kind and unit, default, bounds, meaning, and where the value goes. The
-// reader, `sablespur check` and the operators' page all come from it.
+// reader, `stonebay check` and the operators' page all come from it.
 #pragma once
 
 #include <string>
 #include <variant>
 #include <vector>
 
-#include "base/units.hpp"
 #include "config/config.hpp"
+#include "util/units.hpp"
 
-namespace sablespur {
+namespace stonebay {
 
 enum class Kind {
   Text,
@@ -35,10 +35,10 @@
   Config& config;
   std::uint64_t memory = 0;
   std::size_t descriptors = 0;
-  knotstack::ClassSettings cls;  // of the [class] at hand
-  Instance member;               // of the [member] at hand
-  std::string memberGroup;       // a name or a number
-  GroupName group;               // of the [group] at hand
+  ClassSettings cls;        // of the [class] at hand
+  Instance member;          // of the [member] at hand
+  std::string memberGroup;  // a name or a number
+  GroupName group;          // of the [group] at hand
 };
 
 struct Key {
@@ -64,4 +64,4 @@
 // The value of a key as its kind reads it, within its bounds.
 Read<KeyValue> readValue(const Key&, const std::string& text);
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/membership/address.cpp
+++ b/src/discovery/address.cpp
@@ -1,11 +1,11 @@
-#include "membership/address.hpp"
+#include "discovery/address.hpp"
 
 #include <arpa/inet.h>
 
 #include <charconv>
 #include <cstring>
 
-namespace sablespur {
+namespace stonebay {
 
 std::optional<Address> Address::parse(std::string_view text) {
   const std::size_t colon = text.rfind(':');
@@ -69,4 +69,4 @@
                 : a.v4_.sin_addr.s_addr == b.v4_.sin_addr.s_addr;
 }
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/membership/address.hpp
+++ b/src/discovery/address.hpp
@@ -8,7 +8,7 @@
 #include <string>
 #include <string_view>
 
-namespace sablespur {
+namespace stonebay {
 
 class Address {
  public:
@@ -37,4 +37,4 @@
   };
 };
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/membership/dnssd/directory.cpp
+++ b/src/discovery/dnssd/directory.cpp
@@ -1,10 +1,10 @@
-#include "membership/dnssd/directory.hpp"
+#include "discovery/dnssd/directory.hpp"
 
 #include <algorithm>
 
-#include "membership/dnssd/records.hpp"
+#include "discovery/dnssd/records.hpp"
 
-namespace sablespur {
+namespace stonebay {
 
 using dns::Data;
 using dns::Message;
@@ -25,7 +25,7 @@
 
 Name nameOf(const std::string& text) {
   const auto n = dns::parseName(text);
-  if (!n) throw BadInput("'" + text + "' is no domain name");
+  if (!n) throw InvalidInput("'" + text + "' is no domain name");
   return *n;
 }
 
@@ -58,7 +58,7 @@
 
 Time Directory::after(Time now, std::uint32_t ttl) {
   const Time told = std::chrono::seconds(ttl);
-  const Time bounded = std::clamp(told, settings_.refreshLeast, settings_.refreshMost);
+  const Time bounded = std::clamp(told, settings_.minRefresh, settings_.maxRefresh);
   const double part = 1 - settings_.jitter * static_cast<double>(random_()) / 4294967296.0;
   return now + Time(static_cast<std::int64_t>(static_cast<double>(bounded.count()) * part));
 }
@@ -66,7 +66,7 @@
 Time Directory::backoff(int failures) {
   const Time doubled = kFirstBackoff * (std::int64_t{1} << std::min(failures - 1, 10));
   const double part = 1 - 0.5 * static_cast<double>(random_()) / 4294967296.0;
-  const Time most = std::max(settings_.refreshMost, kFirstBackoff);
+  const Time most = std::max(settings_.maxRefresh, kFirstBackoff);
   return Time(static_cast<std::int64_t>(static_cast<double>(std::min(doubled, most).count()) * part));
 }
 
@@ -90,7 +90,7 @@
     return std::any_of(sets_.begin(), sets_.end(),
                        [&](const auto& s) { return !s.second.out && s.second.refreshAt <= now; });
   };
-  const bool forAll = bundled_ && ptrFailures_ == 0 && now - ptrAt_ >= settings_.refreshLeast / 2 && anyDue();
+  const bool forAll = bundled_ && ptrFailures_ == 0 && now - ptrAt_ >= settings_.minRefresh / 2 && anyDue();
   if (ptr.refreshAt <= now || forAll) {
     ptr.out = true;
     asks.push_back({ptr_, tcp_});
@@ -425,4 +425,4 @@
   return all;
 }
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/membership/dnssd/directory.hpp
+++ b/src/discovery/dnssd/directory.hpp
@@ -24,10 +24,10 @@
 #include <string>
 #include <vector>
 
+#include "codec/dns/message.hpp"
 #include "config/config.hpp"
-#include "wire/dns/message.hpp"
 
-namespace sablespur {
+namespace stonebay {
 
 // What an answer is good for.
 enum class Verdict {
@@ -104,4 +104,4 @@
   Time ptrAt_{};          // of the last PTR answer
 };
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/membership/dnssd/name_servers.cpp
+++ b/src/discovery/dnssd/name_servers.cpp
@@ -1,9 +1,9 @@
-#include "membership/dnssd/name_servers.hpp"
+#include "discovery/dnssd/name_servers.hpp"
 
 #include <algorithm>
 #include <tuple>
 
-namespace sablespur {
+namespace stonebay {
 namespace {
 
 constexpr NameServers::Time kFirstRest = std::chrono::seconds(1), kLongestRest = std::chrono::seconds(30);
@@ -33,4 +33,4 @@
   current_ = k;
 }
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/membership/dnssd/name_servers.hpp
+++ b/src/discovery/dnssd/name_servers.hpp
@@ -10,7 +10,7 @@
 #include <optional>
 #include <vector>
 
-namespace sablespur {
+namespace stonebay {
 
 class NameServers {
  public:
@@ -32,4 +32,4 @@
   std::size_t current_ = 0;
 };
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/membership/dnssd/records.cpp
+++ b/src/discovery/dnssd/records.cpp
@@ -1,11 +1,11 @@
-#include "membership/dnssd/records.hpp"
+#include "discovery/dnssd/records.hpp"
 
 #include <algorithm>
 #include <charconv>
 #include <cmath>
 #include <map>
 
-namespace sablespur {
+namespace stonebay {
 namespace {
 
 constexpr std::size_t kLongestText = 63;  // of a zone or a kind
@@ -21,8 +21,8 @@
 }  // namespace
 
 std::optional<std::string> readTxt(const std::vector<std::string>& strings,
-                                   const std::vector<GroupName>& groups,
-                                   std::optional<knotstack::GroupId> defaultGroup, Instance& i) {
+                                   const std::vector<GroupName>& groups, std::optional<GroupId> defaultGroup,
+                                   Instance& i) {
   std::map<std::string, std::string> values;
   for (const std::string& s : strings) {
     const std::size_t eq = s.find('=');
@@ -62,10 +62,10 @@
   const std::string& state = values["state"];
   if (!state.empty() && state != "active" && state != "leaving")
     return wrong("state", "neither active nor leaving");
-  i.state = state == "leaving" ? knotstack::Lifecycle::Draining : knotstack::Lifecycle::Ready;
+  i.state = state == "leaving" ? Lifecycle::Draining : Lifecycle::Ready;
   if (!values["started"].empty() && (!number(values["started"], i.startedMs) || i.startedMs < 0))
     return wrong("started", "no Unix time in milliseconds");
   return std::nullopt;
 }
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/membership/dnssd/records.hpp
+++ b/src/discovery/dnssd/records.hpp
@@ -18,11 +18,11 @@
 
 #include "config/config.hpp"
 
-namespace sablespur {
+namespace stonebay {
 
 // Fills what the record says into the instance; the sentence that says what is wrong with it, if anything.
 std::optional<std::string> readTxt(const std::vector<std::string>& strings,
-                                   const std::vector<GroupName>& groups,
-                                   std::optional<knotstack::GroupId> defaultGroup, Instance&);
+                                   const std::vector<GroupName>& groups, std::optional<GroupId> defaultGroup,
+                                   Instance&);
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/membership/dnssd/resolver.cpp
+++ b/src/discovery/dnssd/resolver.cpp
@@ -1,4 +1,4 @@
-#include "membership/dnssd/resolver.hpp"
+#include "discovery/dnssd/resolver.hpp"
 
 #include <sys/socket.h>
 #include <unistd.h>
@@ -7,10 +7,10 @@
 #include <cstring>
 #include <utility>
 
+#include "discovery/dnssd/directory.hpp"
 #include "log/log.hpp"
-#include "membership/dnssd/directory.hpp"
 
-namespace sablespur {
+namespace stonebay {
 namespace {
 
 constexpr std::size_t kLongestDatagram = 65535;
@@ -115,7 +115,7 @@
         owner_.base_, socket_.fd, EV_READ | EV_PERSIST,
         [](evutil_socket_t, short, void* self) { static_cast<Lookup*>(self)->readUdp(); }, this));
     event_add(event_.get(), nullptr);
-    startTimer(timer_.get(), owner_.settings_.tryTimeout);
+    startTimer(timer_.get(), owner_.settings_.queryTimeout);
   }
   // Not within the call that brought it about: all servers may fail like this.
   void failSoon(const char* why) {
@@ -173,7 +173,7 @@
     append(bufferevent_get_output(tcp_.get()), {length, sizeof length});
     append(bufferevent_get_output(tcp_.get()), bytes);
     bufferevent_enable(tcp_.get(), EV_READ | EV_WRITE);
-    startTimer(timer_.get(), owner_.settings_.tryTimeout);
+    startTimer(timer_.get(), owner_.settings_.queryTimeout);
     if (bufferevent_socket_connect(tcp_.get(), server().data(), static_cast<int>(server().size())) != 0)
       return failSoon("no connection over TCP");
     bufferevent_setcb(
@@ -235,4 +235,4 @@
   done_(q, reply);
 }
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/membership/dnssd/resolver.hpp
+++ b/src/discovery/dnssd/resolver.hpp
@@ -10,13 +10,13 @@
 #include <unordered_map>
 #include <vector>
 
+#include "codec/dns/message.hpp"
 #include "config/config.hpp"
-#include "core/clock.hpp"
-#include "core/event.hpp"
-#include "membership/dnssd/name_servers.hpp"
-#include "wire/dns/message.hpp"
+#include "discovery/dnssd/name_servers.hpp"
+#include "util/clock.hpp"
+#include "util/event.hpp"
 
-namespace sablespur {
+namespace stonebay {
 
 class Resolver {
  public:
@@ -56,4 +56,4 @@
   std::unordered_map<Lookup*, std::unique_ptr<Lookup>> lookups_;
 };
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/membership/dnssd/source.cpp
+++ b/src/discovery/dnssd/source.cpp
@@ -1,10 +1,10 @@
-#include "membership/dnssd/source.hpp"
+#include "discovery/dnssd/source.hpp"
 
 #include "log/log.hpp"
 
-namespace sablespur {
+namespace stonebay {
 
-DnsSd::DnsSd(event_base* base, const Clock& clock, MemberFeed& feed, const Config& config)
+DnsSd::DnsSd(event_base* base, const Clock& clock, EndpointFeed& feed, const Config& config)
     : base_(base),
       clock_(clock),
       feed_(feed),
@@ -44,7 +44,7 @@
     directory_->answered(now, q, r.message, r.tcp);
   else
     directory_->failed(now, q);
-  if (!r.ok && q.type == dns::Type::Ptr) feed_.listFailed(r.why);
+  if (!r.ok && q.type == dns::Type::Ptr) feed_.onListFailure(r.why);
   if (!r.ok && q.type != dns::Type::Ptr)
     logEvent(LogLevel::Warning, "record_failed",
              {{"name", q.name}, {"type", static_cast<int>(q.type)}, {"why", r.why}});
@@ -68,4 +68,4 @@
   feed_.found(directory_->instances(), first);
 }
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/membership/dnssd/source.hpp
+++ b/src/discovery/dnssd/source.hpp
@@ -1,4 +1,4 @@
-// The list from DNS-SD: asks what the Directory finds due, and gives the MemberFeed what it makes of the
+// The list from DNS-SD: asks what the Directory finds due, and gives the EndpointFeed what it makes of the
 // answers.
 #pragma once
 
@@ -8,16 +8,16 @@
 #include <string>
 #include <vector>
 
-#include "core/member_feed.hpp"
-#include "membership/dnssd/directory.hpp"
-#include "membership/dnssd/resolver.hpp"
+#include "discovery/dnssd/directory.hpp"
+#include "discovery/dnssd/resolver.hpp"
+#include "discovery/endpoint_feed.hpp"
 
-namespace sablespur {
+namespace stonebay {
 
 class DnsSd {
  public:
-  // Throws BadInput where the settings name no domain. Asks from the loop's next pass on.
-  DnsSd(event_base*, const Clock&, MemberFeed&, const Config&);
+  // Throws InvalidInput where the settings name no domain. Asks from the loop's next pass on.
+  DnsSd(event_base*, const Clock&, EndpointFeed&, const Config&);
   // New settings: the members stand until the new ones have told a whole list. The same ones change nothing.
   void move(const Config&);
 
@@ -34,7 +34,7 @@
 
   event_base* const base_;
   const Clock& clock_;
-  MemberFeed& feed_;
+  EndpointFeed& feed_;
   DnsSdSettings settings_;
   std::unique_ptr<Directory> directory_;
   std::unique_ptr<Resolver> resolver_;
@@ -44,4 +44,4 @@
   std::map<std::string, std::string> logged_;  // faults that the log has
 };
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/core/member_feed.cpp
+++ b/src/discovery/endpoint_feed.cpp
@@ -1,39 +1,38 @@
-#include "core/member_feed.hpp"
+#include "discovery/endpoint_feed.hpp"
 
 #include "log/log.hpp"
 
-namespace sablespur {
+namespace stonebay {
 namespace {
 
 constexpr std::chrono::microseconds kLogAgain = std::chrono::seconds(30);
 
-const char* stateName(knotstack::Lifecycle s) {
-  return s == knotstack::Lifecycle::Ready      ? "active"
-         : s == knotstack::Lifecycle::Draining ? "leaving"
-                                               : "gone";
+const char* stateName(Lifecycle s) {
+  return s == Lifecycle::Ready ? "active" : s == Lifecycle::Draining ? "leaving" : "gone";
 }
 
 }  // namespace
 
-MemberFeed::MemberFeed(event_base* base, const Clock& clock, ListTaker& to, const MembershipPolicy& policy)
+EndpointFeed::EndpointFeed(event_base* base, const Clock& clock, EndpointListHandler& to,
+                           const EndpointTrackerPolicy& policy)
     : clock_(clock),
       to_(to),
       members_(policy),
       timer_(event_new(
-          base, -1, 0, [](evutil_socket_t, short, void* self) { static_cast<MemberFeed*>(self)->pass(); },
+          base, -1, 0, [](evutil_socket_t, short, void* self) { static_cast<EndpointFeed*>(self)->pass(); },
           this)) {}
 
-void MemberFeed::found(std::vector<Instance> all, bool first) {
+void EndpointFeed::found(std::vector<Instance> all, bool first) {
   members_.found(clock_.now(), std::move(all), first);
   pass();
 }
 
-void MemberFeed::listed(InstanceList list) {
+void EndpointFeed::listed(InstanceList list) {
   members_.changed(clock_.now(), std::move(list));
   pass();
 }
 
-void MemberFeed::listFailed(const std::string& why) {
+void EndpointFeed::listFailed(const std::string& why) {
   const auto now = clock_.now();
   members_.failed(now, why);
   const auto view = members_.view(now);
@@ -45,11 +44,11 @@
     else
       logEvent(LogLevel::Warning, "discovery_failed", {{"why", why}, {"list", "none yet"}});
   }
-  to_.listFailed(why);
+  to_.onListFailure(why);
   pass();
 }
 
-void MemberFeed::pass() {
+void EndpointFeed::pass() {
   const auto now = clock_.now();
   while (auto list = members_.take(now)) {
     for (const Instance& i : list->instances)
@@ -59,7 +58,7 @@
                 {"address", i.address.text()},
                 {"group", i.group},
                 {"started_ms", i.startedMs}});
-    to_.listed(std::move(*list));
+    to_.onEndpointList(std::move(*list));
   }
   if (const auto at = members_.next())
     startTimer(timer_.get(), *at - now);
@@ -67,4 +66,4 @@
     event_del(timer_.get());
 }
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/membership/list.cpp
+++ b/src/discovery/endpoint_list.cpp
@@ -1,10 +1,9 @@
-#include "membership/list.hpp"
+#include "discovery/endpoint_list.hpp"
 
-#include "membership/json.hpp"
+#include "discovery/json.hpp"
 
-namespace sablespur {
+namespace stonebay {
 
-using knotstack::Lifecycle;
 using simdjson::dom::element;
 
 bool operator==(const Instance& a, const Instance& b) {
@@ -14,7 +13,7 @@
 
 Address parseAddress(std::string_view text, const std::string& key) {
   const auto address = Address::parse(text);
-  if (!address) throw BadInput("key " + key + ": '" + std::string(text) + "' is no address with a port");
+  if (!address) throw InvalidInput("key " + key + ": '" + std::string(text) + "' is no address with a port");
   return *address;
 }
 
@@ -33,7 +32,7 @@
   else if (state == "left")
     i.state = Lifecycle::Gone;
   else
-    throw BadInput("key " + path + "lifecycle: unknown value '" + std::string(state) + "'");
+    throw InvalidInput("key " + path + "lifecycle: unknown value '" + std::string(state) + "'");
   // Of one that has left, the rest may be missing.
   const bool gone = i.state == Lifecycle::Gone;
   const auto has = [&](const char* key) { return !gone || e[key].error() == simdjson::SUCCESS; };
@@ -44,12 +43,12 @@
   if (e["machineType"].get(kind) == simdjson::SUCCESS) i.kind = std::string(kind);
   if (has("cell")) {
     const auto cell = jsonField<std::int64_t>(e, "cell", path);
-    if (cell < 0 || cell > 65535) throw BadInput("key " + path + "cell: out of range");
-    i.group = static_cast<knotstack::GroupId>(cell);
+    if (cell < 0 || cell > 65535) throw InvalidInput("key " + path + "cell: out of range");
+    i.group = static_cast<GroupId>(cell);
   }
   if (has("weight")) i.weight = jsonField<double>(e, "weight", path);
   if (has("startedAtMs")) i.startedMs = jsonField<std::int64_t>(e, "startedAtMs", path);
-  if (i.startedMs < 0) throw BadInput("key " + path + "startedAtMs: negative");
+  if (i.startedMs < 0) throw InvalidInput("key " + path + "startedAtMs: negative");
   return i;
 }
 
@@ -58,7 +57,7 @@
 InstanceList readInstances(const element& object, const std::string& path) {
   InstanceList list;
   const auto generation = jsonField<std::int64_t>(object, "generation", path);
-  if (generation < 0) throw BadInput("key " + path + "generation: negative");
+  if (generation < 0) throw InvalidInput("key " + path + "generation: negative");
   list.generation = static_cast<std::uint64_t>(generation);
   list.reset = jsonField<bool>(object, "reset", path);
   std::size_t n = 0;
@@ -67,13 +66,13 @@
   return list;
 }
 
-void ListReader::feed(std::string_view bytes, const std::function<void(InstanceList)>& take) {
+void EndpointListReader::feed(std::string_view bytes, const std::function<void(InstanceList)>& take) {
   for (const char c : bytes) {
     if (depth_ == 0) {
       if (std::string_view(" \t\r\n").find(c) != std::string_view::npos) continue;
-      if (c != '{') throw BadInput("list: no object");
+      if (c != '{') throw InvalidInput("list: no object");
     }
-    if (object_.size() >= kLongestList) throw BadInput("list: too long");
+    if (object_.size() >= kLongestList) throw InvalidInput("list: too long");
     object_.push_back(c);
     if (quoted_) {
       quoted_ = escaped_ || c != '"';
@@ -93,8 +92,8 @@
   simdjson::dom::parser parser;
   element object;
   if (const auto error = parser.parse(simdjson::padded_string(json)).get(object))
-    throw BadInput(std::string("list: ") + simdjson::error_message(error));
+    throw InvalidInput(std::string("list: ") + simdjson::error_message(error));
   return readInstances(object, "");
 }
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/membership/membership.cpp
+++ b/src/discovery/endpoint_tracker.cpp
@@ -1,20 +1,18 @@
-#include "membership/membership.hpp"
+#include "discovery/endpoint_tracker.hpp"
 
 #include <algorithm>
 #include <cmath>
 #include <set>
 #include <utility>
 
-namespace sablespur {
-
-using knotstack::Lifecycle;
+namespace stonebay {
 
 namespace {
 
 // What is left of a name that has gone for good: its penalty has all but worn off.
 constexpr double kNoPenalty = 0.02;
 
-std::int64_t unixMs(Membership::Time t) { return t.count() / 1000; }
+std::int64_t unixMs(EndpointTracker::Time t) { return t.count() / 1000; }
 
 Instance gone(Instance i) {
   i.state = Lifecycle::Gone;
@@ -23,14 +21,14 @@
 
 }  // namespace
 
-double Membership::penalty(const Entry& e, Time now) const {
+double EndpointTracker::penalty(const Entry& e, Time now) const {
   if (e.penalty == 0) return 0;
   const double halves = static_cast<double>((now - e.penaltyAt).count()) /
                         static_cast<double>(std::max<std::int64_t>(policy_.halfLife.count(), 1));
   return e.penalty * std::exp2(-halves);
 }
 
-void Membership::appear(Entry& e, Time now, bool first) {
+void EndpointTracker::appear(Entry& e, Time now, bool first) {
   e.present = true;
   e.since = now;
   e.startedMs = first && e.withdrawals == 0 ? 0 : unixMs(now);
@@ -39,14 +37,14 @@
   if (!e.held) return;
   const double halves = std::log2(p / policy_.reuseAt);
   const Time wait(static_cast<std::int64_t>(static_cast<double>(policy_.halfLife.count()) * halves));
-  e.heldUntil = now + std::clamp(wait, Time(0), policy_.mostHeld);
+  e.heldUntil = now + std::clamp(wait, Time(0), policy_.maxSuppression);
 }
 
-void Membership::withdraw(Entry& e, Time now) {
+void EndpointTracker::withdraw(Entry& e, Time now) {
   // No higher than what lets it back after mostHeld: guards against a flap of hours that shuts a server out
   // for hours.
   const double most =
-      policy_.reuseAt * std::exp2(static_cast<double>(policy_.mostHeld.count()) /
+      policy_.reuseAt * std::exp2(static_cast<double>(policy_.maxSuppression.count()) /
                                   static_cast<double>(std::max<std::int64_t>(policy_.halfLife.count(), 1)));
   e.penalty = std::min(penalty(e, now) + 1, std::max(most, 1.0));
   e.penaltyAt = now;
@@ -56,7 +54,7 @@
   ++e.withdrawals;
 }
 
-void Membership::found(Time now, std::vector<Instance> all, bool first) {
+void EndpointTracker::found(Time now, std::vector<Instance> all, bool first) {
   first = first || !listed_;
   whole_ = whole_ || !listed_;
   listed_ = dirty_ = true;
@@ -90,7 +88,7 @@
   forget(now);
 }
 
-void Membership::changed(Time now, InstanceList list) {
+void EndpointTracker::changed(Time now, InstanceList list) {
   registry_ = listed_ = true;
   expired_ = false;
   toldAt_ = now;
@@ -115,21 +113,22 @@
   raw_.push_back(std::move(list));
 }
 
-void Membership::failed(Time now, std::string why) {
+void EndpointTracker::failed(Time now, std::string why) {
   if (!failingSince_) failingSince_ = now;
   why_ = std::move(why);
 }
 
-std::optional<Membership::Time> Membership::next() const {
+std::optional<EndpointTracker::Time> EndpointTracker::next() const {
   std::optional<Time> at;
   const auto sooner = [&](Time t) { at = at ? std::min(*at, t) : t; };
   for (const auto& [name, e] : entries_)
     if (e.present && e.held) sooner(e.heldUntil);
-  if (failingSince_ && toldAt_ && policy_.keepFor > Time(0) && !expired_) sooner(*toldAt_ + policy_.keepFor);
+  if (failingSince_ && toldAt_ && policy_.maxListAge > Time(0) && !expired_)
+    sooner(*toldAt_ + policy_.maxListAge);
   return at;
 }
 
-std::optional<InstanceList> Membership::take(Time now) {
+std::optional<InstanceList> EndpointTracker::take(Time now) {
   if (!raw_.empty()) {
     InstanceList list = std::move(raw_.front());
     raw_.pop_front();
@@ -138,7 +137,7 @@
   if (registry_) return std::nullopt;
   const auto due = next();
   if (!dirty_ && !(due && *due <= now)) return std::nullopt;
-  if (failingSince_ && toldAt_ && policy_.keepFor > Time(0) && now >= *toldAt_ + policy_.keepFor)
+  if (failingSince_ && toldAt_ && policy_.maxListAge > Time(0) && now >= *toldAt_ + policy_.maxListAge)
     expired_ = true;
   dirty_ = false;
 
@@ -192,7 +191,7 @@
 }
 
 // Guards against growth where instances come under names that are always new.
-void Membership::forget(Time now) {
+void EndpointTracker::forget(Time now) {
   for (auto it = entries_.begin(); it != entries_.end();) {
     const Entry& e = it->second;
     const bool old = !e.present && !e.toldEngine && penalty(e, now) < kNoPenalty;
@@ -200,7 +199,7 @@
   }
 }
 
-Membership::View Membership::view(Time now) const {
+EndpointTracker::View EndpointTracker::view(Time now) const {
   View v{{}, toldAt_, failingSince_, failingSince_ ? why_ : std::string()};
   for (const auto& [name, e] : entries_) {
     if (!e.present && !e.toldEngine && penalty(e, now) < kNoPenalty) continue;
@@ -216,4 +215,4 @@
   return v;
 }
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/membership/membership.hpp
+++ b/src/discovery/endpoint_tracker.hpp
@@ -24,22 +24,22 @@
 #include <string>
 #include <vector>
 
-#include "membership/list.hpp"
+#include "discovery/endpoint_list.hpp"
 
-namespace sablespur {
+namespace stonebay {
 
-struct MembershipPolicy {
+struct EndpointTrackerPolicy {
   using Time = std::chrono::microseconds;
   double suppressAt = 1.5, reuseAt = 0.75;
-  Time halfLife = std::chrono::seconds(15), mostHeld = std::chrono::seconds(60);
-  Time keepFor{};  // 0: the last list stands for ever
+  Time halfLife = std::chrono::seconds(15), maxSuppression = std::chrono::seconds(60);
+  Time maxListAge{};  // 0: the last list stands for ever
   bool dampens = true;
 };
 
-class Membership {
+class EndpointTracker {
  public:
   using Time = std::chrono::microseconds;
-  explicit Membership(const MembershipPolicy& policy = {}) : policy_(policy) {}
+  explicit EndpointTracker(const EndpointTrackerPolicy& policy = {}) : policy_(policy) {}
 
   // A source that tells everything each time. `first`: what was not there before has not just come, as after
   // a change of domain; the very first list is always so.
@@ -54,7 +54,7 @@
   std::optional<Time> next() const;  // when something changes though nothing comes
 
   std::uint64_t generation() const { return generation_; }
-  void policy(const MembershipPolicy& p) { policy_ = p; }
+  void policy(const EndpointTrackerPolicy& p) { policy_ = p; }
 
   // For staff.
   struct Row {
@@ -91,7 +91,7 @@
   void withdraw(Entry&, Time now);
   void forget(Time now);
 
-  MembershipPolicy policy_;
+  EndpointTrackerPolicy policy_;
   std::map<std::string, Entry> entries_;
   std::uint64_t generation_ = 0;
   bool listed_ = false;  // a first whole list has come
@@ -104,4 +104,4 @@
   bool expired_ = false;
 };
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/membership/json.hpp
+++ b/src/discovery/json.hpp
@@ -5,19 +5,19 @@
 
 #include <string>
 
-#include "membership/list.hpp"
+#include "discovery/endpoint_list.hpp"
 
-namespace sablespur {
+namespace stonebay {
 
 template <typename T>
 T jsonField(const simdjson::dom::element& of, const char* key, const std::string& path) {
   T value;
   if (const auto error = of[key].get(value))
-    throw BadInput("key " + path + key + ": " +
-                   (error == simdjson::NO_SUCH_FIELD ? "missing" : simdjson::error_message(error)));
+    throw InvalidInput("key " + path + key + ": " +
+                       (error == simdjson::NO_SUCH_FIELD ? "missing" : simdjson::error_message(error)));
   return value;
 }
 
 InstanceList readInstances(const simdjson::dom::element& object, const std::string& path);
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/membership/registry/watch.hpp
+++ b/src/discovery/registry/registry_watch.hpp
@@ -1,16 +1,16 @@
 // Discovery's watch: one connection at a time, from the call to its end.
 #pragma once
 
-#include "core/engine.hpp"
-#include "core/event.hpp"
-#include "membership/list.hpp"
-#include "wire/http/http.hpp"
+#include "codec/http/http.hpp"
+#include "discovery/endpoint_list.hpp"
+#include "dispatch/dispatcher.hpp"
+#include "util/event.hpp"
 
-namespace sablespur {
+namespace stonebay {
 
-class Discovery final : public Lists {
+class RegistryWatch final : public EndpointWatcher {
  public:
-  Discovery(event_base*, ListTaker&, const Address&);
+  RegistryWatch(event_base*, EndpointListHandler&, const Address&);
   void watch(std::uint64_t after) override;  // nothing, while one is on
   void move(const Address&);                 // goes on with the watch at another address
 
@@ -19,12 +19,12 @@
   void fail(const char* why);
 
   event_base* const base_;
-  ListTaker& taker_;
+  EndpointListHandler& taker_;
   Address address_;
   BufferEvent connection_;
   Event silence_;
   http::Response response_;
-  ListReader lists_;
+  EndpointListReader lists_;
 };
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/front/pg/clients.cpp
+++ b/src/downstream/pg/client_listener.cpp
@@ -1,4 +1,4 @@
-#include "front/pg/clients.hpp"
+#include "downstream/pg/client_listener.hpp"
 
 #include <netinet/tcp.h>
 #include <poll.h>
@@ -11,11 +11,11 @@
 #include <stdexcept>
 #include <utility>
 
-#include "core/hash.hpp"
+#include "codec/pg/pg.hpp"
 #include "log/log.hpp"
-#include "wire/pg/pg.hpp"
+#include "util/hash.hpp"
 
-namespace sablespur {
+namespace stonebay {
 namespace {
 
 constexpr std::size_t kTail = 512;   // the comment at a statement's end is shorter
@@ -49,9 +49,9 @@
 
 // One client connection. Queries are taken one at a time; what is pipelined behind waits in the input, which
 // is bounded.
-class Clients::Session final : public Requester {
+class ClientListener::Session final : public ResponseHandler {
  public:
-  Session(Clients& owner, evutil_socket_t fd)
+  Session(ClientListener& owner, evutil_socket_t fd)
       : owner_(owner), bev_(bufferevent_socket_new(owner.base_, fd, BEV_OPT_CLOSE_ON_FREE)) {
     const int on = 1;
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
@@ -62,29 +62,29 @@
     bufferevent_setwatermark(bev_.get(), EV_READ, 0, kReadAhead);
     bufferevent_set_timeouts(bev_.get(), nullptr, &kWriteTimeout);
     bufferevent_enable(bev_.get(), EV_READ | EV_WRITE);
-    lastActive_ = owner_.engine_.now();
+    lastActive_ = owner_.dispatcher_.now();
   }
   ~Session() override {
-    if (request_ != 0) owner_.engine_.left(request_);
+    if (request_ != 0) owner_.dispatcher_.onClientLeft(request_);
     owner_.asking_ -= asked_;
     owner_.byKey_.erase(key_);
     forget();
     release();
   }
 
-  void served(Buffer answer) override {
+  void onResponse(Buffer answer) override {
     request_ = 0;
     evbuffer_add_buffer(output(), answer.get());
     answered();
   }
-  void refused(Time retryAfter) override {
+  void onRejected(Time retryAfter) override {
     request_ = 0;
     const auto ms = (retryAfter.count() + 999) / 1000;
     append(output(), pg::error("ERROR", "53300", "no data server can take this request now",
                                ms > 0 ? std::to_string(ms) : std::string()));
     answered();
   }
-  void failed() override {
+  void onFailed() override {
     request_ = 0;
     append(output(), pg::error("ERROR", "40003", "the request may have run; its outcome is unknown"));
     answered();
@@ -109,7 +109,7 @@
   // the time to.
   void end() {
     ending_ = lingering_ = true;
-    lastActive_ = owner_.engine_.now();
+    lastActive_ = owner_.dispatcher_.now();
     evbuffer_drain(input(), evbuffer_get_length(input()));
     bufferevent_enable(bev_.get(), EV_READ);
     if (evbuffer_get_length(output()) == 0) flushed();
@@ -117,7 +117,7 @@
   // Its client has cancelled: it waits for nothing but the word that this was done.
   void cancel() {
     if (request_ == 0) return;
-    owner_.engine_.left(request_);
+    owner_.dispatcher_.onClientLeft(request_);
     request_ = 0;
     append(output(), pg::error("ERROR", "57014", "canceled by its client"));
     answered();
@@ -151,7 +151,7 @@
   void answered() {
     forget();
     release();
-    lastActive_ = owner_.engine_.now();
+    lastActive_ = owner_.dispatcher_.now();
     halfSince_ = Time(0);  // what waits behind is looked at next
     append(output(), pg::readyForQuery());
     settle();
@@ -179,7 +179,7 @@
     if (!fatal) return answered();
     release();
     ending_ = lingering_ = true;
-    lastActive_ = owner_.engine_.now();
+    lastActive_ = owner_.dispatcher_.now();
     bufferevent_enable(bev_.get(), EV_READ);
     discard();
   }
@@ -194,7 +194,7 @@
   // its part of what the configuration leaves for all such, from its head to its answer.
   bool reserve(std::size_t whole) {
     if (whole <= kReadAhead || reserved_ > 0) return true;
-    if (whole > owner_.config_.largeStatements - owner_.reserved_) return false;
+    if (whole > owner_.config_.maxLargeStatementBytes - owner_.reserved_) return false;
     owner_.reserved_ += reserved_ = whole;
     bufferevent_setwatermark(bev_.get(), EV_READ, 0, whole);
     return true;
@@ -217,7 +217,7 @@
     }
     if (ending_) return;
     const std::size_t left = evbuffer_get_length(input());
-    if (halfSince_ == Time(0) && left > 0) halfSince_ = owner_.engine_.now();
+    if (halfSince_ == Time(0) && left > 0) halfSince_ = owner_.dispatcher_.now();
     // Guards against spinning: libevent calls back time and again while the input stands at its high
     // watermark.
     const bool room = left < std::max(kReadAhead, reserved_);
@@ -229,7 +229,7 @@
   // long.
   void noteArrival() {
     const std::uint64_t total = taken_ + evbuffer_get_length(input());
-    const Time now = owner_.engine_.now();
+    const Time now = owner_.dispatcher_.now();
     if (!arrivals_.empty() && now - arrivals_.back().second < kArrivals)
       arrivals_.back().first = std::max(arrivals_.back().first, total);
     else if (arrivals_.empty() || total > arrivals_.back().first)
@@ -337,41 +337,41 @@
     // Guards against finishing for ever: whoever goes on asking on a connection that cannot end amid a
     // request is told to come back, to another proxy.
     if (owner_.lastCallOver() && arrivalOfTaken() > owner_.lastCalled_)
-      return refused(std::chrono::milliseconds(1));
-    const Time now = owner_.engine_.now();
-    knotstack::Request q;
-    q.cls = static_cast<int>(cls - classes.begin());
+      return onRejected(std::chrono::milliseconds(1));
+    const Time now = owner_.dispatcher_.now();
+    Request q;
+    q.classIndex = static_cast<int>(cls - classes.begin());
     q.group = comment.cluster;
-    const auto& settings = owner_.config_.settings.classes[static_cast<std::size_t>(q.cls)];
+    const auto& settings = owner_.config_.settings.classes[static_cast<std::size_t>(q.classIndex)];
     q.deadline =
         arrivalOfTaken() + (comment.waitLength > 0
                                 ? Time(std::chrono::milliseconds(std::min(comment.waitMs, kLongestWaitMs)))
                                 : settings.deadline);
     if (comment.after > 0)
-      q.tokenMs = std::max(0.001f, static_cast<float>(static_cast<double>(now.count()) / 1e3 -
-                                                      static_cast<double>(comment.after)));
-    if (owner_.config_.sessions) {
+      q.sessionTokenAgeMs = std::max(0.001f, static_cast<float>(static_cast<double>(now.count()) / 1e3 -
+                                                                static_cast<double>(comment.after)));
+    if (owner_.config_.tracksSessions) {
       char start[kStart];
       const auto got = evbuffer_copyout(statement.get(), start, sizeof start);
       const std::string_view key =
           pg::parseKey({start, static_cast<std::size_t>(std::max<ev_ssize_t>(got, 0))});
       if (!key.empty()) q.session = std::max<std::uint64_t>(fnv1a(key), 1);
     }
-    Message message{newBuffer(), std::move(statement), id};
+    ForwardedRequest message{newBuffer(), std::move(statement), id};
     if (comment.waitLength > 0) {
       evbuffer_remove_buffer(message.after.get(), message.before.get(), length - n + comment.waitAt);
       evbuffer_drain(message.after.get(), comment.waitLength);
     }
     owner_.openIds_.insert(id);
     id_ = std::move(id);
-    request_ = owner_.engine_.request(*this, q, std::move(message));
+    request_ = owner_.dispatcher_.submit(*this, q, std::move(message));
   }
   void forget() {
     if (!id_.empty()) owner_.openIds_.erase(id_);
     id_.clear();
   }
 
-  Clients& owner_;
+  ClientListener& owner_;
   BufferEvent bev_;
   std::uint64_t key_ = 0;  // by which its client may cancel; 0: it has none yet
   bool started_ = false, asked_ = false, ending_ = false;
@@ -388,44 +388,45 @@
   Time halfSince_{};  // since when there is input that makes no whole message; 0: there is none
 };
 
-Clients::Clients(event_base* base, Engine& engine, const Config& config)
-    : base_(base), engine_(engine), config_(config), most_(config.clientConnections) {
+ClientListener::ClientListener(event_base* base, Dispatcher& dispatcher, const Config& config)
+    : base_(base), dispatcher_(dispatcher), config_(config), most_(config.maxClientConnections) {
   const auto accept = [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self) {
-    static_cast<Clients*>(self)->accepted(fd);
+    static_cast<ClientListener*>(self)->accepted(fd);
   };
   listener_.reset(evconnlistener_new_bind(base, accept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 1024,
                                           config.listen.data(), static_cast<int>(config.listen.size())));
   if (!listener_) throw std::runtime_error(std::string("key listen: ") + std::strerror(errno));
-  evconnlistener_set_error_cb(
-      listener_.get(), [](evconnlistener*, void* self) { static_cast<Clients*>(self)->acceptFailed(); });
+  evconnlistener_set_error_cb(listener_.get(), [](evconnlistener*, void* self) {
+    static_cast<ClientListener*>(self)->acceptFailed();
+  });
   pause_.reset(event_new(
-      base, -1, 0, [](evutil_socket_t, short, void* self) { static_cast<Clients*>(self)->acceptAgain(); },
-      this));
+      base, -1, 0,
+      [](evutil_socket_t, short, void* self) { static_cast<ClientListener*>(self)->acceptAgain(); }, this));
   round_.reset(event_new(
-      base, -1, EV_PERSIST, [](evutil_socket_t, short, void* self) { static_cast<Clients*>(self)->round(); },
-      this));
+      base, -1, EV_PERSIST,
+      [](evutil_socket_t, short, void* self) { static_cast<ClientListener*>(self)->round(); }, this));
   startTimer(round_.get(), kRound);
   lastCall_.reset(event_new(
-      base, -1, 0, [](evutil_socket_t, short, void* self) { static_cast<Clients*>(self)->stopListening(); },
-      this));
+      base, -1, 0,
+      [](evutil_socket_t, short, void* self) { static_cast<ClientListener*>(self)->stopListening(); }, this));
 }
-Clients::~Clients() = default;
+ClientListener::~ClientListener() = default;
 
-int Clients::port() const {
+int ClientListener::port() const {
   sockaddr_storage a{};
   socklen_t length = sizeof a;
   getsockname(evconnlistener_get_fd(listener_.get()), reinterpret_cast<sockaddr*>(&a), &length);
   return Address::fromSocket(reinterpret_cast<const sockaddr*>(&a)).port();
 }
 
-void Clients::accepted(evutil_socket_t fd) {
+void ClientListener::accepted(evutil_socket_t fd) {
   auto session = std::make_unique<Session>(*this, fd);
   sessions_.emplace(session.get(), std::move(session));
   acceptAgain();
 }
 
 // Accepts while there is room, or someone to make it; the rest waits in the listener's backlog.
-void Clients::acceptAgain() {
+void ClientListener::acceptAgain() {
   if (!listener_) return;
   if (sessions_.size() < most_ || makeRoom()) {
     evconnlistener_enable(listener_.get());
@@ -437,8 +438,8 @@
 
 // Guards against connections that nobody uses keeping out those that ask: first what is being closed, then
 // what has never asked, then what has been idle longest.
-bool Clients::makeRoom() {
-  const Time now = engine_.now();
+bool ClientListener::makeRoom() {
+  const Time now = dispatcher_.now();
   Session* best = nullptr;
   int most = 0;
   for (const auto& [s, owned] : sessions_) {
@@ -456,9 +457,9 @@
 // Guards against clients that ask once and keep their connections: the longest idle one makes way for each
 // that asks for the first time, lest their side has none left to ask on, while the table here is not even
 // full.
-void Clients::firstAsked(const Session& by) {
-  if (++asking_ <= config_.askingClients) return;
-  const Time now = engine_.now();
+void ClientListener::firstAsked(const Session& by) {
+  if (++asking_ <= config_.maxActiveClients) return;
+  const Time now = dispatcher_.now();
   Session* longest = nullptr;
   for (const auto& [s, owned] : sessions_)
     if (s != &by && s->spare(now) == 1 && (!longest || s->lastActive() < longest->lastActive()) && s->idle())
@@ -466,8 +467,8 @@
   if (longest) closed(*longest);
 }
 
-void Clients::round() {
-  const Time now = engine_.now();
+void ClientListener::round() {
+  const Time now = dispatcher_.now();
   std::vector<Session*> over;
   for (const auto& [s, owned] : sessions_)
     if (!s->looksAlive(now)) over.push_back(s);
@@ -475,19 +476,19 @@
 }
 
 // Guards against spinning on a full descriptor table: the listener stays ready while nothing can be accepted.
-void Clients::acceptFailed() {
+void ClientListener::acceptFailed() {
   logEvent(LogLevel::Warning, "accept_failed", {{"why", std::strerror(EVUTIL_SOCKET_ERROR())}});
   evconnlistener_disable(listener_.get());
   startTimer(pause_.get(), kPause);
 }
 
-void Clients::closed(Session& s) {
+void ClientListener::closed(Session& s) {
   sessions_.erase(&s);
   acceptAgain();
   if (lastCallOver() && sessions_.empty()) done_();
 }
 
-void Clients::drain(std::function<void()> done) {
+void ClientListener::drain(std::function<void()> done) {
   if (draining_) return;
   draining_ = true;
   done_ = std::move(done);
@@ -495,7 +496,7 @@
 }
 
 // What this machine has accepted may have asked already; closing the listener would reset it.
-void Clients::acceptPending() {
+void ClientListener::acceptPending() {
   const evutil_socket_t listening = evconnlistener_get_fd(listener_.get());
   while (sessions_.size() < most_ || makeRoom()) {
     const int fd = accept4(listening, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
@@ -506,11 +507,11 @@
 }
 
 // At the last call, and once more when what was taken should be finished.
-void Clients::stopListening() {
+void ClientListener::stopListening() {
   if (!listener_) return done_();
   acceptPending();
   listener_.reset();
-  lastCalled_ = engine_.now();
+  lastCalled_ = dispatcher_.now();
   for (const auto& [s, owned] : sessions_)
     if (s->asked() && s->idle()) s->end();  // one that has just come is owed an answer, or its time to ask
   if (sessions_.empty()) return done_();
@@ -519,4 +520,4 @@
   startTimer(lastCall_.get(), longest + kFinish);
 }
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/front/pg/clients.hpp
+++ b/src/downstream/pg/client_listener.hpp
@@ -6,15 +6,16 @@
 #include <unordered_map>
 #include <unordered_set>
 
-#include "core/engine.hpp"
-#include "core/event.hpp"
+#include "dispatch/dispatcher.hpp"
+#include "util/event.hpp"
 
-namespace sablespur {
+namespace stonebay {
 
-class Clients {
+class ClientListener {
  public:
-  Clients(event_base*, Engine&, const Config&);  // throws std::runtime_error where it cannot listen
-  ~Clients();
+  ClientListener(event_base*, Dispatcher&,
+                 const Config&);  // throws std::runtime_error where it cannot listen
+  ~ClientListener();
   // Serves on while new connections still come, then closes connections between requests and finishes what is
   // taken. `done` follows when no connection is left.
   void drain(std::function<void()> done);
@@ -34,7 +35,7 @@
   bool lastCallOver() const { return draining_ && !listener_; }
 
   event_base* const base_;
-  Engine& engine_;
+  Dispatcher& dispatcher_;
   const Config& config_;
   const std::size_t most_;    // connections at once
   std::size_t asking_ = 0;    // sessions that have asked something
@@ -50,4 +51,4 @@
   std::unordered_map<Session*, std::unique_ptr<Session>> sessions_;
 };
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/peer/peers.cpp
+++ b/src/gossip/gossip_socket.cpp
@@ -1,4 +1,4 @@
-#include "peer/peers.hpp"
+#include "gossip/gossip_socket.hpp"
 
 #include <sys/socket.h>
 #include <unistd.h>
@@ -10,16 +10,16 @@
 
 #include "log/log.hpp"
 
-namespace sablespur {
+namespace stonebay {
 namespace {
 
 constexpr int kAtOnce = 64;  // datagrams read before others have their turn
 
 }  // namespace
 
-PeerSocket::PeerSocket(event_base* base, Engine& engine, const Config& config)
-    : engine_(engine), config_(config) {
-  const Address& at = config.peerListen;
+GossipSocket::GossipSocket(event_base* base, Dispatcher& dispatcher, const Config& config)
+    : dispatcher_(dispatcher), config_(config) {
+  const Address& at = config.gossipListen;
   if (at.none()) return;
   fd_ = socket(at.data()->sa_family, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (fd_ < 0 || bind(fd_, at.data(), at.size()) != 0) {
@@ -29,35 +29,39 @@
   }
   readable_.reset(event_new(
       base, fd_, EV_READ | EV_PERSIST,
-      [](evutil_socket_t, short, void* self) { static_cast<PeerSocket*>(self)->read(); }, this));
+      [](evutil_socket_t, short, void* self) { static_cast<GossipSocket*>(self)->read(); }, this));
   event_add(readable_.get(), nullptr);
 }
-PeerSocket::~PeerSocket() {
+GossipSocket::~GossipSocket() {
   readable_.reset();
   if (fd_ >= 0) close(fd_);
 }
 
 // A datagram that cannot go out now is lost like any other: the next one brings newer words.
-void PeerSocket::tell(const std::vector<peer::Word>& words) {
+void GossipSocket::broadcast(const std::vector<gossip::Message>& words) {
   if (fd_ < 0) return;
-  for (const std::string& bytes : peer::encode(words))
-    sendto(fd_, bytes.data(), bytes.size(), MSG_DONTWAIT, config_.peersAll.data(), config_.peersAll.size());
+  for (const std::string& bytes : gossip::encode(words))
+    sendto(fd_, bytes.data(), bytes.size(), MSG_DONTWAIT, config_.gossipBroadcast.data(),
+           config_.gossipBroadcast.size());
 }
 
 // Guards against words of anyone else: a position that is too new makes reads stale.
-void PeerSocket::read() {
+void GossipSocket::read() {
   for (int k = 0; k < kAtOnce; ++k) {
-    char bytes[peer::kLongest + 1];
+    char bytes[gossip::kLongest + 1];
     sockaddr_storage from{};
     socklen_t length = sizeof from;
     const ssize_t n =
         recvfrom(fd_, bytes, sizeof bytes, MSG_DONTWAIT, reinterpret_cast<sockaddr*>(&from), &length);
     if (n < 0) return;
     const Address sender = Address::fromSocket(reinterpret_cast<const sockaddr*>(&from));
-    if (std::find(config_.peers.begin(), config_.peers.end(), sender) == config_.peers.end()) continue;
-    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(engine_.now()).count();
-    for (const peer::Word& w : peer::parse({bytes, static_cast<std::size_t>(n)}, ms)) engine_.heard(w);
+    if (std::find(config_.gossipPeers.begin(), config_.gossipPeers.end(), sender) ==
+        config_.gossipPeers.end())
+      continue;
+    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(dispatcher_.now()).count();
+    for (const gossip::Message& w : gossip::parse({bytes, static_cast<std::size_t>(n)}, ms))
+      dispatcher_.onGossip(w);
   }
 }
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -9,7 +9,7 @@
 #include <cmath>
 #include <iterator>
 
-namespace sablespur {
+namespace stonebay {
 namespace {
 
 using Text = fmt::memory_buffer;
@@ -84,7 +84,7 @@
 
 class Log {
  public:
-  Log() : logger_("sablespur", std::make_shared<spdlog::sinks::stderr_sink_st>()) {
+  Log() : logger_("stonebay", std::make_shared<spdlog::sinks::stderr_sink_st>()) {
     logger_.flush_on(spdlog::level::trace);
     set(LogForm::Logfmt, LogLevel::Info);
   }
@@ -151,4 +151,4 @@
   return fmt::to_string(text);
 }
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/log/log.hpp
+++ b/src/log/log.hpp
@@ -13,7 +13,7 @@
 #include <type_traits>
 #include <variant>
 
-namespace sablespur {
+namespace stonebay {
 
 enum class LogForm { Logfmt, Json };
 enum class LogLevel { Debug, Info, Warning, Error };
@@ -44,4 +44,4 @@
 // The line without time and level, as both forms write it; for tests and tools.
 std::string formatEvent(LogForm, std::string_view event, std::initializer_list<LogField>);
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,4 +1,4 @@
-// sablespur: the program's entry; src/app does the rest.
+// stonebay: the program's entry; src/app does the rest.
 #include <csignal>
 
 #include "app/cli.hpp"
@@ -6,5 +6,5 @@
 int main(int argc, char** argv) {
   std::signal(SIGPIPE, SIG_IGN);
   std::signal(SIGHUP, SIG_IGN);  // until the loop handles it: by default it ends the process
-  return sablespur::commandLine(argc, argv);
+  return stonebay::commandLine(argc, argv);
 }
--- a/src/wire.cpp
+++ b/src/simulator/adapter.cpp
@@ -1,4 +1,4 @@
-#include "wire.hpp"
+#include "simulator/adapter.hpp"
 
 #include <unistd.h>
 
@@ -12,7 +12,7 @@
 #include <set>
 #include <unordered_map>
 
-namespace knotstack::wire {
+namespace stonebay::simulator {
 namespace {
 
 constexpr std::uint8_t kReportBack = 1, kEstablished = 2, kProvision = 3, kFromPeer = 4, kDefineList = 5,
@@ -30,7 +30,7 @@
   std::size_t left() const { return size_ - at_; }
   std::uint64_t where() const { return offset_ + at_; }
   const std::uint8_t* skip(std::size_t n, const char* what) {
-    if (left() < n) throw Malformed(std::string(what) + " is cut short", where());
+    if (left() < n) throw MalformedFrame(std::string(what) + " is cut short", where());
     const std::uint8_t* p = data_ + at_;
     at_ += n;
     return p;
@@ -41,11 +41,11 @@
     std::memcpy(&v, skip(sizeof(T), what), sizeof(T));
     return v;
   }
-  MemberId node() {
+  EndpointId node() {
     const std::uint8_t* p = skip(6, "node");
-    MemberId id = 0;
+    EndpointId id = 0;
     for (int k = 0; k < 4; ++k) id = id << 8 | p[k];
-    return id << 16 | static_cast<MemberId>(p[4] | p[5] << 8);
+    return id << 16 | static_cast<EndpointId>(p[4] | p[5] << 8);
   }
   std::vector<float> report() {
     std::vector<float> v(get<std::uint8_t>("report length"));
@@ -74,7 +74,7 @@
     const auto* p = reinterpret_cast<const std::uint8_t*>(&v);
     for (std::size_t k = 0; k < sizeof(T); ++k) bytes_.push_back(p[k]);
   }
-  void node(MemberId id) {
+  void node(EndpointId id) {
     for (int k = 3; k >= 0; --k) put(static_cast<std::uint8_t>(id >> (16 + 8 * k)));
     put(static_cast<std::uint16_t>(id));
   }
@@ -124,7 +124,7 @@
   }
   const std::string& text(const std::string& key) const {
     const auto it = values_.find(key);
-    if (it == values_.end()) throw BadSetting("setting " + key + " is missing");
+    if (it == values_.end()) throw InvalidSetting("setting " + key + " is missing");
     return it->second;
   }
   bool has(const std::string& key) const { return values_.count(key) != 0; }
@@ -133,13 +133,13 @@
     char* end = nullptr;
     const double v = std::strtod(value.c_str(), &end);
     if (value.empty() || *end || !std::isfinite(v) || v < 0 || v > 9e15)
-      throw BadSetting("setting " + key + " is no usable number: '" + value + "'");
+      throw InvalidSetting("setting " + key + " is no usable number: '" + value + "'");
     return v;
   }
   int count(const std::string& key, double least, double most) const {
     const double v = number(key);
     if (v < least || v > most || v != std::floor(v))
-      throw BadSetting("setting " + key + " is out of range: '" + text(key) + "'");
+      throw InvalidSetting("setting " + key + " is out of range: '" + text(key) + "'");
     return static_cast<int>(v);
   }
   Time time(const std::string& key) const { return Time(static_cast<std::int64_t>(number(key))); }
@@ -151,7 +151,7 @@
   template <typename T>
   static T toChoice(const std::string& key, const std::string& value, const std::map<std::string, T>& known) {
     const auto it = known.find(value);
-    if (it == known.end()) throw BadSetting("setting " + key + " has an unknown value: '" + value + "'");
+    if (it == known.end()) throw InvalidSetting("setting " + key + " has an unknown value: '" + value + "'");
     return it->second;
   }
 
@@ -159,26 +159,26 @@
   std::map<std::string, std::string> values_;
 };
 
-std::optional<Result> toResult(std::uint16_t how) {
+std::optional<AttemptStatus> toResult(std::uint16_t how) {
   switch (how) {
     case 0:
-      return Result::Ok;
+      return AttemptStatus::Ok;
     case 13:
-      return Result::Error;
+      return AttemptStatus::Error;
     case 8:
-      return Result::Full;
+      return AttemptStatus::Rejected;
     case 4:
-      return Result::Timeout;
+      return AttemptStatus::Timeout;
     case 14:
-      return Result::ConnectFailed;
+      return AttemptStatus::ConnectFailed;
     case 10:
-      return Result::Reset;
+      return AttemptStatus::Reset;
     case 1:
-      return Result::Cancelled;
+      return AttemptStatus::Cancelled;
     case 9:
-      return Result::Moot;
+      return AttemptStatus::NotSent;
     case 5:
-      return Result::Miss;
+      return AttemptStatus::TooStale;
     default:
       return std::nullopt;
   }
@@ -193,95 +193,100 @@
   const auto needs = split(f.text("specifics.consistency"), ',');
   const auto bounds = split(f.text("specifics.classBoundUs"), ',');
   if (needs.size() != static_cast<std::size_t>(n))
-    throw BadSetting("setting specifics.consistency does not fit classes.count: '" +
-                     f.text("specifics.consistency") + "'");
+    throw InvalidSetting("setting specifics.consistency does not fit classes.count: '" +
+                         f.text("specifics.consistency") + "'");
   if (bounds.size() != needs.size())
-    throw BadSetting("setting specifics.classBoundUs does not fit classes.count: '" +
-                     f.text("specifics.classBoundUs") + "'");
+    throw InvalidSetting("setting specifics.classBoundUs does not fit classes.count: '" +
+                         f.text("specifics.classBoundUs") + "'");
   for (int k = 0; k < n; ++k) {
     const std::string p = "classes." + std::to_string(k) + ".";
     const auto at = static_cast<std::size_t>(k);
     ClassSettings c;
-    c.need = Facts::toChoice<Need>("specifics.consistency", needs[at],
-                                   {{"any", Need::Any},
-                                    {"bounded", Need::Bounded},
-                                    {"session", Need::Session},
-                                    {"fresh", Need::Fresh},
-                                    {"write", Need::Write}});
-    c.bound = Time(static_cast<std::int64_t>(Facts::toNumber("specifics.classBoundUs", bounds[at])));
-    c.effect = f.choice<Effect>(
-        p + "effect", {{"safe", Effect::Safe}, {"keyed", Effect::Keyed}, {"unsafe", Effect::Unsafe}});
-    if (c.effect == Effect::Keyed) {
-      c.scope = f.choice<KeyScope>(
-          p + "group", {{"all", KeyScope::All}, {"zone", KeyScope::Zone}, {"cell", KeyScope::Group}});
-      c.memory = f.time(p + "memorySpanUs");
+    c.consistency = Facts::toChoice<Consistency>("specifics.consistency", needs[at],
+                                                 {{"any", Consistency::Eventual},
+                                                  {"bounded", Consistency::BoundedStaleness},
+                                                  {"session", Consistency::ReadYourWrites},
+                                                  {"fresh", Consistency::Strong},
+                                                  {"write", Consistency::Write}});
+    c.maxStaleness = Time(static_cast<std::int64_t>(Facts::toNumber("specifics.classBoundUs", bounds[at])));
+    c.idempotency = f.choice<Idempotency>(p + "effect", {{"safe", Idempotency::Idempotent},
+                                                         {"keyed", Idempotency::IdempotencyKey},
+                                                         {"unsafe", Idempotency::NonIdempotent}});
+    if (c.idempotency == Idempotency::IdempotencyKey) {
+      c.deduplicationScope =
+          f.choice<DeduplicationScope>(p + "group", {{"all", DeduplicationScope::All},
+                                                     {"zone", DeduplicationScope::Zone},
+                                                     {"cell", DeduplicationScope::ReplicaGroup}});
+      c.deduplicationWindow = f.time(p + "memorySpanUs");
     }
-    c.aim = f.time(p + "promiseUs");
+    c.latencyObjective = f.time(p + "promiseUs");
     c.deadline = f.time(p + "deadlineUs");
-    c.worth = f.number(p + "worth");
-    c.lateWorth = f.number(p + "lateWorth");
+    c.priorityWeight = f.number(p + "worth");
+    c.latePriorityShare = f.number(p + "lateWorth");
     s.classes.push_back(c);
   }
-  s.checks = f.choice<Checks>(
-      "specifics.checks", {{"silent", Checks::Silent}, {"refuse", Checks::Refuse}, {"wait", Checks::Wait}});
-  s.roleListed = f.choice<RoleListed>(
+  s.staleReadPolicy = f.choice<StaleReadPolicy>("specifics.checks", {{"silent", StaleReadPolicy::Serve},
+                                                                     {"refuse", StaleReadPolicy::Reject},
+                                                                     {"wait", StaleReadPolicy::Wait}});
+  s.listedRole = f.choice<ListedRole>(
       "specifics.roleListed",
-      {{"silent", RoleListed::Silent}, {"start", RoleListed::Start}, {"late", RoleListed::Late}});
-  s.discovery = f.choice<Discovery>(
-      "discovery", {{"automatic", Discovery::Automatic}, {"subscribe", Discovery::Subscribe}});
-  s.reports = f.choice<Reports>(
+      {{"silent", ListedRole::Never}, {"start", ListedRole::AtStart}, {"late", ListedRole::Delayed}});
+  s.discovery = f.choice<DiscoveryMode>(
+      "discovery", {{"automatic", DiscoveryMode::Push}, {"subscribe", DiscoveryMode::Poll}});
+  s.reports = f.choice<LoadReports>(
       "report.how",
-      {{"silent", Reports::Silent}, {"piggyback", Reports::Piggyback}, {"pull", Reports::Pull}});
-  if (s.reports != Reports::Silent) {
-    const std::map<std::string, Figure> known{{"x0", Figure::Position},
-                                              {"x1", Figure::Primary},
-                                              {"inflight", Figure::Inflight},
-                                              {"queue", Figure::Queue}};
+      {{"silent", LoadReports::None}, {"piggyback", LoadReports::Piggyback}, {"pull", LoadReports::Pull}});
+  if (s.reports != LoadReports::None) {
+    const std::map<std::string, ReportField> known{{"x0", ReportField::Position},
+                                                   {"x1", ReportField::Primary},
+                                                   {"inflight", ReportField::InFlight},
+                                                   {"queue", ReportField::Queue}};
     for (const std::string& name : split(f.text("report.names"), ',')) {
       const auto it = known.find(name);
-      s.figures.push_back(it == known.end() ? Figure::Other : it->second);
+      s.reportFields.push_back(it == known.end() ? ReportField::Other : it->second);
     }
   }
-  s.positionsInAnswers = f.flag("specifics.stamps");
-  s.tokensCarried = f.choice<bool>("specifics.sessionMarks", {{"carried", true}, {"remembered", false}});
-  s.synchronous = f.flag("specifics.synchronous");
-  s.probing = f.flag("allowed.probing");
-  s.peers = f.has("allowed.peers") && f.flag("allowed.peers");
-  s.cancel = f.flag("allowed.cancel");
-  s.parallelTries = f.flag("allowed.parallelTries");
-  s.retryAfter = f.flag("allowed.retryAfter");
-  s.droppedStayOpen = f.has("obligations.droppedStayOpen") && f.flag("obligations.droppedStayOpen");
-  s.attemptsCap = f.count("allowed.attemptsCap", 1, 255);
-  s.balancers = f.count("balancers", 1, 1e9);
-  s.holdsFor = f.time("specifics.holdsForUs");
-  s.zero = f.time("specifics.zeroUs");
+  s.positionsInResponses = f.flag("specifics.stamps");
+  s.sessionTokensCarried =
+      f.choice<bool>("specifics.sessionMarks", {{"carried", true}, {"remembered", false}});
+  s.synchronousReplication = f.flag("specifics.synchronous");
+  s.healthChecksAllowed = f.flag("allowed.probing");
+  s.gossipAllowed = f.has("allowed.peers") && f.flag("allowed.peers");
+  s.cancellationAllowed = f.flag("allowed.cancel");
+  s.hedgingAllowed = f.flag("allowed.parallelTries");
+  s.retryAfterAllowed = f.flag("allowed.retryAfter");
+  s.removedEndpointsServe = f.has("obligations.droppedStayOpen") && f.flag("obligations.droppedStayOpen");
+  s.maxAttempts = f.count("allowed.attemptsCap", 1, 255);
+  s.proxyCount = f.count("balancers", 1, 1e9);
+  s.staleReadWait = f.time("specifics.holdsForUs");
+  s.positionEpoch = f.time("specifics.zeroUs");
   s.maxRetryAfter = f.time("allowed.maxRetryAfterUs");
-  s.drainGrace = f.time("obligations.drainGraceUs");
-  s.coldFor = f.time("obligations.coldUs");
-  s.fallFor = f.time("obligations.fallUs");
-  if (s.discovery == Discovery::Subscribe) s.mustAskIn = f.time("obligations.mustAskInUs");
-  s.step = f.time("stepUs");
-  s.startCapacity = f.number("obligations.startCapacity");
-  s.fallMultiple = f.number("obligations.fallMultiple");
-  s.goalWhole = f.number("goal.whole");
-  s.goalWorstClass = f.number("goal.worstClass");
+  s.drainGracePeriod = f.time("obligations.drainGraceUs");
+  s.slowStartWindow = f.time("obligations.coldUs");
+  s.overloadWindow = f.time("obligations.fallUs");
+  if (s.discovery == DiscoveryMode::Poll) s.maxPollInterval = f.time("obligations.mustAskInUs");
+  s.timeStep = f.time("stepUs");
+  s.initialCapacity = f.number("obligations.startCapacity");
+  s.overloadFactor = f.number("obligations.fallMultiple");
+  s.totalServedGoal = f.number("goal.whole");
+  s.worstClassGoal = f.number("goal.worstClass");
   return s;
 }
 
-struct Host::Instance final : Sink {
+struct Host::Instance final : ActionSink {
   std::uint16_t number = 0;
   Writer* out = nullptr;
-  std::unique_ptr<Balancer> balancer;
+  std::unique_ptr<LoadBalancer> balancer;
   Time zero{};  // positions are told to peers from here on
   bool dead = false;
 
-  void send(RequestId id, MemberId m, Time until) override {
+  void send(RequestId id, EndpointId m, Time until) override {
     out->record(kDispatch, number);
     out->put(static_cast<std::uint32_t>(id));
     out->put(static_cast<std::uint64_t>(until.count()));
     out->node(m);
   }
-  void refuse(RequestId id, Time retryAfter) override {
+  void reject(RequestId id, Time retryAfter) override {
     out->record(kRefuse, number);
     out->put(static_cast<std::uint32_t>(id));
     out->put(static_cast<std::uint32_t>(retryAfter.count()));
@@ -295,25 +300,25 @@
     out->put(static_cast<std::uint32_t>(id));
     out->put(static_cast<std::uint8_t>(attempt));
   }
-  void timer(Time in, std::uint64_t token) override {
+  void scheduleTimer(Time in, TimerToken token) override {
     out->record(kSleep, number);
     out->put(static_cast<std::uint32_t>(in.count()));
-    out->put(token);
+    out->put(token.encoded());
   }
-  void probe(MemberId m) override {
+  void checkHealth(EndpointId m) override {
     out->record(kAskLoad, number);
     out->node(m);
   }
-  void tell(const Word& w) override {
+  void broadcast(const GossipMessage& w) override {
     out->record(kSay, number);
     out->put(kEveryPeer);
     out->put(kWordBytes);
-    out->node(w.member);
+    out->node(w.endpoint);
     out->put(static_cast<std::uint32_t>((w.position - zero) / std::chrono::milliseconds(1)));
     out->put(static_cast<std::uint8_t>(w.primary));
-    out->put(static_cast<std::uint8_t>(std::clamp(w.inflight, 0, 255)));
+    out->put(static_cast<std::uint8_t>(std::clamp(w.inFlight, 0, 255)));
   }
-  void subscribe() override {
+  void pollDiscovery() override {
     out->record(kKeepInformed, number);
     out->put(std::uint8_t{1});
   }
@@ -344,9 +349,9 @@
     if (code == kDefineList) {
       const auto ref = r.get<std::uint32_t>("list number");
       const auto n = r.get<std::uint32_t>("list length");
-      if (r.left() / kEntryBytes < n) throw Malformed("list is cut short", r.where());
-      std::vector<ListedMember> items(n);
-      for (ListedMember& m : items) {
+      if (r.left() / kEntryBytes < n) throw MalformedFrame("list is cut short", r.where());
+      std::vector<EndpointUpdate> items(n);
+      for (EndpointUpdate& m : items) {
         m.id = r.node();
         m.zone = r.get<std::uint16_t>("zone");
         r.get<std::uint16_t>("kind");
@@ -371,8 +376,8 @@
       fresh->out = &out;
       try {
         const Settings settings = parseSettings(std::string(text, n));
-        fresh->zero = settings.zero;
-        fresh->balancer = std::make_unique<Balancer>(settings, seed, *fresh);
+        fresh->zero = settings.positionEpoch;
+        fresh->balancer = std::make_unique<LoadBalancer>(settings, seed, *fresh);
       } catch (const std::exception& e) {
         fresh->die(e.what());
       }
@@ -399,10 +404,12 @@
         r.get<std::uint64_t>("list version");
         const auto ref = r.get<std::uint32_t>("list number");
         if (kind > 3) break;
-        static const std::vector<ListedMember> none;
+        static const std::vector<EndpointUpdate> none;
         const auto list = lists_.find(ref);
-        if (kind != 3 && list == lists_.end()) throw Malformed("list number without a list", where);
-        tell([&](Balancer& b) { b.list(now, static_cast<ListKind>(kind), kind == 3 ? none : list->second); });
+        if (kind != 3 && list == lists_.end()) throw MalformedFrame("list number without a list", where);
+        tell([&](LoadBalancer& b) {
+          b.onEndpointList(now, static_cast<EndpointListKind>(kind), kind == 3 ? none : list->second);
+        });
         break;
       }
       case kOrder: {
@@ -411,59 +418,62 @@
         r.get<std::uint8_t>("bits");
         r.get<std::uint32_t>("owner");
         q.session = r.get<std::uint64_t>("session");
-        q.tokenMs = r.get<float>("token");
+        q.sessionTokenAgeMs = r.get<float>("token");
         q.deadline = Time(static_cast<std::int64_t>(r.get<std::uint64_t>("deadline")));
         const float group = r.get<float>("group");
-        if (!(group >= 0 && group < 65536)) throw Malformed("group out of range", where);
+        if (!(group >= 0 && group < 65536)) throw MalformedFrame("group out of range", where);
         q.group = static_cast<GroupId>(group);
-        q.cls = r.get<std::uint16_t>("class");
+        q.classIndex = r.get<std::uint16_t>("class");
         r.get<std::uint32_t>("effort");
-        tell([&](Balancer& b) { b.request(now, q); });
+        tell([&](LoadBalancer& b) { b.onRequest(now, q); });
         break;
       }
       case kReportBack: {
-        Outcome o;
+        AttemptOutcome o;
         o.request = r.get<std::uint32_t>("request");
         o.attempt = r.get<std::uint8_t>("attempt");
-        o.member = r.node();
+        o.endpoint = r.node();
         const auto result = toResult(r.get<std::uint16_t>("outcome"));
         o.latency = Time(r.get<std::uint32_t>("latency"));
-        o.closed = r.get<std::uint8_t>("closed") != 0;
-        o.note = r.get<std::uint32_t>("note");
+        o.requestClosed = r.get<std::uint8_t>("closed") != 0;
+        // The note: 4 x position in ms after the epoch, + 1 from a primary, + 2 from a replica; 0: nothing.
+        const auto note = r.get<std::uint32_t>("note");
+        o.role = note % 4 == 1 ? Role::Primary : note % 4 == 2 ? Role::Replica : Role::Unknown;
+        if (inst && note / 4 > 0) o.position = inst->zero + std::chrono::milliseconds(note / 4);
         o.report = r.report();
-        o.result = result.value_or(Result::Error);  // an ending of a later version proves nothing
-        tell([&](Balancer& b) { b.outcome(now, o); });
+        o.status = result.value_or(AttemptStatus::Error);  // an ending of a later version proves nothing
+        tell([&](LoadBalancer& b) { b.onAttemptOutcome(now, o); });
         break;
       }
       case kGone: {
         const auto id = r.get<std::uint32_t>("request");
-        tell([&](Balancer& b) { b.clientLeft(now, id); });
+        tell([&](LoadBalancer& b) { b.onClientLeft(now, id); });
         break;
       }
       case kBell: {
-        const auto token = r.get<std::uint64_t>("token");
-        tell([&](Balancer& b) { b.timer(now, token); });
+        const auto token = TimerToken::decode(r.get<std::uint64_t>("token"));
+        tell([&](LoadBalancer& b) { b.onTimer(now, token); });
         break;
       }
       case kHealth: {
-        Probe p;
-        p.member = r.node();
+        HealthCheckResult p;
+        p.endpoint = r.node();
         p.latency = Time(r.get<std::uint32_t>("latency"));
         p.ok = r.get<std::uint16_t>("outcome") == 0;
         p.report = r.report();
-        tell([&](Balancer& b) { b.probed(now, p); });
+        tell([&](LoadBalancer& b) { b.onHealthCheck(now, p); });
         break;
       }
       case kFromPeer: {
         r.get<std::uint32_t>("sender");
         if (r.get<std::uint16_t>("message length") != kWordBytes) break;  // a later version's
-        Word w;
-        w.member = r.node();
+        GossipMessage w;
+        w.endpoint = r.node();
         const std::chrono::milliseconds position(r.get<std::uint32_t>("position"));
         w.primary = r.get<std::uint8_t>("role") != 0;
-        w.inflight = r.get<std::uint8_t>("inflight");
+        w.inFlight = r.get<std::uint8_t>("inflight");
         if (inst) w.position = inst->zero + position;
-        tell([&](Balancer& b) { b.heard(now, w); });
+        tell([&](LoadBalancer& b) { b.onGossip(now, w); });
         break;
       }
       default:
@@ -496,30 +506,31 @@
       std::uint8_t head[4];
       const std::size_t got = readAll(in, head, sizeof head);
       if (got == 0) return 0;
-      if (got < sizeof head) throw Malformed("input ends inside a frame's length", offset + got);
+      if (got < sizeof head) throw MalformedFrame("input ends inside a frame's length", offset + got);
       std::uint32_t size = 0;
       std::memcpy(&size, head, sizeof size);
-      if (size < 8 || size > kLongestFrame) throw Malformed("frame length " + std::to_string(size), offset);
+      if (size < 8 || size > kLongestFrame)
+        throw MalformedFrame("frame length " + std::to_string(size), offset);
       offset += sizeof head;
       batch.resize(size);
       const std::size_t have = readAll(in, batch.data(), size);
-      if (have < size) throw Malformed("input ends inside a frame", offset + have);
+      if (have < size) throw MalformedFrame("input ends inside a frame", offset + have);
       const std::vector<std::uint8_t> reply = host.handle(batch.data(), size, offset);
       offset += size;
       for (std::size_t at = 0; at < reply.size();) {
         const ssize_t k = ::write(out, reply.data() + at, reply.size() - at);
         if (k < 0 && errno == EINTR) continue;
         if (k <= 0) {
-          std::fprintf(stderr, "knotstack_wirehost: the reply could not be written\n");
+          std::fprintf(stderr, "stonebay_simhost: the reply could not be written\n");
           return 1;
         }
         at += static_cast<std::size_t>(k);
       }
     }
-  } catch (const Malformed& e) {
-    std::fprintf(stderr, "knotstack_wirehost: %s\n", e.what());
+  } catch (const MalformedFrame& e) {
+    std::fprintf(stderr, "stonebay_simhost: %s\n", e.what());
     return 1;
   }
 }
 
-}  // namespace knotstack::wire
+}  // namespace stonebay::simulator
--- a/src/wire.hpp
+++ b/src/simulator/adapter.hpp
@@ -8,23 +8,23 @@
 #include <string>
 #include <vector>
 
-#include "knotstack/balancer.hpp"
+#include "stonebay/load_balancer.hpp"
 
-namespace knotstack::wire {
+namespace stonebay::simulator {
 
 // A frame that cannot be read; `at` counts bytes from the start of the input.
-struct Malformed : std::runtime_error {
-  Malformed(const std::string& what, std::uint64_t at)
+struct MalformedFrame : std::runtime_error {
+  MalformedFrame(const std::string& what, std::uint64_t at)
       : std::runtime_error(what + " at byte " + std::to_string(at)) {}
 };
 // A setting that is missing or unreadable.
-struct BadSetting : std::runtime_error {
+struct InvalidSetting : std::runtime_error {
   using std::runtime_error::runtime_error;
 };
 
-Settings parseSettings(const std::string& facts);  // throws BadSetting with the key and the value
+Settings parseSettings(const std::string& facts);  // throws InvalidSetting with the key and the value
 
-// One process: any number of instances, each with a Balancer of its own.
+// One process: any number of instances, each with a LoadBalancer of its own.
 class Host {
  public:
   Host();
@@ -36,10 +36,10 @@
  private:
   struct Instance;
   std::map<std::uint16_t, std::unique_ptr<Instance>> instances_;
-  std::map<std::uint32_t, std::vector<ListedMember>> lists_;
+  std::map<std::uint32_t, std::vector<EndpointUpdate>> lists_;
 };
 
 // Reads batches until the input ends. 0: it ended between frames; 1: it was malformed (one line on stderr).
 int run(int in, int out);
 
-}  // namespace knotstack::wire
+}  // namespace stonebay::simulator
--- /dev/null
+++ b/src/simulator/host.cpp
@@ -0,0 +1,3 @@
+#include "simulator/adapter.hpp"
+
+int main() { return stonebay::simulator::run(0, 1); }
--- a/src/back/pg/upstream.cpp
+++ b/src/upstream/pg/connection_pool.cpp
@@ -1,4 +1,4 @@
-#include "back/pg/upstream.hpp"
+#include "upstream/pg/connection_pool.hpp"
 
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -11,11 +11,11 @@
 
 #include "log/log.hpp"
 
-namespace sablespur {
+namespace stonebay {
 namespace {
 
 // Connections kept idle for each member that is ready. Guards against probes and first requests that pay for
-// a dial: the Balancer takes a probe that is not answered within some ms for silence.
+// a dial: the LoadBalancer takes a probe that is not answered within some ms for silence.
 constexpr std::size_t kWarm = 2;
 // What all proxies together keep so at one member. Guards its table, which holds only so many connections,
 // costs it more the fuller it is, and turns away those that have something to ask: a large fleet dials on
@@ -50,24 +50,24 @@
 }  // namespace
 
 // One attempt or one probe.
-struct Upstream::Job {
+struct ConnectionPool::UpstreamRequest {
   RequestId id = 0;  // 0: a probe
   int attempt = 0;
-  MemberId member = 0;
+  EndpointId member = 0;
   Time until{};
-  std::shared_ptr<const Message> message;
+  std::shared_ptr<const ForwardedRequest> message;
   Connection* on = nullptr;  // null: it waits for a connection
   bool written = false;      // a byte of it may have gone out
   int broken = 0;            // probes: connections that ended under it
-  Upstream* owner = nullptr;
+  ConnectionPool* owner = nullptr;
   Event timer;
   bool probe() const { return id == 0; }
 };
 
 // A connection belongs to its Upstream, which frees it; a job on it is only pointed at.
-class Upstream::Connection {
+class ConnectionPool::Connection {
  public:
-  Connection(Upstream& owner, MemberId to, const Address& at)
+  Connection(ConnectionPool& owner, EndpointId to, const Address& at)
       : owner_(owner),
         member(to),
         address(at),
@@ -80,7 +80,7 @@
     const bool refused =
         bufferevent_socket_connect(bev_.get(), address.data(), static_cast<int>(address.size())) != 0;
     // A connect that fails at once is told by the timer: this call's own caller is not done yet.
-    startTimer(timer.get(), refused ? Time(0) : owner.config_.dialTimeout);
+    startTimer(timer.get(), refused ? Time(0) : owner.config_.connectTimeout);
     bufferevent_setcb(
         bev_.get(), [](bufferevent*, void* self) { static_cast<Connection*>(self)->read(); }, nullptr,
         [](bufferevent*, short what, void* self) { static_cast<Connection*>(self)->event(what); }, this);
@@ -104,15 +104,15 @@
            recv(bufferevent_getfd(bev_.get()), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
            (errno == EAGAIN || errno == EWOULDBLOCK);
   }
-  bool badStatement() const { return job && badStatement_; }
-  void begin(Job& j) {
+  bool invalidStatement() const { return job && invalidStatement_; }
+  void begin(UpstreamRequest& j) {
     job = &j;
     j.on = this;
     event_del(timer.get());
     answer_ = newBuffer();
-    result_ = Result::Reset;
+    result_ = AttemptStatus::Reset;
     stage_ = Stage::Start;
-    badStatement_ = false;
+    invalidStatement_ = false;
     role_ = Role::Unknown;
     positionMs_ = 0;
     report_.reset();
@@ -213,13 +213,13 @@
         if (e.code.empty()) return malformed("a malformed error");
         stage_ = Stage::Failed;
         // Syntax, data, protocol: the statement is at fault.
-        badStatement_ = e.code.substr(0, 2) == "42" || e.code.substr(0, 2) == "22" || e.code == "08P01";
-        result_ = e.code == "53300"                        ? Result::Full
-                  : dialing                                ? Result::ConnectFailed
-                  : e.code == "25006" || e.code == "72000" ? Result::Miss
-                                                           : Result::Error;
+        invalidStatement_ = e.code.substr(0, 2) == "42" || e.code.substr(0, 2) == "22" || e.code == "08P01";
+        result_ = e.code == "53300"                        ? AttemptStatus::Rejected
+                  : dialing                                ? AttemptStatus::ConnectFailed
+                  : e.code == "25006" || e.code == "72000" ? AttemptStatus::TooStale
+                                                           : AttemptStatus::Error;
         // A probe's "not ready" is its answer; a line for each would crowd out those of requests.
-        if (result_ == Result::Error && e.code != "XX000" && job && !job->probe())
+        if (result_ == AttemptStatus::Error && e.code != "XX000" && job && !job->probe())
           logEvent(LogLevel::Warning, "server_error", {{"code", e.code}, {"text", e.text}});
         failure_ = result_;
         if (!dialing && e.severity != "FATAL") return true;
@@ -242,7 +242,7 @@
       case 'R':
         if (body.size() == 4 && pg::readInt32(body.data()) == 0) return true;
         logEvent(LogLevel::Warning, "server_wants_password");
-        owner_.lost(*this, Result::ConnectFailed);
+        owner_.lost(*this, AttemptStatus::ConnectFailed);
         return false;
       case 'T':
         if (!pg::isRowDescription(body)) return malformed("a malformed description");
@@ -259,7 +259,7 @@
       case 'Z':
         if (body.size() != 1 || std::string_view("ITE").find(body[0]) == std::string_view::npos)
           return malformed("a malformed end");
-        failure_ = Result::Reset;
+        failure_ = AttemptStatus::Reset;
         if (!dialing) conclude();
         return true;
       default:
@@ -268,55 +268,55 @@
   }
 
   void conclude() {
-    Job& j = *job;
+    UpstreamRequest& j = *job;
     job = nullptr;
     j.on = nullptr;
     event_del(timer.get());
     if (j.probe()) return owner_.finishProbe(j, report_.has_value(), report_.value_or(""));
-    Ending e;
-    e.result = stage_ == Stage::Failed ? result_ : Result::Ok;
-    e.badStatement = badStatement_;
+    AttemptResult e;
+    e.status = stage_ == Stage::Failed ? result_ : AttemptStatus::Ok;
+    e.invalidStatement = invalidStatement_;
     e.role = role_;
     e.positionMs = positionMs_;
     if (!load_.empty()) e.report = owner_.believed(load_);
-    if (e.result == Result::Ok) e.answer = std::move(answer_);
+    if (e.status == AttemptStatus::Ok) e.response = std::move(answer_);
     owner_.finish(j, std::move(e));
   }
 
-  Upstream& owner_;
+  ConnectionPool& owner_;
   BufferEvent bev_;
-  Result failure_ = Result::ConnectFailed;  // what its end means now
-  Result result_ = Result::Reset;           // of the job, once told by an ErrorResponse
+  AttemptStatus failure_ = AttemptStatus::ConnectFailed;  // what its end means now
+  AttemptStatus result_ = AttemptStatus::Reset;           // of the job, once told by an ErrorResponse
   Buffer answer_;
   enum class Stage { Start, Described, Row, Complete, Failed } stage_ = Stage::Start;  // of the answer
-  bool badStatement_ = false;
+  bool invalidStatement_ = false;
   Role role_ = Role::Unknown;
   std::int64_t positionMs_ = 0;
   std::optional<std::string> report_;  // that a probe asked for
   std::string load_;                   // the report that came with an answer
 
  public:
-  const MemberId member;
+  const EndpointId member;
   const Address address;
   bool dialing = true;  // no ReadyForQuery has come yet
-  Job* job = nullptr;
+  UpstreamRequest* job = nullptr;
   Event timer;  // of the dial, then of idleness
 };
 
-Upstream::Upstream(event_base* base, Engine& engine, const Config& config)
+ConnectionPool::ConnectionPool(event_base* base, Dispatcher& dispatcher, const Config& config)
     : base_(base),
-      engine_(engine),
+      dispatcher_(dispatcher),
       config_(config),
-      most_(config.serverConnections),
-      warm_(std::min(kWarm, kWarmOfAll / static_cast<std::size_t>(config.settings.balancers))),
+      most_(config.maxServerConnections),
+      warm_(std::min(kWarm, kWarmOfAll / static_cast<std::size_t>(config.settings.proxyCount))),
       upkeep_(event_new(
           base, -1, EV_PERSIST,
-          [](evutil_socket_t, short, void* self) { static_cast<Upstream*>(self)->keepWarm(); }, this)) {
+          [](evutil_socket_t, short, void* self) { static_cast<ConnectionPool*>(self)->keepWarm(); }, this)) {
   startTimer(upkeep_.get(), kUpkeep);
 }
-Upstream::~Upstream() = default;
+ConnectionPool::~ConnectionPool() = default;
 
-void Upstream::listed(MemberId id, const Address& address, bool ready) {
+void ConnectionPool::updateEndpoint(EndpointId id, const Address& address, bool ready) {
   Endpoint& e = endpoints_[id];
   const bool moved = !address.none() && address != e.address;
   if (moved) e.address = address;
@@ -325,8 +325,8 @@
   keepWarm();
 }
 
-void Upstream::keepWarm() {
-  const Time now = engine_.now();
+void ConnectionPool::keepWarm() {
+  const Time now = dispatcher_.now();
   for (auto& [id, e] : endpoints_) {
     if (!e.ready || now < e.dialAgain) continue;
     while (e.idle.size() + static_cast<std::size_t>(e.dialing) < warm_ + e.waiting.size() &&
@@ -335,7 +335,7 @@
   }
 }
 
-bool Upstream::makeRoom() {
+bool ConnectionPool::makeRoom() {
   if (connections_.size() < most_) return true;
   for (auto& [id, e] : endpoints_)
     if (!e.idle.empty()) {
@@ -345,16 +345,16 @@
   return false;
 }
 
-void Upstream::dial(MemberId id, Endpoint& e) {
+void ConnectionPool::dial(EndpointId id, Endpoint& e) {
   auto c = std::make_unique<Connection>(*this, id, e.address);
   ++e.dialing;
   connections_.emplace(c.get(), std::move(c));
 }
 
 // ---- jobs ------------------------------------------------------------------------------------------------
-void Upstream::send(RequestId id, int attempt, MemberId member, Time until,
-                    std::shared_ptr<const Message> message) {
-  auto j = std::make_unique<Job>();
+void ConnectionPool::send(RequestId id, int attempt, EndpointId member, Time until,
+                          std::shared_ptr<const ForwardedRequest> message) {
+  auto j = std::make_unique<UpstreamRequest>();
   j->id = id;
   j->attempt = attempt;
   j->member = member;
@@ -363,15 +363,15 @@
   run(*attempts_.emplace(AttemptKey(id, attempt), std::move(j)).first->second);
 }
 
-void Upstream::probe(MemberId member) {
+void ConnectionPool::checkHealth(EndpointId member) {
   Endpoint& e = endpoints_[member];
-  e.probe = std::make_unique<Job>();
+  e.probe = std::make_unique<UpstreamRequest>();
   e.probe->member = member;
-  e.probe->until = engine_.now() + config_.dialTimeout;
+  e.probe->until = dispatcher_.now() + config_.connectTimeout;
   run(*e.probe);
 }
 
-void Upstream::forget(MemberId id) {
+void ConnectionPool::removeEndpoint(EndpointId id) {
   std::vector<Connection*> all;
   for (const auto& [c, owned] : connections_)
     if (c->member == id) all.push_back(c);
@@ -379,15 +379,15 @@
   endpoints_.erase(id);
 }
 
-void Upstream::run(Job& j) {
+void ConnectionPool::run(UpstreamRequest& j) {
   j.owner = this;
   j.timer.reset(event_new(
       base_, -1, 0,
       [](evutil_socket_t, short, void* of) {
-        static_cast<Job*>(of)->owner->timedOut(*static_cast<Job*>(of));
+        static_cast<UpstreamRequest*>(of)->owner->timedOut(*static_cast<UpstreamRequest*>(of));
       },
       &j));
-  startTimer(j.timer.get(), j.until - engine_.now());
+  startTimer(j.timer.get(), j.until - dispatcher_.now());
   Endpoint& e = endpoints_[j.member];
   while (!e.idle.empty()) {
     Connection& c = *e.idle.back();
@@ -401,18 +401,18 @@
   }
   if (!makeRoom()) {  // by the limits on clients there is room for all that they can ask at once
     logEvent(LogLevel::Warning, "server_connections_full", {{"most", most_}});
-    Ending none;
-    none.result = Result::Moot;
+    AttemptResult none;
+    none.status = AttemptStatus::NotSent;
     return j.probe() ? finishProbe(j, false) : finish(j, std::move(none));
   }
   e.waiting.push_back(&j);
   if (static_cast<std::size_t>(e.dialing) < e.waiting.size()) dial(j.member, e);
 }
 
-bool Upstream::stands(Connection& c) {
+bool ConnectionPool::stands(Connection& c) {
   Endpoint& e = endpoints_[c.member];
   if (c.address != e.address) {  // the member has moved meanwhile
-    const MemberId id = c.member;
+    const EndpointId id = c.member;
     drop(c);
     if (e.waiting.size() > static_cast<std::size_t>(e.dialing)) dial(id, e);
     return false;
@@ -420,14 +420,14 @@
   if (c.dialing) e.dialing -= 1;
   c.dialing = false;
   if (!e.waiting.empty()) {
-    Job& j = *e.waiting.front();
+    UpstreamRequest& j = *e.waiting.front();
     e.waiting.pop_front();
     c.begin(j);
     // An attempt that had to wait is looked at again: drains and the data's age count from the bytes sent.
     if (j.probe())
       write(j);
     else
-      engine_.connected(j.id, j.attempt);
+      dispatcher_.onConnected(j.id, j.attempt);
     return true;
   }
   if (!e.ready) {
@@ -436,30 +436,30 @@
   }
   e.idle.push_back(&c);
   startTimer(c.timer.get(),
-             Time(static_cast<std::int64_t>(static_cast<double>(config_.idleClose.count()) * kIdleShare)));
+             Time(static_cast<std::int64_t>(static_cast<double>(config_.idleTimeout.count()) * kIdleShare)));
   return true;
 }
 
-void Upstream::start(RequestId id, int attempt, bool fit) {
+void ConnectionPool::resumeAttempt(RequestId id, int attempt, bool fit) {
   const auto it = attempts_.find({id, attempt});
   if (it == attempts_.end() || !it->second->on || it->second->written) return;
-  Job& j = *it->second;
+  UpstreamRequest& j = *it->second;
   if (fit) return write(j);
   Connection& c = *j.on;
   c.job = nullptr;
   j.on = nullptr;
-  Ending none;
-  none.result = Result::Moot;
+  AttemptResult none;
+  none.status = AttemptStatus::NotSent;
   finish(j, std::move(none));
   stands(c);
 }
 
-void Upstream::write(Job& j) {
+void ConnectionPool::write(UpstreamRequest& j) {
   evbuffer* const out = j.on->output();
   j.written = true;
   if (j.probe()) return append(out, pg::query("SHOW load"));
   // The statement goes on as it came, by reference, but for the time that is left.
-  const auto left = std::max<std::int64_t>((j.until - engine_.now()).count() / 1000, 1);
+  const auto left = std::max<std::int64_t>((j.until - dispatcher_.now()).count() / 1000, 1);
   const std::string digits = std::to_string(left);
   const std::size_t length = evbuffer_get_length(j.message->before.get()) + digits.size() +
                              evbuffer_get_length(j.message->after.get());
@@ -469,12 +469,12 @@
   evbuffer_add_buffer_reference(out, j.message->after.get());
 }
 
-void Upstream::cancel(RequestId id, int attempt) {
+void ConnectionPool::cancel(RequestId id, int attempt) {
   const auto it = attempts_.find({id, attempt});
   if (it == attempts_.end()) return;  // its end is on the way already
-  Job& j = *it->second;
-  Ending e;
-  e.result = j.written ? Result::Cancelled : Result::Moot;
+  UpstreamRequest& j = *it->second;
+  AttemptResult e;
+  e.status = j.written ? AttemptStatus::Cancelled : AttemptStatus::NotSent;
   if (Connection* const c = j.on) {
     j.on = nullptr;
     c->job = nullptr;
@@ -486,9 +486,9 @@
   finish(j, std::move(e));
 }
 
-void Upstream::timedOut(Job& j) {
-  Ending e;
-  e.result = j.written ? Result::Timeout : Result::Moot;  // what never left did not run
+void ConnectionPool::timedOut(UpstreamRequest& j) {
+  AttemptResult e;
+  e.status = j.written ? AttemptStatus::Timeout : AttemptStatus::NotSent;  // what never left did not run
   if (Connection* const c = j.on) {
     j.on = nullptr;
     c->job = nullptr;
@@ -500,37 +500,37 @@
   // a silent connection it is lost until its deadline, and may have run.
   Endpoint& endpoint = endpoints_[j.member];
   dropIdle(endpoint);
-  endpoint.dialAgain = engine_.now() + kDialAgain;
+  endpoint.dialAgain = dispatcher_.now() + kDialAgain;
   finishProbe(j, false);
 }
 
-void Upstream::finish(Job& j, Ending e) {
+void ConnectionPool::finish(UpstreamRequest& j, AttemptResult e) {
   auto& waiting = endpoints_[j.member].waiting;
   waiting.erase(std::remove(waiting.begin(), waiting.end(), &j), waiting.end());
-  engine_.ended(j.id, j.attempt, j.member, std::move(e));
+  dispatcher_.onAttemptEnded(j.id, j.attempt, j.member, std::move(e));
   attempts_.erase({j.id, j.attempt});
 }
 
-void Upstream::finishProbe(Job& j, bool ok, std::string_view report) {
+void ConnectionPool::finishProbe(UpstreamRequest& j, bool ok, std::string_view report) {
   Endpoint& e = endpoints_[j.member];
   e.waiting.erase(std::remove(e.waiting.begin(), e.waiting.end(), &j), e.waiting.end());
-  engine_.probed(j.member, ok, ok ? believed(report) : std::vector<double>());
+  dispatcher_.onHealthCheck(j.member, ok, ok ? believed(report) : std::vector<double>());
   e.probe.reset();
 }
 
 // The figures of a report, or none where one of them cannot be: a spoilt report is no fact. A data server
 // that has nothing to report yet answers all the same, with an empty row: it is no silence.
-std::vector<double> Upstream::believed(std::string_view report) const {
-  const double now = static_cast<double>(engine_.now().count()) / 1e6;
+std::vector<double> ConnectionPool::believed(std::string_view report) const {
+  const double now = static_cast<double>(dispatcher_.now().count()) / 1e6;
   std::vector<double> figures(config_.reportNames.size());
   for (std::size_t k = 0; k < figures.size(); ++k) {
     double& v = figures[k];
     if (!figure(report, config_.reportNames[k], v) || !std::isfinite(v)) return {};
-    switch (config_.settings.figures[k]) {
-      case knotstack::Figure::Position:
+    switch (config_.settings.reportFields[k]) {
+      case ReportField::Position:
         if (v < 0 || v > now + 1) return {};
         break;
-      case knotstack::Figure::Primary:
+      case ReportField::Primary:
         if (v != 0 && v != 1) return {};
         break;
       default:
@@ -541,12 +541,12 @@
 }
 
 // ---- the end of connections ------------------------------------------------------------------------------
-void Upstream::lost(Connection& c, Result how) {
+void ConnectionPool::lost(Connection& c, AttemptStatus how) {
   Endpoint& e = endpoints_[c.member];
-  Job* const j = c.job;
-  const bool dialing = c.dialing, badStatement = c.badStatement();
+  UpstreamRequest* const j = c.job;
+  const bool dialing = c.dialing, invalidStatement = c.invalidStatement();
   // Written to the last byte it may have run; before that it never has.
-  if (j && how == Result::Reset && (!j->written || !c.flushed())) how = Result::ConnectFailed;
+  if (j && how == AttemptStatus::Reset && (!j->written || !c.flushed())) how = AttemptStatus::ConnectFailed;
   if (j) {
     j->on = nullptr;
     c.job = nullptr;
@@ -559,9 +559,9 @@
   }
   if (j && j->probe()) return finishProbe(*j, false);
   if (j) {
-    Ending ending;
-    ending.result = how;
-    ending.badStatement = badStatement;
+    AttemptResult ending;
+    ending.status = how;
+    ending.invalidStatement = invalidStatement;
     return finish(*j, std::move(ending));
   }
   if (dialing) dialFailed(e, how);
@@ -569,10 +569,10 @@
 
 // What cannot be an answer, or stands where none is due. An attempt that was written may have run; a probe
 // was answered, however badly: its member lives.
-void Upstream::spoilt(Connection& c, const char* what) {
+void ConnectionPool::spoilt(Connection& c, const char* what) {
   logEvent(LogLevel::Warning, "server_spoilt", {{"what", what}});
   Endpoint& e = endpoints_[c.member];
-  Job* const j = c.job;
+  UpstreamRequest* const j = c.job;
   const bool dialing = c.dialing, ran = j && j->written && c.flushed();
   if (j) {
     j->on = nullptr;
@@ -580,35 +580,35 @@
   }
   drop(c);
   if (!j) {
-    if (dialing) dialFailed(e, Result::ConnectFailed);
+    if (dialing) dialFailed(e, AttemptStatus::ConnectFailed);
     return;
   }
   if (j->probe()) return finishProbe(*j, true);
-  Ending ending;
-  ending.result = ran ? Result::Error : Result::Moot;
+  AttemptResult ending;
+  ending.status = ran ? AttemptStatus::Error : AttemptStatus::NotSent;
   finish(*j, std::move(ending));
 }
 
-void Upstream::dialFailed(Endpoint& e, Result how) {
-  e.dialAgain = engine_.now() + kDialAgain;
+void ConnectionPool::dialFailed(Endpoint& e, AttemptStatus how) {
+  e.dialAgain = dispatcher_.now() + kDialAgain;
   if (e.waiting.size() <= static_cast<std::size_t>(e.dialing)) return;
-  Job& j = *e.waiting.front();
+  UpstreamRequest& j = *e.waiting.front();
   if (j.probe()) return finishProbe(j, false);
-  Ending ending;
-  ending.result = how;
+  AttemptResult ending;
+  ending.status = how;
   finish(j, std::move(ending));
 }
 
-void Upstream::dropIdle(Endpoint& e) {
+void ConnectionPool::dropIdle(Endpoint& e) {
   const std::vector<Connection*> idle = e.idle;
   for (Connection* c : idle) drop(*c);
 }
 
-void Upstream::drop(Connection& c) {
+void ConnectionPool::drop(Connection& c) {
   Endpoint& e = endpoints_[c.member];
   if (c.dialing) e.dialing -= 1;
   e.idle.erase(std::remove(e.idle.begin(), e.idle.end(), &c), e.idle.end());
   connections_.erase(&c);
 }
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/core/clock.hpp
+++ b/src/util/clock.hpp
@@ -3,7 +3,7 @@
 
 #include <chrono>
 
-namespace sablespur {
+namespace stonebay {
 
 // Wall time, read once at the start and advanced by the monotonic clock: it never goes back. Microseconds
 // since 1970.
@@ -22,4 +22,4 @@
   std::chrono::steady_clock::time_point start_;
 };
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/base/fault.hpp
+++ b/src/util/config_error.hpp
@@ -3,10 +3,10 @@
 
 #include <string>
 
-namespace sablespur {
+namespace stonebay {
 
 // `line` 0: the file as a whole.
-struct Fault {
+struct ConfigError {
   std::string file;
   int line = 0;
   std::string where;  // "[section] key", or empty
@@ -17,4 +17,4 @@
   }
 };
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/core/event.hpp
+++ b/src/util/event.hpp
@@ -10,7 +10,7 @@
 #include <memory>
 #include <string_view>
 
-namespace sablespur {
+namespace stonebay {
 
 struct Free {
   void operator()(event_base* p) const { event_base_free(p); }
@@ -35,4 +35,4 @@
   event_add(timer, &tv);
 }
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/core/hash.hpp
+++ b/src/util/hash.hpp
@@ -4,7 +4,7 @@
 #include <cstdint>
 #include <string_view>
 
-namespace sablespur {
+namespace stonebay {
 
 inline std::uint64_t fnv1a(std::string_view text) {
   std::uint64_t h = 0xcbf29ce484222325ull;
@@ -12,4 +12,4 @@
   return h;
 }
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/base/ini.cpp
+++ b/src/util/ini.cpp
@@ -1,10 +1,10 @@
-#include "base/ini.hpp"
+#include "util/ini.hpp"
 
 #include <ini.h>
 
 #include <algorithm>
 
-namespace sablespur {
+namespace stonebay {
 namespace {
 
 constexpr std::string_view kBlank = " \t\r";
@@ -93,4 +93,4 @@
   return std::move(r.file);
 }
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/base/ini.hpp
+++ b/src/util/ini.hpp
@@ -10,9 +10,9 @@
 #include <string_view>
 #include <vector>
 
-#include "base/fault.hpp"
+#include "util/config_error.hpp"
 
-namespace sablespur {
+namespace stonebay {
 
 struct IniEntry {
   std::string key, value;
@@ -26,11 +26,11 @@
 };
 struct IniFile {
   std::vector<IniSection> sections;  // as they stand; the same title may come again
-  std::vector<Fault> faults;         // lines that are no INI
+  std::vector<ConfigError> faults;   // lines that are no INI
 };
 
 // In the sections of the types named raw every line that is no header is an entry by itself, with the key ""
 // and the line, without a comment behind it, as its value.
 IniFile parseIni(std::string_view text, const std::string& file, const std::set<std::string>& raw = {});
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/base/units.cpp
+++ b/src/util/units.cpp
@@ -1,4 +1,4 @@
-#include "base/units.hpp"
+#include "util/units.hpp"
 
 #include <algorithm>
 #include <charconv>
@@ -7,7 +7,7 @@
 #include <optional>
 #include <vector>
 
-namespace sablespur {
+namespace stonebay {
 namespace {
 
 struct Unit {
@@ -145,4 +145,4 @@
   return found;
 }
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/src/base/units.hpp
+++ b/src/util/units.hpp
@@ -8,7 +8,7 @@
 #include <string_view>
 #include <variant>
 
-namespace sablespur {
+namespace stonebay {
 
 struct Wrong {
   std::string problem, fix;
@@ -29,4 +29,4 @@
 // The word of the list that is at most two edits away, the nearest; empty where there is none.
 std::string nearestWord(std::string_view word, const std::string* first, const std::string* last);
 
-}  // namespace sablespur
+}  // namespace stonebay
--- a/lab/audit.cpp
+++ b/testbed/audit.cpp
@@ -1,10 +1,10 @@
-#include "lab/audit.hpp"
+#include "testbed/audit.hpp"
 
 #include <algorithm>
 
-#include "lab/quantiles.hpp"
+#include "testbed/quantiles.hpp"
 
-namespace sablespur::lab {
+namespace stonebay::testbed {
 namespace {
 
 constexpr const char* kGotNames[] = {"served", "refused", "failed", "late", "unanswered"};
@@ -170,4 +170,4 @@
   return f;
 }
 
-}  // namespace sablespur::lab
+}  // namespace stonebay::testbed
--- a/lab/audit.hpp
+++ b/testbed/audit.hpp
@@ -10,9 +10,9 @@
 #include <unordered_map>
 #include <vector>
 
-#include "lab/model.hpp"
+#include "testbed/model.hpp"
 
-namespace sablespur::lab {
+namespace stonebay::testbed {
 
 enum class Got {
   Served,
@@ -114,4 +114,4 @@
   std::map<std::string, std::uint64_t> count_;
 };
 
-}  // namespace sablespur::lab
+}  // namespace stonebay::testbed
--- a/lab/clients.cpp
+++ b/testbed/clients.cpp
@@ -1,4 +1,4 @@
-#include "lab/clients.hpp"
+#include "testbed/clients.hpp"
 
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -6,9 +6,9 @@
 #include <algorithm>
 #include <cstdlib>
 
-#include "wire/pg/pg.hpp"
+#include "codec/pg/pg.hpp"
 
-namespace sablespur::lab {
+namespace stonebay::testbed {
 namespace {
 
 constexpr Time kSlack = std::chrono::milliseconds(70);  // after the deadline an answer still counts as one
@@ -243,4 +243,4 @@
   }
 }
 
-}  // namespace sablespur::lab
+}  // namespace stonebay::testbed
--- a/lab/clients.hpp
+++ b/testbed/clients.hpp
@@ -9,11 +9,11 @@
 #include <string>
 #include <vector>
 
-#include "lab/audit.hpp"
-#include "lab/context.hpp"
-#include "lab/fleet.hpp"
+#include "testbed/audit.hpp"
+#include "testbed/context.hpp"
+#include "testbed/fleet.hpp"
 
-namespace sablespur::lab {
+namespace stonebay::testbed {
 
 struct ClientSettings {
   double rate = 60;   // requests a second, first tries
@@ -70,4 +70,4 @@
   std::vector<double> latencies_;
 };
 
-}  // namespace sablespur::lab
+}  // namespace stonebay::testbed
--- a/lab/context.hpp
+++ b/testbed/context.hpp
@@ -15,9 +15,9 @@
 #include <string>
 #include <string_view>
 
-#include "lab/model.hpp"
+#include "testbed/model.hpp"
 
-namespace sablespur::lab {
+namespace stonebay::testbed {
 
 struct Release {
   void operator()(event_base* p) const { event_base_free(p); }
@@ -88,4 +88,4 @@
 std::string addressText(const sockaddr_in&);  // with the port
 void put(bufferevent*, std::string_view);
 
-}  // namespace sablespur::lab
+}  // namespace stonebay::testbed
--- a/lab/experiment.cpp
+++ b/testbed/experiment.cpp
@@ -1,4 +1,4 @@
-#include "lab/experiment.hpp"
+#include "testbed/experiment.hpp"
 
 #include <algorithm>
 #include <fstream>
@@ -6,10 +6,10 @@
 #include <map>
 #include <sstream>
 
-#include "base/ini.hpp"
-#include "base/units.hpp"
+#include "util/ini.hpp"
+#include "util/units.hpp"
 
-namespace sablespur::lab {
+namespace stonebay::testbed {
 namespace {
 
 std::vector<std::string> split(const std::string& text) {
@@ -31,7 +31,7 @@
 
 class Reader {
  public:
-  Reader(const std::string& text, const std::string& path, std::vector<Fault>& faults)
+  Reader(const std::string& text, const std::string& path, std::vector<ConfigError>& faults)
       : path_(path), faults_(faults), file_(parseIni(text, path, {"script", "claims"})) {
     faults_.insert(faults_.end(), file_.faults.begin(), file_.faults.end());
   }
@@ -259,7 +259,7 @@
   }
 
   const std::string path_;
-  std::vector<Fault>& faults_;
+  std::vector<ConfigError>& faults_;
   const IniFile file_;
   Experiment e_;
   const IniSection* section_ = nullptr;
@@ -276,11 +276,12 @@
   return v >= value;
 }
 
-Experiment parseExperiment(const std::string& text, const std::string& file, std::vector<Fault>& faults) {
+Experiment parseExperiment(const std::string& text, const std::string& file,
+                           std::vector<ConfigError>& faults) {
   return Reader(text, file, faults).read();
 }
 
-Experiment readExperiment(const std::string& path, std::vector<Fault>& faults) {
+Experiment readExperiment(const std::string& path, std::vector<ConfigError>& faults) {
   std::ifstream in(path);
   std::stringstream text;
   text << in.rdbuf();
@@ -288,4 +289,4 @@
   return parseExperiment(text.str(), path, faults);
 }
 
-}  // namespace sablespur::lab
+}  // namespace stonebay::testbed
--- a/lab/experiment.hpp
+++ b/testbed/experiment.hpp
@@ -6,11 +6,11 @@
 #include <string>
 #include <vector>
 
-#include "base/fault.hpp"
-#include "lab/clients.hpp"
-#include "lab/fleet.hpp"
+#include "testbed/clients.hpp"
+#include "testbed/fleet.hpp"
+#include "util/config_error.hpp"
 
-namespace sablespur::lab {
+namespace stonebay::testbed {
 
 struct Claim {
   std::string text, figure, relation;
@@ -46,7 +46,8 @@
 };
 
 // Everything that is wrong with the file goes to `faults`; then the experiment is of no use.
-Experiment parseExperiment(const std::string& text, const std::string& file, std::vector<Fault>& faults);
-Experiment readExperiment(const std::string& path, std::vector<Fault>& faults);
+Experiment parseExperiment(const std::string& text, const std::string& file,
+                           std::vector<ConfigError>& faults);
+Experiment readExperiment(const std::string& path, std::vector<ConfigError>& faults);
 
-}  // namespace sablespur::lab
+}  // namespace stonebay::testbed
--- a/lab/rogue.cpp
+++ b/testbed/fault_injection.cpp
@@ -28,13 +28,13 @@
 #include <thread>
 #include <vector>
 
-#include "base/ini.hpp"
-#include "wire/dns/message.hpp"
-#include "wire/pg/pg.hpp"
+#include "codec/dns/message.hpp"
+#include "codec/pg/pg.hpp"
+#include "util/ini.hpp"
 
 namespace {
 
-using namespace sablespur;
+using namespace stonebay;
 
 struct Server {
   std::string name, group;
--- a/lab/fleet.cpp
+++ b/testbed/fleet.cpp
@@ -1,4 +1,4 @@
-#include "lab/fleet.hpp"
+#include "testbed/fleet.hpp"
 
 #include <arpa/inet.h>
 #include <netinet/tcp.h>
@@ -7,9 +7,9 @@
 #include <algorithm>
 #include <stdexcept>
 
-#include "wire/pg/pg.hpp"
+#include "codec/pg/pg.hpp"
 
-namespace sablespur::lab {
+namespace stonebay::testbed {
 namespace {
 
 std::string number32(std::uint32_t v) {
@@ -381,4 +381,4 @@
   for (const auto& s : servers_) audit_.cold(s->coldMultiple());
 }
 
-}  // namespace sablespur::lab
+}  // namespace stonebay::testbed
--- a/lab/fleet.hpp
+++ b/testbed/fleet.hpp
@@ -11,10 +11,10 @@
 #include <string>
 #include <vector>
 
-#include "lab/audit.hpp"
-#include "lab/context.hpp"
+#include "testbed/audit.hpp"
+#include "testbed/context.hpp"
 
-namespace sablespur::lab {
+namespace stonebay::testbed {
 
 struct ClassModel {
   std::string name;
@@ -138,4 +138,4 @@
   std::vector<std::unique_ptr<DataServer>> servers_;
 };
 
-}  // namespace sablespur::lab
+}  // namespace stonebay::testbed
--- a/lab/main.cpp
+++ b/testbed/main.cpp
@@ -1,4 +1,4 @@
-// sablespur-lab: experiments with real proxies and stand-ins for all else.
+// stonebay-testbed: experiments with real proxies and stand-ins for all else.
 #include <signal.h>
 #include <sys/resource.h>
 #include <unistd.h>
@@ -9,12 +9,12 @@
 #include <cstdlib>
 #include <filesystem>
 
-#include "lab/report.hpp"
-#include "lab/run.hpp"
+#include "testbed/report.hpp"
+#include "testbed/run.hpp"
 
 namespace {
 
-using namespace sablespur::lab;
+using namespace stonebay::testbed;
 namespace fs = std::filesystem;
 
 // Four stand-ins, one proxy, and a server that goes and comes back, for ever.
@@ -54,11 +54,11 @@
 )";
 
 std::string proxyBeside(const char* self) {
-  const fs::path p = fs::path(self).parent_path() / "sablespur";
-  return fs::exists(p) ? p.string() : "sablespur";
+  const fs::path p = fs::path(self).parent_path() / "stonebay";
+  return fs::exists(p) ? p.string() : "stonebay";
 }
 
-int complain(const std::vector<sablespur::Fault>& faults) {
+int complain(const std::vector<ConfigError>& faults) {
   for (const auto& f : faults) std::fprintf(stderr, "%s\n", f.text().c_str());
   return 1;
 }
@@ -78,7 +78,7 @@
   std::sort(files.begin(), files.end());
   int bad = 0;
   for (const auto& f : files) {
-    std::vector<sablespur::Fault> faults;
+    std::vector<ConfigError> faults;
     const Experiment e = readExperiment(f.string(), faults);
     bad |= faults.empty() ? 0 : complain(faults);
     std::printf("%-48s %4lld s  %s\n", f.string().c_str(),
@@ -88,7 +88,8 @@
 }
 
 int play(Experiment e, const std::string& program, std::string out, bool forEver) {
-  if (out.empty()) out = (fs::temp_directory_path() / ("sablespur-lab-" + std::to_string(getpid()))).string();
+  if (out.empty())
+    out = (fs::temp_directory_path() / ("stonebay-testbed-" + std::to_string(getpid()))).string();
   fs::create_directories(out);
   Run::Options o;
   o.program = program;
@@ -122,7 +123,8 @@
 int main(int argc, char** argv) {
   signal(SIGPIPE, SIG_IGN);
   raiseDescriptors();
-  CLI::App app{"sablespur-lab: experiments with real proxies and stand-ins for all else", "sablespur-lab"};
+  CLI::App app{"stonebay-testbed: experiments with real proxies and stand-ins for all else",
+               "stonebay-testbed"};
   app.require_subcommand(1);
   std::string file, out, program = proxyBeside(argv[0]), dir = "lab/experiments";
   std::int64_t seed = -1;
@@ -138,13 +140,13 @@
   CLI11_PARSE(app, argc, argv);
   try {
     if (listing->parsed()) return list(dir);
-    std::vector<sablespur::Fault> faults;
+    std::vector<ConfigError> faults;
     Experiment e = demo->parsed() ? parseExperiment(kDemo, "demo", faults) : readExperiment(file, faults);
     if (!faults.empty()) return complain(faults);
     if (seed >= 0) e.seed = static_cast<std::uint64_t>(seed);
     return play(std::move(e), program, out, demo->parsed());
   } catch (const std::exception& e) {
-    std::fprintf(stderr, "sablespur-lab: %s\n", e.what());
+    std::fprintf(stderr, "stonebay-testbed: %s\n", e.what());
     return 1;
   }
 }
--- a/lab/model.cpp
+++ b/testbed/model.cpp
@@ -1,8 +1,8 @@
-#include "lab/model.hpp"
+#include "testbed/model.hpp"
 
 #include <algorithm>
 
-namespace sablespur::lab {
+namespace stonebay::testbed {
 namespace {
 
 double seconds(Time t) { return static_cast<double>(t.count()) / 1e6; }
@@ -89,4 +89,4 @@
   standsAt_ = position;
 }
 
-}  // namespace sablespur::lab
+}  // namespace stonebay::testbed
--- a/lab/model.hpp
+++ b/testbed/model.hpp
@@ -14,7 +14,7 @@
 #include <deque>
 #include <optional>
 
-namespace sablespur::lab {
+namespace stonebay::testbed {
 
 using Time = std::chrono::microseconds;  // since the start of the run
 
@@ -82,4 +82,4 @@
   std::deque<Record> pending_;
 };
 
-}  // namespace sablespur::lab
+}  // namespace stonebay::testbed
--- a/lab/name_server.cpp
+++ b/testbed/name_server.cpp
@@ -1,4 +1,4 @@
-#include "lab/name_server.hpp"
+#include "testbed/name_server.hpp"
 
 #include <arpa/inet.h>
 #include <sys/socket.h>
@@ -7,7 +7,7 @@
 #include <algorithm>
 #include <stdexcept>
 
-namespace sablespur::lab {
+namespace stonebay::testbed {
 namespace {
 
 constexpr std::size_t kPlainUdp = 512;  // without EDNS0
@@ -311,4 +311,4 @@
   return bytes;
 }
 
-}  // namespace sablespur::lab
+}  // namespace stonebay::testbed
--- a/lab/name_server.hpp
+++ b/testbed/name_server.hpp
@@ -15,9 +15,9 @@
 #include <string>
 #include <vector>
 
-#include "wire/dns/message.hpp"
+#include "codec/dns/message.hpp"
 
-namespace sablespur::lab {
+namespace stonebay::testbed {
 
 struct ServiceInstance {
   std::string label;  // "s-1"
@@ -91,4 +91,4 @@
   Counts counts_;
 };
 
-}  // namespace sablespur::lab
+}  // namespace stonebay::testbed
--- a/lab/proxy_process.cpp
+++ b/testbed/proxy_process.cpp
@@ -1,4 +1,4 @@
-#include "lab/proxy_process.hpp"
+#include "testbed/proxy_process.hpp"
 
 #include <fcntl.h>
 #include <signal.h>
@@ -9,7 +9,7 @@
 #include <fstream>
 #include <stdexcept>
 
-namespace sablespur::lab {
+namespace stonebay::testbed {
 
 ProxyProcess::ProxyProcess(Context& c, std::string program, std::string settingsPath, std::string logPath)
     : c_(c), program_(std::move(program)), settings_(std::move(settingsPath)), log_(std::move(logPath)) {}
@@ -33,7 +33,7 @@
   if (pid_ == 0) {
     dup2(ends[1], 1);
     dup2(ends[1], 2);
-    execl(program_.c_str(), "sablespur", "serve", "--config", settings_.c_str(), static_cast<char*>(nullptr));
+    execl(program_.c_str(), "stonebay", "serve", "--config", settings_.c_str(), static_cast<char*>(nullptr));
     _exit(127);
   }
   close(ends[1]);
@@ -99,4 +99,4 @@
   return 0;
 }
 
-}  // namespace sablespur::lab
+}  // namespace stonebay::testbed
--- a/lab/proxy_process.hpp
+++ b/testbed/proxy_process.hpp
@@ -1,12 +1,12 @@
-// A real sablespur process: its settings, its log, its signals, what it uses.
+// A real stonebay process: its settings, its log, its signals, what it uses.
 #pragma once
 
 #include <functional>
 #include <string>
 
-#include "lab/context.hpp"
+#include "testbed/context.hpp"
 
-namespace sablespur::lab {
+namespace stonebay::testbed {
 
 class ProxyProcess {
  public:
@@ -35,4 +35,4 @@
   EventPtr readable_;
 };
 
-}  // namespace sablespur::lab
+}  // namespace stonebay::testbed
--- a/lab/quantiles.hpp
+++ b/testbed/quantiles.hpp
@@ -7,7 +7,7 @@
 #include <algorithm>
 #include <chrono>
 
-namespace sablespur::lab {
+namespace stonebay::testbed {
 
 class Quantiles {
  public:
@@ -32,4 +32,4 @@
   std::size_t n_ = 0;
 };
 
-}  // namespace sablespur::lab
+}  // namespace stonebay::testbed
--- a/lab/registry.cpp
+++ b/testbed/registry.cpp
@@ -1,9 +1,9 @@
-#include "lab/registry.hpp"
+#include "testbed/registry.hpp"
 
 #include <cstdio>
 #include <stdexcept>
 
-namespace sablespur::lab {
+namespace stonebay::testbed {
 namespace {
 
 constexpr Time kQuiet = std::chrono::seconds(2);  // an empty line comes so often
@@ -126,4 +126,4 @@
   while (on && !connections_.empty()) delete *connections_.begin();
 }
 
-}  // namespace sablespur::lab
+}  // namespace stonebay::testbed
--- a/lab/registry.hpp
+++ b/testbed/registry.hpp
@@ -7,9 +7,9 @@
 #include <set>
 #include <string>
 
-#include "lab/context.hpp"
+#include "testbed/context.hpp"
 
-namespace sablespur::lab {
+namespace stonebay::testbed {
 
 class Registry {
  public:
@@ -42,4 +42,4 @@
   ListenerPtr listener_;
 };
 
-}  // namespace sablespur::lab
+}  // namespace stonebay::testbed
--- a/lab/report.cpp
+++ b/testbed/report.cpp
@@ -1,4 +1,4 @@
-#include "lab/report.hpp"
+#include "testbed/report.hpp"
 
 #include <algorithm>
 #include <cstdio>
@@ -6,9 +6,9 @@
 #include <fstream>
 #include <map>
 
-#include "lab/quantiles.hpp"
+#include "testbed/quantiles.hpp"
 
-namespace sablespur::lab {
+namespace stonebay::testbed {
 namespace {
 
 const char* gotName(Got g) {
@@ -135,4 +135,4 @@
   return drawn;
 }
 
-}  // namespace sablespur::lab
+}  // namespace stonebay::testbed
--- a/lab/report.hpp
+++ b/testbed/report.hpp
@@ -3,12 +3,12 @@
 
 #include <string>
 
-#include "lab/run.hpp"
+#include "testbed/run.hpp"
 
-namespace sablespur::lab {
+namespace stonebay::testbed {
 
 // Writes to the directory; false: there is no gnuplot, so there are no charts (the page says so).
 bool writeReport(const std::string& directory, const Experiment&, const Outcome&, const Audit&, const Fleet&);
 std::string markdown(const Experiment&, const Outcome&, const Audit&, bool charts);
 
-}  // namespace sablespur::lab
+}  // namespace stonebay::testbed
--- a/lab/run.cpp
+++ b/testbed/run.cpp
@@ -1,4 +1,4 @@
-#include "lab/run.hpp"
+#include "testbed/run.hpp"
 
 #include <signal.h>
 #include <unistd.h>
@@ -8,9 +8,9 @@
 #include <fstream>
 #include <stdexcept>
 
-#include "lab/quantiles.hpp"
+#include "testbed/quantiles.hpp"
 
-namespace sablespur::lab {
+namespace stonebay::testbed {
 namespace {
 
 constexpr const char* kDomain = "lab.example.org";
@@ -365,4 +365,4 @@
   }
 }
 
-}  // namespace sablespur::lab
+}  // namespace stonebay::testbed
--- a/lab/run.hpp
+++ b/testbed/run.hpp
@@ -6,12 +6,12 @@
 #include <string>
 #include <vector>
 
-#include "lab/experiment.hpp"
-#include "lab/name_server.hpp"
-#include "lab/proxy_process.hpp"
-#include "lab/registry.hpp"
+#include "testbed/experiment.hpp"
+#include "testbed/name_server.hpp"
+#include "testbed/proxy_process.hpp"
+#include "testbed/registry.hpp"
 
-namespace sablespur::lab {
+namespace stonebay::testbed {
 
 struct Second {  // of the run, all proxies together
   double at = 0, cpu = 0, residentMb = 0;
@@ -86,4 +86,4 @@
   double dnsAtStart_ = 0;
 };
 
-}  // namespace sablespur::lab
+}  // namespace stonebay::testbed
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -8,10 +8,10 @@
 #include <sstream>
 
 #include "app/members.hpp"
-#include "base/units.hpp"
 #include "scenario.hpp"
+#include "util/units.hpp"
 
-namespace sablespur {
+namespace stonebay {
 namespace {
 
 using std::chrono::microseconds;
@@ -59,9 +59,9 @@
 std::string faults(const std::string& text) {
   try {
     parseSettings(text, "f.ini");
-  } catch (const BadSettings& e) {
+  } catch (const InvalidSettings& e) {
     std::string all;
-    for (const Fault& f : e.faults) all += f.text() + "\n";
+    for (const ConfigError& f : e.faults) all += f.text() + "\n";
     return all;
   }
   return "";
@@ -73,43 +73,44 @@
   EXPECT_EQ(c.discovery.text(), "127.0.0.1:8500");
   EXPECT_EQ(c.seed, 0x8c1f30d27a5be964u);
   EXPECT_EQ(c.classes, (std::vector<std::string>{"tour-read", "handset-write"}));
-  ASSERT_EQ(c.known.instances.size(), 2u);
-  EXPECT_EQ(c.known.instances[0].group, 3u);
-  EXPECT_EQ(c.known.instances[1].address.text(), "[::1]:6002");
+  ASSERT_EQ(c.knownEndpoints.instances.size(), 2u);
+  EXPECT_EQ(c.knownEndpoints.instances[0].group, 3u);
+  EXPECT_EQ(c.knownEndpoints.instances[1].address.text(), "[::1]:6002");
   const auto& write = c.settings.classes[1];
-  EXPECT_EQ(write.need, knotstack::Need::Write);
+  EXPECT_EQ(write.consistency, Consistency::Write);
   EXPECT_EQ(write.memory, microseconds(2000000));
-  EXPECT_EQ(write.lateWorth, 0.5);
+  EXPECT_EQ(write.latePriorityShare, 0.5);
 
   // The defaults are those that the platform's settings state today.
   test::Setting limits;
   limits.memoryMb = 64;
   const Config j = parseConfig(test::configuration(limits, 8500, {}));
-  EXPECT_EQ(c.clientConnections, j.clientConnections);
-  EXPECT_EQ(c.serverConnections, j.serverConnections);
-  EXPECT_EQ(c.largeStatements, j.largeStatements);
-  EXPECT_EQ(c.dialTimeout, j.dialTimeout);
-  EXPECT_EQ(c.idleClose, j.idleClose);
+  EXPECT_EQ(c.maxClientConnections, j.maxClientConnections);
+  EXPECT_EQ(c.maxServerConnections, j.maxServerConnections);
+  EXPECT_EQ(c.maxLargeStatementBytes, j.maxLargeStatementBytes);
+  EXPECT_EQ(c.connectTimeout, j.connectTimeout);
+  EXPECT_EQ(c.idleTimeout, j.idleTimeout);
   EXPECT_EQ(c.reportNames, j.reportNames);
   const auto &a = c.settings, &b = j.settings;
-  EXPECT_EQ(a.figures, b.figures);
-  EXPECT_EQ(a.checks, b.checks);
+  EXPECT_EQ(a.reportFields, b.reportFields);
+  EXPECT_EQ(a.staleReadPolicy, b.staleReadPolicy);
   EXPECT_EQ(a.discovery, b.discovery);
   EXPECT_EQ(a.reports, b.reports);
-  EXPECT_EQ(a.attemptsCap, b.attemptsCap);
-  EXPECT_EQ(a.drainGrace, b.drainGrace);
-  EXPECT_EQ(a.coldFor, b.coldFor);
-  EXPECT_EQ(a.fallFor, b.fallFor);
-  EXPECT_EQ(a.mustAskIn, b.mustAskIn);
+  EXPECT_EQ(a.maxAttempts, b.maxAttempts);
+  EXPECT_EQ(a.drainGracePeriod, b.drainGracePeriod);
+  EXPECT_EQ(a.slowStartWindow, b.slowStartWindow);
+  EXPECT_EQ(a.overloadWindow, b.overloadWindow);
+  EXPECT_EQ(a.maxPollInterval, b.maxPollInterval);
   EXPECT_EQ(a.maxRetryAfter, b.maxRetryAfter);
   EXPECT_EQ(a.step, b.step);
-  EXPECT_EQ(a.startCapacity, b.startCapacity);
-  EXPECT_EQ(a.fallMultiple, b.fallMultiple);
-  EXPECT_EQ(a.goalWhole, b.goalWhole);
-  EXPECT_EQ(a.goalWorstClass, b.goalWorstClass);
-  EXPECT_EQ(a.positionsInAnswers, b.positionsInAnswers);
-  EXPECT_EQ(a.tokensCarried, b.tokensCarried);
-  EXPECT_EQ(a.probing && a.cancel && a.retryAfter, b.probing && b.cancel && b.retryAfter);
+  EXPECT_EQ(a.initialCapacity, b.initialCapacity);
+  EXPECT_EQ(a.overloadFactor, b.overloadFactor);
+  EXPECT_EQ(a.totalServedGoal, b.totalServedGoal);
+  EXPECT_EQ(a.worstClassGoal, b.worstClassGoal);
+  EXPECT_EQ(a.positionsInResponses, b.positionsInResponses);
+  EXPECT_EQ(a.sessionTokensCarried, b.sessionTokensCarried);
+  EXPECT_EQ(a.healthChecksAllowed && a.cancel && a.retryAfter,
+            b.healthChecksAllowed && b.cancel && b.retryAfter);
 }
 
 TEST(Settings, FaultsNameFileLineKeyAndFix) {
@@ -181,7 +182,7 @@
   try {
     parseSettings(text, "f.ini");
     FAIL() << "no fault";
-  } catch (const BadInput& e) {
+  } catch (const InvalidInput& e) {
     EXPECT_NE(std::string(e.what()).find("(and 1 more)"), std::string::npos);
     EXPECT_EQ(std::string(e.what()).find('\n'), std::string::npos);
   }
@@ -200,20 +201,20 @@
   EXPECT_TRUE(std::holds_alternative<Wrong>(readSize("0.3B")));
 }
 
-// The operators' page is printed from the table of keys; `sablespur check --keys` writes it anew.
+// The operators' page is printed from the table of keys; `stonebay check --keys` writes it anew.
 TEST(Settings, ThePageListsEveryKeyAsItIsNow) {
-  std::ifstream file(SABLESPUR_SOURCE "/docs/operators/settings.md");
+  std::ifstream file(STONEBAY_SOURCE "/docs/operators/settings.md");
   std::stringstream page;
   page << file.rdbuf();
   EXPECT_NE(page.str().find(settingsPage()), std::string::npos)
-      << "docs/operators/settings.md differs from `sablespur check --keys`";
+      << "docs/operators/settings.md differs from `stonebay check --keys`";
 }
 
-TEST(Members, AreShownAsATableAndAsJson) {
+TEST(EndpointPool, AreShownAsATableAndAsJson) {
   const Config c = parseSettings(kGood, "f.ini");
-  Membership known;
-  std::vector<Instance> all = c.known.instances;
-  all[1].state = knotstack::Lifecycle::Draining;
+  EndpointTracker known;
+  std::vector<Instance> all = c.knownEndpoints.instances;
+  all[1].state = Lifecycle::Draining;
   all[1].startedMs = 1767225600123;
   all[1].kind = "a\"\xff";
   all.push_back(all[0]);
@@ -235,4 +236,4 @@
 }
 
 }  // namespace
-}  // namespace sablespur
+}  // namespace stonebay
--- a/tests/membership_test.cpp
+++ b/tests/discovery_test.cpp
@@ -1,19 +1,18 @@
 // What a member is since when: withdrawals at once, returns that are cold, flaps held back, one server an
 // address.
-#include "membership/membership.hpp"
-
 #include <gtest/gtest.h>
 
 #include <algorithm>
 #include <pcg_random.hpp>
 
-namespace sablespur {
+#include "discovery/endpoint_tracker.hpp"
+
+namespace stonebay {
 namespace {
 
-using knotstack::Lifecycle;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
-using Time = Membership::Time;
+using Time = EndpointTracker::Time;
 
 Instance at(const std::string& name, int port, std::int64_t startedMs = 0) {
   Instance i;
@@ -25,7 +24,7 @@
 }
 
 // "s-1 s-2! s-3~": told now; ! gone, ~ leaving.
-std::string told(Membership& m, Time now) {
+std::string told(EndpointTracker& m, Time now) {
   std::string all;
   while (const auto list = m.take(now))
     for (const Instance& i : list->instances)
@@ -38,8 +37,8 @@
 
 const Time kStart = seconds(1000000);
 
-TEST(Membership, TellsTheWholeThenChanges) {
-  Membership m;
+TEST(EndpointTracker, TellsTheWholeThenChanges) {
+  EndpointTracker m;
   m.found(kStart, {at("s-1", 1), at("s-2", 2)});
   const auto whole = m.take(kStart);
   ASSERT_TRUE(whole);
@@ -58,8 +57,8 @@
   EXPECT_GT(change->generation, whole->generation);
   EXPECT_EQ(change->instances.size(), 3u);
 }
-TEST(Membership, AnEmptiedAndRefilledZoneIsToldInFull) {
-  Membership m;
+TEST(EndpointTracker, AnEmptiedAndRefilledZoneIsToldInFull) {
+  EndpointTracker m;
   m.found(kStart, {at("s-1", 1), at("s-2", 2)});
   told(m, kStart);
   m.found(kStart + seconds(1), {});
@@ -68,8 +67,8 @@
   EXPECT_EQ(told(m, kStart + seconds(9)), "s-1 s-2");
 }
 // Guards cold servers: who comes back, or comes new, has started then, unless the record says otherwise.
-TEST(Membership, AReturnCountsAsAStart) {
-  Membership m;
+TEST(EndpointTracker, AReturnCountsAsAStart) {
+  EndpointTracker m;
   m.found(kStart, {at("s-1", 1), at("s-2", 2, 77)});
   told(m, kStart);
   m.found(kStart + seconds(1), {});
@@ -89,8 +88,8 @@
       EXPECT_EQ(i.startedMs, (back + seconds(1)).count() / 1000);
     }
 }
-TEST(Membership, AFlappingNameIsHeldBackAndItsWithdrawalsNever) {
-  Membership m;
+TEST(EndpointTracker, AFlappingNameIsHeldBackAndItsWithdrawalsNever) {
+  EndpointTracker m;
   m.found(kStart, {at("s-1", 1), at("s-2", 2)});
   told(m, kStart);
   Time now = kStart;
@@ -112,8 +111,8 @@
   EXPECT_EQ(told(m, *m.next() - milliseconds(1)), "");
   EXPECT_EQ(told(m, *m.next()), "s-1");
 }
-TEST(Membership, TheSameAddressUnderANewNameKeepsItsStart) {
-  Membership m;
+TEST(EndpointTracker, TheSameAddressUnderANewNameKeepsItsStart) {
+  EndpointTracker m;
   m.found(kStart, {at("s-1", 1), at("s-2", 2)});
   told(m, kStart);
   m.found(kStart + seconds(1), {at("new-1", 1), at("s-2", 2)});
@@ -124,8 +123,8 @@
     EXPECT_TRUE(i.name == "new-1" ? i.startedMs == 0 : i.name == "s-1" && i.state == Lifecycle::Gone)
         << i.name;
 }
-TEST(Membership, OfTwoAtOneAddressTheFirstStays) {
-  Membership m;
+TEST(EndpointTracker, OfTwoAtOneAddressTheFirstStays) {
+  EndpointTracker m;
   m.found(kStart, {at("s-5", 1)});
   told(m, kStart);
   m.found(kStart + seconds(1), {at("s-1", 1), at("s-5", 1)});
@@ -135,8 +134,8 @@
   EXPECT_EQ(told(m, kStart + seconds(2)), "s-5! s-1");
 }
 // An id stands for one server: what was out to the old one must not be taken for the new.
-TEST(Membership, ANameAtANewAddressIsAnotherServer) {
-  Membership m;
+TEST(EndpointTracker, ANameAtANewAddressIsAnotherServer) {
+  EndpointTracker m;
   m.found(kStart, {at("s-1", 1)});
   told(m, kStart);
   m.found(kStart + seconds(1), {at("s-1", 2)});
@@ -150,10 +149,10 @@
   m.found(kStart + seconds(2), {});
   EXPECT_EQ(told(m, kStart + seconds(2)), "s-1#2!");
 }
-TEST(Membership, FailuresWithdrawNothingUntilTheListIsTooOld) {
-  MembershipPolicy p;
-  p.keepFor = seconds(30);
-  Membership m(p);
+TEST(EndpointTracker, FailuresWithdrawNothingUntilTheListIsTooOld) {
+  EndpointTrackerPolicy p;
+  p.maxListAge = seconds(30);
+  EndpointTracker m(p);
   m.found(kStart, {at("s-1", 1)});
   told(m, kStart);
   m.failed(kStart + seconds(1), "silence");
@@ -169,8 +168,8 @@
   m.found(kStart + seconds(90), {at("s-1", 1)});
   EXPECT_EQ(told(m, kStart + seconds(90)), "s-1");
 }
-TEST(Membership, ForgetsNamesThatAreAlwaysNew) {
-  Membership m;
+TEST(EndpointTracker, ForgetsNamesThatAreAlwaysNew) {
+  EndpointTracker m;
   Time now = kStart;
   for (int k = 0; k < 5000; ++k) {
     now += seconds(1);
@@ -179,8 +178,8 @@
   }
   EXPECT_LT(m.view(now).rows.size(), 200u);
 }
-TEST(Membership, ARegistrysListsGoOnAsTheyCame) {
-  Membership m;
+TEST(EndpointTracker, ARegistrysListsGoOnAsTheyCame) {
+  EndpointTracker m;
   InstanceList whole{41, true, {at("s-1", 1), at("s-2", 2)}};
   m.changed(kStart, whole);
   InstanceList change{42, false, {at("s-3", 3)}};
@@ -198,11 +197,11 @@
 
 // Whatever a source finds in whatever order: what the engine was told adds up to a list in which every name
 // is present, no address stands twice, and nothing that was withdrawn is left.
-TEST(Membership, WhatIsToldAddsUpOnAnyHistory) {
+TEST(EndpointTracker, WhatIsToldAddsUpOnAnyHistory) {
   for (std::uint64_t seed = 1; seed <= 200; ++seed) {
     pcg32 random(seed);
-    Membership m;
-    std::map<std::string, Instance> engine;
+    EndpointTracker m;
+    std::map<std::string, Instance> dispatcher;
     Time now = kStart;
     for (int step = 0; step < 120; ++step) {
       now += milliseconds(random(5000));
@@ -215,22 +214,22 @@
       else
         m.found(now, found, random(20) == 0);
       while (const auto list = m.take(now)) {
-        if (list->reset) engine.clear();
+        if (list->reset) dispatcher.clear();
         for (const Instance& i : list->instances) {
           if (i.state == Lifecycle::Gone)
-            ASSERT_EQ(engine.erase(i.name), 1u) << "seed " << seed;
+            ASSERT_EQ(dispatcher.erase(i.name), 1u) << "seed " << seed;
           else
-            engine[i.name] = i;
+            dispatcher[i.name] = i;
         }
       }
       if (fails) continue;
-      for (const auto& [name, i] : engine) {
+      for (const auto& [name, i] : dispatcher) {
         const std::string plain = name.substr(0, name.find('#'));
         const bool there = std::any_of(found.begin(), found.end(), [&, &told = i](const Instance& f) {
           return f.name == plain && f.address == told.address;
         });
         ASSERT_TRUE(there) << "seed " << seed << " step " << step << ": " << name;
-        for (const auto& [other, o] : engine)
+        for (const auto& [other, o] : dispatcher)
           ASSERT_TRUE(name == other || i.address != o.address)
               << "seed " << seed << ": " << name << ", " << other;
       }
@@ -239,4 +238,4 @@
 }
 
 }  // namespace
-}  // namespace sablespur
+}  // namespace stonebay
--- a/tests/engine_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -1,5 +1,5 @@
 // The engine between a fake way to the members and a fake asker: no sockets.
-#include "core/engine.hpp"
+#include "dispatch/dispatcher.hpp"
 
 #include <gtest/gtest.h>
 #include <sys/socket.h>
@@ -7,181 +7,182 @@
 
 #include <map>
 
-#include "peer/peers.hpp"
+#include "gossip/gossip_socket.hpp"
 #include "scenario.hpp"
 
-namespace sablespur {
+namespace stonebay {
 namespace {
 
-struct FakeMembers : Members {
+struct FakeEndpointPool : EndpointPool {
   struct Sent {
     RequestId id;
     int attempt;
-    MemberId member;
+    EndpointId member;
   };
   std::vector<Sent> sent, cancelled;
-  std::vector<MemberId> probes;
+  std::vector<EndpointId> probes;
   std::vector<std::pair<int, bool>> started;  // attempt, fit
-  std::map<MemberId, bool> ready;
-  void listed(MemberId m, const Address&, bool isReady) override { ready[m] = isReady; }
-  void send(RequestId id, int attempt, MemberId m, Time, std::shared_ptr<const Message>) override {
+  std::map<EndpointId, bool> ready;
+  void updateEndpoint(EndpointId m, const Address&, bool isReady) override { ready[m] = isReady; }
+  void send(RequestId id, int attempt, EndpointId m, Time, std::shared_ptr<const ForwardedRequest>) override {
     sent.push_back({id, attempt, m});
   }
-  void start(RequestId, int attempt, bool fit) override { started.emplace_back(attempt, fit); }
+  void resumeAttempt(RequestId, int attempt, bool fit) override { started.emplace_back(attempt, fit); }
   void cancel(RequestId id, int attempt) override { cancelled.push_back({id, attempt, 0}); }
-  void probe(MemberId m) override { probes.push_back(m); }
-  std::vector<MemberId> forgotten;
-  void forget(MemberId m) override { forgotten.push_back(m); }
+  void checkHealth(EndpointId m) override { probes.push_back(m); }
+  std::vector<EndpointId> forgotten;
+  void removeEndpoint(EndpointId m) override { forgotten.push_back(m); }
 };
-struct FakeLists : Lists {
+struct FakeEndpointWatcher : EndpointWatcher {
   std::vector<std::uint64_t> watches;
   void watch(std::uint64_t after) override { watches.push_back(after); }
 };
-struct Asker : Requester {
+struct RecordingHandler : ResponseHandler {
   std::string got;
-  void served(Buffer answer) override {
+  void onResponse(Buffer answer) override {
     got += "served ";
     got.append(reinterpret_cast<const char*>(evbuffer_pullup(answer.get(), -1)),
                evbuffer_get_length(answer.get()));
   }
-  void refused(Time) override { got += "refused"; }
-  void failed() override { got += "failed"; }
+  void onRejected(Time) override { got += "refused"; }
+  void onFailed() override { got += "failed"; }
 };
 
-struct EngineTest : testing::Test {
+struct DispatcherTest : testing::Test {
   EventBase base{event_base_new()};
   Config config = parseConfig(test::configuration({}, 1, {11, 12}));  // member 1 and member 2
-  Engine engine{base.get(), config};
-  FakeMembers members;
-  FakeLists lists;
-  Asker asker;
+  Dispatcher dispatcher{base.get(), config};
+  FakeEndpointPool members;
+  FakeEndpointWatcher lists;
+  RecordingHandler handler;
 
   void SetUp() override {
-    engine.start(members, lists);
-    engine.turn();
-    report(1, true, engine.now());
-    report(2, false, engine.now());
+    dispatcher.start(members, lists);
+    dispatcher.processEvents();
+    report(1, true, dispatcher.now());
+    report(2, false, dispatcher.now());
   }
-  void report(MemberId m, bool primary, Time position) {
-    engine.probed(m, true, {static_cast<double>(position.count()) / 1e6, primary ? 1.0 : 0.0, 0.0});
-    engine.turn();
+  void report(EndpointId m, bool primary, Time position) {
+    dispatcher.onHealthCheck(m, true,
+                             {static_cast<double>(position.count()) / 1e6, primary ? 1.0 : 0.0, 0.0});
+    dispatcher.processEvents();
   }
   RequestId ask(int cls = 0) {
-    knotstack::Request q;
-    q.cls = cls;
+    Request q;
+    q.classIndex = cls;
     q.group = 3;
-    q.deadline = engine.now() + std::chrono::seconds(5);
-    const RequestId id = engine.request(asker, q, Message{newBuffer(), newBuffer(), "c1"});
-    engine.turn();
+    q.deadline = dispatcher.now() + std::chrono::seconds(5);
+    const RequestId id = dispatcher.submit(handler, q, ForwardedRequest{newBuffer(), newBuffer(), "c1"});
+    dispatcher.processEvents();
     return id;
   }
-  void end(RequestId id, int attempt, MemberId m, Result result) {
-    Ending e;
-    e.result = result;
-    e.answer = newBuffer();
-    append(e.answer.get(), "v");
-    engine.ended(id, attempt, m, std::move(e));
+  void end(RequestId id, int attempt, EndpointId m, AttemptStatus result) {
+    AttemptResult e;
+    e.status = result;
+    e.response = newBuffer();
+    append(e.response.get(), "v");
+    dispatcher.onAttemptEnded(id, attempt, m, std::move(e));
   }
 };
 
-TEST_F(EngineTest, WatchesFromTheGenerationThatItKnows) {
+TEST_F(DispatcherTest, WatchesFromTheGenerationThatItKnows) {
   EXPECT_EQ(lists.watches, std::vector<std::uint64_t>{5});
   EXPECT_TRUE(members.ready[1] && members.ready[2]);
 }
-TEST_F(EngineTest, WhatIsGatheredWaitsForTheTurn) {
-  knotstack::Request q;
+TEST_F(DispatcherTest, WhatIsGatheredWaitsForTheTurn) {
+  Request q;
   q.group = 3;
-  q.deadline = engine.now() + std::chrono::seconds(5);
-  engine.request(asker, q, Message{newBuffer(), newBuffer(), {}});
+  q.deadline = dispatcher.now() + std::chrono::seconds(5);
+  dispatcher.submit(handler, q, ForwardedRequest{newBuffer(), newBuffer(), {}});
   EXPECT_TRUE(members.sent.empty());
-  EXPECT_TRUE(engine.pending());
-  engine.turn();
+  EXPECT_TRUE(dispatcher.hasPendingEvents());
+  dispatcher.processEvents();
   ASSERT_EQ(members.sent.size(), 1u);
   EXPECT_EQ(members.sent[0].member, 2u);
 }
-TEST_F(EngineTest, OneFinalAnswerAndAnOutcomeForEachSend) {
+TEST_F(DispatcherTest, OneFinalAnswerAndAnOutcomeForEachSend) {
   const RequestId id = ask();
-  end(id, 0, 2, Result::Reset);
-  engine.turn();
+  end(id, 0, 2, AttemptStatus::Reset);
+  dispatcher.processEvents();
   ASSERT_EQ(members.sent.size(), 2u);  // the module's decision, on the other member
   EXPECT_EQ(members.sent[1].attempt, 1);
-  end(id, 1, 1, Result::Ok);
-  end(id, 1, 1, Result::Ok);  // nobody's: it is told to the module as closed and goes no further
-  engine.turn();
-  EXPECT_EQ(asker.got, "served v");
+  end(id, 1, 1, AttemptStatus::Ok);
+  end(id, 1, 1, AttemptStatus::Ok);  // nobody's: it is told to the module as closed and goes no further
+  dispatcher.processEvents();
+  EXPECT_EQ(handler.got, "served v");
 }
-TEST_F(EngineTest, AnAnswerThatCrossesItsClientsLeavingGoesNowhere) {
+TEST_F(DispatcherTest, AnAnswerThatCrossesItsClientsLeavingGoesNowhere) {
   const RequestId id = ask();
-  end(id, 0, 2, Result::Ok);
-  engine.left(id);
-  engine.turn();
-  EXPECT_EQ(asker.got, "");
+  end(id, 0, 2, AttemptStatus::Ok);
+  dispatcher.onClientLeft(id);
+  dispatcher.processEvents();
+  EXPECT_EQ(handler.got, "");
   const RequestId other = ask();
-  engine.left(other);
-  engine.turn();
+  dispatcher.onClientLeft(other);
+  dispatcher.processEvents();
   ASSERT_EQ(members.cancelled.size(), 1u);
   EXPECT_EQ(members.cancelled[0].id, other);
 }
 // A slow dial must not let a drain or the data's age slip past: both count from the bytes sent.
-TEST_F(EngineTest, ASendThatWaitedForItsConnectionIsLookedAtAgain) {
+TEST_F(DispatcherTest, ASendThatWaitedForItsConnectionIsLookedAtAgain) {
   const RequestId id = ask();
-  engine.connected(id, 0);
-  engine.turn();
+  dispatcher.onConnected(id, 0);
+  dispatcher.processEvents();
   EXPECT_EQ(members.started.back(), std::make_pair(0, true));
-  InstanceList change{6, false, {config.known.instances[1]}};
-  change.instances[0].state = knotstack::Lifecycle::Draining;
-  engine.listed(change);
-  engine.connected(id, 0);
-  engine.turn();
+  InstanceList change{6, false, {config.knownEndpoints.instances[1]}};
+  change.instances[0].state = Lifecycle::Draining;
+  dispatcher.onEndpointList(change);
+  dispatcher.onConnected(id, 0);
+  dispatcher.processEvents();
   EXPECT_EQ(members.started.back(), std::make_pair(0, false));
   EXPECT_FALSE(members.ready[2]);
-  end(id, 0, 2, Result::Moot);
-  engine.turn();
+  end(id, 0, 2, AttemptStatus::NotSent);
+  dispatcher.processEvents();
   EXPECT_EQ(members.sent.back().member, 1u);
 }
-TEST_F(EngineTest, AWholeListTakesAwayWhatItDoesNotName) {
-  engine.listed({7, true, {config.known.instances[0]}});
-  engine.turn();
+TEST_F(DispatcherTest, AWholeListTakesAwayWhatItDoesNotName) {
+  dispatcher.onEndpointList({7, true, {config.knownEndpoints.instances[0]}});
+  dispatcher.processEvents();
   EXPECT_TRUE(members.ready[1]);
   EXPECT_FALSE(members.ready[2]);
-  engine.listFailed("down");
-  engine.turn();
+  dispatcher.onListFailure("down");
+  dispatcher.processEvents();
   EXPECT_TRUE(members.ready[1]);
 }
 // On a long day every data server is replaced by a new one with a new name.
-TEST_F(EngineTest, ForgetsWhatIsGoneAndQuietAndGivesNoIdTwice) {
+TEST_F(DispatcherTest, ForgetsWhatIsGoneAndQuietAndGivesNoIdTwice) {
   const RequestId id = ask();  // out at member 2
-  engine.listed({7, true, {config.known.instances[0]}});
-  engine.turn();
-  engine.sweep(engine.now() + std::chrono::seconds(30));
-  engine.turn();
+  dispatcher.onEndpointList({7, true, {config.knownEndpoints.instances[0]}});
+  dispatcher.processEvents();
+  dispatcher.removeDeparted(dispatcher.now() + std::chrono::seconds(30));
+  dispatcher.processEvents();
   EXPECT_TRUE(members.forgotten.empty()) << "its attempt is still out";
-  end(id, 0, 2, Result::Reset);
-  for (const MemberId m : std::vector<MemberId>(members.probes)) engine.probed(m, false, {});
-  engine.turn();
-  engine.sweep(engine.now() + std::chrono::seconds(31));
-  engine.turn();
-  EXPECT_EQ(members.forgotten, std::vector<MemberId>{2});
-  end(id, 0, 2, Result::Ok);  // late, of a member that is not known any more
-  engine.probed(2, true, {1, 0, 0});
-  engine.turn();
-  engine.listed({8, true, config.known.instances});
-  engine.turn();
+  end(id, 0, 2, AttemptStatus::Reset);
+  for (const EndpointId m : std::vector<EndpointId>(members.probes)) dispatcher.onHealthCheck(m, false, {});
+  dispatcher.processEvents();
+  dispatcher.removeDeparted(dispatcher.now() + std::chrono::seconds(31));
+  dispatcher.processEvents();
+  EXPECT_EQ(members.forgotten, std::vector<EndpointId>{2});
+  end(id, 0, 2, AttemptStatus::Ok);  // late, of a member that is not known any more
+  dispatcher.onHealthCheck(2, true, {1, 0, 0});
+  dispatcher.processEvents();
+  dispatcher.onEndpointList({8, true, config.knownEndpoints.instances});
+  dispatcher.processEvents();
   EXPECT_TRUE(members.ready[3]);
   EXPECT_FALSE(members.ready[2]);
 }
-TEST_F(EngineTest, DataOlderThanTheBoundIsNotRead) {
-  Engine fresh(base.get(), config);
+TEST_F(DispatcherTest, DataOlderThanTheBoundIsNotRead) {
+  Dispatcher fresh(base.get(), config);
   fresh.start(members, lists);
   fresh.turn();
   const double old =
       static_cast<double>((fresh.now() - std::chrono::seconds(6)).count()) / 1e6;  // bound: 5 s
   fresh.probed(2, true, {old, 0.0, 0.0});
   fresh.turn();
-  knotstack::Request q;
+  Request q;
   q.group = 3;
   q.deadline = fresh.now() + std::chrono::seconds(5);
-  fresh.request(asker, q, Message{newBuffer(), newBuffer(), {}});
+  fresh.request(handler, q, ForwardedRequest{newBuffer(), newBuffer(), {}});
   fresh.turn();
   EXPECT_TRUE(members.sent.empty());
   fresh.probed(1, false, {});
@@ -192,22 +193,22 @@
 }
 
 // Incident event4996: what an answer tells of its member counts as much as what a probe brings.
-TEST_F(EngineTest, AReportInAnAnswerIsToldToTheModule) {
-  Engine fresh(base.get(), config);
-  FakeMembers its;
+TEST_F(DispatcherTest, AReportInAnAnswerIsToldToTheModule) {
+  Dispatcher fresh(base.get(), config);
+  FakeEndpointPool its;
   fresh.start(its, lists);
   fresh.turn();
-  knotstack::Request read, write;
+  Request read, write;
   read.group = write.group = 3;
   read.deadline = write.deadline = fresh.now() + std::chrono::seconds(5);
-  write.cls = 1;
-  fresh.request(asker, read, Message{newBuffer(), newBuffer(), {}});
-  const RequestId id = fresh.request(asker, write, Message{newBuffer(), newBuffer(), {}});
+  write.classIndex = 1;
+  fresh.request(handler, read, ForwardedRequest{newBuffer(), newBuffer(), {}});
+  const RequestId id = fresh.request(handler, write, ForwardedRequest{newBuffer(), newBuffer(), {}});
   fresh.turn();
   ASSERT_EQ(its.sent.size(), 1u);  // the write looks for the primary; of no member's data is anything known
-  const MemberId asked = its.sent[0].member;
-  Ending e;
-  e.result = Result::Miss;
+  const EndpointId asked = its.sent[0].member;
+  AttemptResult e;
+  e.status = AttemptStatus::TooStale;
   e.role = Role::Replica;
   e.report = {static_cast<double>(fresh.now().count()) / 1e6, 0.0, 1.0};
   fresh.ended(id, 0, asked, std::move(e));
@@ -217,7 +218,7 @@
 }
 
 // Datagrams go to all and are believed of the proxies of the tier alone.
-TEST_F(EngineTest, PeersTellOneAnotherAndNobodyElseIsBelieved) {
+TEST_F(DispatcherTest, PeersTellOneAnotherAndNobodyElseIsBelieved) {
   const auto open = [](Address& at) {
     const int fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
     const Address any = *Address::parse("127.0.0.1:0");
@@ -230,13 +231,13 @@
   };
   Address peerAt, strangerAt;
   const int peerFd = open(peerAt), strangerFd = open(strangerAt);
-  config.settings.peers = true;
-  config.peerListen = *Address::parse("127.0.0.1:0");
-  config.peersAll = peerAt;
-  config.peers = {peerAt};
-  Engine one(base.get(), config);
-  PeerSocket sockets(base.get(), one, config);
-  FakeMembers its;
+  config.settings.gossipAllowed = true;
+  config.gossipListen = *Address::parse("127.0.0.1:0");
+  config.gossipBroadcast = peerAt;
+  config.gossipPeers = {peerAt};
+  Dispatcher one(base.get(), config);
+  GossipSocket sockets(base.get(), one, config);
+  FakeEndpointPool its;
   one.start(its, lists, &sockets);
   one.turn();
   one.probed(2, true, {static_cast<double>(one.now().count()) / 1e6, 0.0, 3.0});
@@ -249,14 +250,14 @@
   // The same word of member 1 as the primary, from a stranger and then from the peer.
   usleep(2000);  // a newer position than the one that member 2 reported
   const auto nowMs = one.now().count() / 1000;
-  peer::Word word = peer::parse({bytes, 13}, nowMs).at(0);
+  gossip::Message word = gossip::parse({bytes, 13}, nowMs).at(0);
   EXPECT_EQ(word.inflight, 3);
   EXPECT_FALSE(word.primary);
   word.primary = true;
   word.positionMs = nowMs;
-  const std::string said = peer::encode({word})[0];
-  knotstack::Request write;
-  write.cls = 1;
+  const std::string said = gossip::encode({word})[0];
+  Request write;
+  write.classIndex = 1;
   write.group = 3;
   write.deadline = one.now() + std::chrono::seconds(5);
   for (const int fd : {strangerFd, peerFd}) {
@@ -266,7 +267,7 @@
     EXPECT_EQ(one.pending(), fd == peerFd);
   }
   one.turn();
-  one.request(asker, write, Message{newBuffer(), newBuffer(), {}});
+  one.request(handler, write, ForwardedRequest{newBuffer(), newBuffer(), {}});
   one.turn();
   ASSERT_EQ(its.sent.size(), 1u);
   EXPECT_EQ(its.sent[0].member, 2u);
@@ -292,4 +293,4 @@
 }
 
 }  // namespace
-}  // namespace sablespur
+}  // namespace stonebay
