--- a/tests/dnssd_test.cpp
+++ b/tests/dnssd_test.cpp
@@ -5,14 +5,14 @@
 
 #include <pcg_random.hpp>
 
-#include "core/member_feed.hpp"
-#include "lab/name_server.hpp"
-#include "membership/dnssd/directory.hpp"
-#include "membership/dnssd/name_servers.hpp"
-#include "membership/dnssd/records.hpp"
-#include "membership/dnssd/source.hpp"
+#include "discovery/dnssd/directory.hpp"
+#include "discovery/dnssd/name_servers.hpp"
+#include "discovery/dnssd/records.hpp"
+#include "discovery/dnssd/source.hpp"
+#include "discovery/endpoint_feed.hpp"
+#include "testbed/name_server.hpp"
 
-namespace sablespur {
+namespace stonebay {
 namespace {
 
 using dns::Type;
@@ -136,13 +136,13 @@
   EXPECT_EQ(i.zone, "ruwi");
   EXPECT_EQ(i.kind, "big");
   EXPECT_EQ(i.weight, 2.5);
-  EXPECT_EQ(i.state, knotstack::Lifecycle::Draining);
+  EXPECT_EQ(i.state, Lifecycle::Draining);
   EXPECT_EQ(i.startedMs, 1767225600123);
   Instance plain;
   EXPECT_FALSE(readTxt({""}, groups, 7, plain));
   EXPECT_EQ(plain.group, 7u);
   EXPECT_EQ(plain.weight, 1);
-  EXPECT_EQ(plain.state, knotstack::Lifecycle::Ready);
+  EXPECT_EQ(plain.state, Lifecycle::Ready);
   EXPECT_EQ(plain.startedMs, 0);
   EXPECT_TRUE(readTxt({}, groups, std::nullopt, i));
   for (const char* bad : {"group=lost", "group=70000", "group=", "weight=0", "weight=-1", "weight=nan",
@@ -179,8 +179,8 @@
   DirectoryTest() {
     settings.domain = kDomain;
     settings.service = kService;
-    settings.refreshLeast = seconds(1);
-    settings.refreshMost = seconds(10);
+    settings.minRefresh = seconds(1);
+    settings.maxRefresh = seconds(10);
     settings.jitter = 0.1;
     settings.defaultGroup = 3;
     d.emplace(settings, std::vector<GroupName>{}, 1);
@@ -380,12 +380,12 @@
 
 // ---- the source, over sockets
 // ------------------------------------------------------------------------------
-struct SourceTest : testing::Test, ListTaker {
+struct SourceTest : testing::Test, EndpointListHandler {
   EventBase base{event_base_new()};
   Clock clock;
-  lab::NameServer first{base.get(), kDomain, kService}, second{base.get(), kDomain, kService};
+  testbed::NameServer first{base.get(), kDomain, kService}, second{base.get(), kDomain, kService};
   Config config;
-  std::unique_ptr<MemberFeed> feed;
+  std::unique_ptr<EndpointFeed> feed;
   std::unique_ptr<DnsSd> source;
   std::map<std::string, Instance> members;
   std::uint64_t lists = 0, failures = 0;
@@ -397,40 +397,40 @@
     s.service = kService;
     for (const auto* n : {&first, &second})
       s.servers.push_back(*Address::parse("127.0.0.1:" + std::to_string(n->port())));
-    s.refreshLeast = milliseconds(100);
-    s.refreshMost = milliseconds(200);
-    s.tryTimeout = milliseconds(150);
+    s.minRefresh = milliseconds(100);
+    s.maxRefresh = milliseconds(200);
+    s.queryTimeout = milliseconds(150);
     s.udpPayload = 1232;
     s.defaultGroup = 3;
     s.flapHalfLife = seconds(15);
-    s.flapMost = seconds(60);
+    s.maxSuppression = seconds(60);
     s.flapSuppress = 1.5;
     s.flapReuse = 0.75;
     for (int k = 1; k <= 3; ++k) publish("s-" + std::to_string(k), 6000 + k);
   }
   void publish(const std::string& label, int port) {
-    lab::ServiceInstance i;
+    testbed::ServiceInstance i;
     i.label = label;
     i.addresses = {"127.0.0.1"};
     i.port = static_cast<std::uint16_t>(port);
     for (auto* n : {&first, &second}) n->publish(i);
   }
-  void listed(InstanceList list) override {
+  void onEndpointList(InstanceList list) override {
     ++lists;
     if (list.reset) members.clear();
     for (const Instance& i : list.instances)
-      if (i.state == knotstack::Lifecycle::Gone)
+      if (i.state == Lifecycle::Gone)
         members.erase(i.name);
       else
         members[i.name] = i;
   }
-  void listFailed(const std::string& w) override {
+  void onListFailure(const std::string& w) override {
     ++failures;
     why = w;
   }
   std::uint64_t generation() const override { return 0; }
   void start() {
-    feed = std::make_unique<MemberFeed>(base.get(), clock, *this, MembershipPolicy());
+    feed = std::make_unique<EndpointFeed>(base.get(), clock, *this, EndpointTrackerPolicy());
     source = std::make_unique<DnsSd>(base.get(), clock, *feed, config);
   }
   template <typename Done>
@@ -464,15 +464,15 @@
   until([&] { return members.size() == 3; });
   for (const char* name : {"silent", "servfail", "refused", "lame", "noise", "loop", "counts", "wrong-id",
                            "wrong-question", "wrong-port"}) {
-    lab::NameServer::Mood mood{};
-    ASSERT_TRUE(lab::NameServer::moodOf(name, mood)) << name;
+    testbed::NameServer::Mood mood{};
+    ASSERT_TRUE(testbed::NameServer::moodOf(name, mood)) << name;
     first.mood(mood);
     second.mood(mood);
     const auto before = failures;
     until([&] { return failures > before; });
     EXPECT_EQ(members.size(), 3u) << name;
-    first.mood(lab::NameServer::Mood::Good);
-    second.mood(lab::NameServer::Mood::Good);
+    first.mood(testbed::NameServer::Mood::Good);
+    second.mood(testbed::NameServer::Mood::Good);
     const auto asked = first.counts().udp + second.counts().udp;
     until([&] { return first.counts().udp + second.counts().udp > asked + 1; });
   }
@@ -480,32 +480,32 @@
   EXPECT_EQ(lists, 1u);
 }
 TEST_F(SourceTest, FailsOverAndStaysThere) {
-  first.mood(lab::NameServer::Mood::Silent);
+  first.mood(testbed::NameServer::Mood::Silent);
   start();
   until([&] { return members.size() == 3; });
   EXPECT_EQ(failures, 0u);
-  first.mood(lab::NameServer::Mood::Good);
+  first.mood(testbed::NameServer::Mood::Good);
   const auto before = first.counts().udp;
   const auto asked = second.counts().udp;
   until([&] { return second.counts().udp > asked + 4; });
   EXPECT_EQ(first.counts().udp, before);
 }
 TEST_F(SourceTest, GoesOverTcpAfterTruncationAndListsStandWhereTcpIsRefused) {
-  first.mood(lab::NameServer::Mood::Truncated);
+  first.mood(testbed::NameServer::Mood::Truncated);
   start();
   until([&] { return members.size() == 3; });
   EXPECT_GT(first.counts().tcp, 0u);
-  first.mood(lab::NameServer::Mood::TruncatedOnly);
-  second.mood(lab::NameServer::Mood::TruncatedOnly);
+  first.mood(testbed::NameServer::Mood::TruncatedOnly);
+  second.mood(testbed::NameServer::Mood::TruncatedOnly);
   until([&] { return failures >= 2; });
   EXPECT_EQ(members.size(), 3u);
-  second.mood(lab::NameServer::Mood::Good);
+  second.mood(testbed::NameServer::Mood::Good);
   second.withdraw("s-3");
   until([&] { return members.size() == 2; });
 }
 TEST_F(SourceTest, DoesWithoutEdnsWhereItIsTurnedDown) {
-  first.mood(lab::NameServer::Mood::NoEdns);
-  second.mood(lab::NameServer::Mood::Silent);
+  first.mood(testbed::NameServer::Mood::NoEdns);
+  second.mood(testbed::NameServer::Mood::Silent);
   start();
   until([&] { return members.size() == 3; });
   EXPECT_EQ(failures, 0u);
@@ -519,7 +519,7 @@
   EXPECT_LE(first.counts().udp - udp, 1u);
 }
 TEST_F(SourceTest, AnInstanceWithoutAnAddressWaitsForOne) {
-  lab::ServiceInstance i;
+  testbed::ServiceInstance i;
   i.label = "s-9";
   i.port = 6009;
   first.publish(i);
@@ -538,8 +538,8 @@
 TEST_F(SourceTest, MovesToAnotherDomainWithoutAGap) {
   start();
   until([&] { return members.size() == 3; });
-  lab::NameServer other(base.get(), "seeb.example.org", kService);
-  lab::ServiceInstance i;
+  testbed::NameServer other(base.get(), "seeb.example.org", kService);
+  testbed::ServiceInstance i;
   i.addresses = {"127.0.0.1"};
   i.label = "s-1";
   i.port = 6001;
@@ -547,7 +547,7 @@
   i.label = "t-1";
   i.port = 6100;
   other.publish(i);
-  other.mood(lab::NameServer::Mood::Silent);
+  other.mood(testbed::NameServer::Mood::Silent);
   config.dnssd.domain = "seeb.example.org";
   config.dnssd.servers = {*Address::parse("127.0.0.1:" + std::to_string(other.port()))};
   const auto before = lists;
@@ -555,7 +555,7 @@
   until([&] { return failures > 0; });
   EXPECT_EQ(members.size(), 3u);
   EXPECT_EQ(lists, before);
-  other.mood(lab::NameServer::Mood::Good);
+  other.mood(testbed::NameServer::Mood::Good);
   until([&] { return members.size() == 2; });
   EXPECT_EQ(lists, before + 1);
   EXPECT_EQ(members.count("s-1") + members.count("t-1"), 2u);
@@ -563,4 +563,4 @@
 }
 
 }  // namespace
-}  // namespace sablespur
+}  // namespace stonebay
--- a/tests/balance_test.cpp
+++ b/tests/load_balancer_test.cpp
@@ -1,8 +1,8 @@
 #include <set>
 
-#include "harness.hpp"
+#include "balancer_fixture.hpp"
 
-namespace knotstack::test {
+namespace stonebay::test {
 namespace {
 
 // ---- settings --------------------------------------------------------------------------------------------
@@ -10,13 +10,13 @@
   Recorder r;
   Settings s = settings();
   s.classes.clear();
-  EXPECT_THROW(Balancer(s, 1, r), std::invalid_argument);
+  EXPECT_THROW(LoadBalancer(s, 1, r), std::invalid_argument);
   s = settings();
-  s.classes[0].aim = s.classes[0].deadline + milliseconds(1);
-  EXPECT_THROW(Balancer(s, 1, r), std::invalid_argument);
+  s.classes[0].latencyObjective = s.classes[0].deadline + milliseconds(1);
+  EXPECT_THROW(LoadBalancer(s, 1, r), std::invalid_argument);
   s = settings();
-  s.startCapacity = 0;
-  EXPECT_THROW(Balancer(s, 1, r), std::invalid_argument);
+  s.initialCapacity = 0;
+  EXPECT_THROW(LoadBalancer(s, 1, r), std::invalid_argument);
 }
 
 // ---- one final answer ------------------------------------------------------------------------------------
@@ -25,7 +25,7 @@
   const RequestId id = t.ask(kAny);
   ASSERT_EQ(t.sends(id).size(), 1u);
   t.pass(20);
-  t.end(id, Result::Ok, 2);
+  t.end(id, AttemptStatus::Ok, kFromReplica);
   t.run(3000);
   EXPECT_EQ(t.sends(id).size(), 1u);
   EXPECT_FALSE(t.finalAnswer(id));
@@ -34,7 +34,7 @@
   Bench t;
   const RequestId id = t.ask(kAny);
   t.pass(2000);
-  t.end(id, Result::Timeout);
+  t.end(id, AttemptStatus::Timeout);
   EXPECT_EQ(t.out.of("refuse", id).size(), 1u);
 }
 // Found on the bench: a request that waited for a member outlived its client between two housekeeping ticks.
@@ -53,12 +53,13 @@
 // member had a part in; the client could have come back meanwhile.
 Settings lateWritesCount() {
   Settings s = settings();
-  s.classes[kWrite].lateWorth = 0.5;  // else the aim ends the wait
+  s.classes[kWrite].latePriorityShare = 0.5;  // else the aim ends the wait
   return s;
 }
 TEST(FinalAnswer, AWriteThatNoMemberHasHadIsRefusedBeforeHalfOfItsTime) {
   Bench t(lateWritesCount());
-  for (MemberId m = 1; m <= 3; ++m) t.b.list(t.now, ListKind::Delta, {Bench::entry(m, Lifecycle::Draining)});
+  for (EndpointId m = 1; m <= 3; ++m)
+    t.b.onEndpointList(t.now, EndpointListKind::Delta, {Bench::entry(m, Lifecycle::Draining)});
   const Time asked = t.now;
   const RequestId id = t.ask(kWrite);
   while (t.out.of("refuse", id).empty() && t.now < asked + seconds(3)) t.run(5);
@@ -69,7 +70,7 @@
   Bench t(lateWritesCount());
   const Time asked = t.now;
   const RequestId id = t.ask(kWrite);
-  for (int k = 0; k < 3; ++k) t.end(id, Result::Miss, t.note(0, 2));
+  for (int k = 0; k < 3; ++k) t.end(id, AttemptStatus::TooStale, t.evidence(0, Role::Replica));
   while (t.now < asked + t.s.classes[kWrite].deadline * 6 / 10) t.run(5);
   EXPECT_FALSE(t.finalAnswer(id));
 }
@@ -80,33 +81,34 @@
   t.report(1, 0);
   const RequestId id = t.ask(kBounded);
   ASSERT_EQ(t.lastTo(id), 1u);
-  EXPECT_TRUE(t.b.fit(t.now + milliseconds(400), id, 1));
-  EXPECT_FALSE(t.b.fit(t.now + milliseconds(600), id, 1));  // the bound is 500 ms
+  EXPECT_TRUE(t.b.isStillEligible(t.now + milliseconds(400), id, 1));
+  EXPECT_FALSE(t.b.isStillEligible(t.now + milliseconds(600), id, 1));  // the bound is 500 ms
   t.now += milliseconds(600);
   t.report(1, 0);
-  EXPECT_TRUE(t.b.fit(t.now, id, 1));  // newer word has come
-  t.b.list(t.now, ListKind::Delta, {Bench::entry(1, Lifecycle::Draining)});
-  EXPECT_FALSE(t.b.fit(t.now, id, 1));
-  t.b.list(t.now, ListKind::Delta, {Bench::entry(1)});
-  EXPECT_TRUE(t.b.fit(t.now, id, 1));
-  t.b.clientLeft(t.now, id);
-  EXPECT_FALSE(t.b.fit(t.now, id, 1));
+  EXPECT_TRUE(t.b.isStillEligible(t.now, id, 1));  // newer word has come
+  t.b.onEndpointList(t.now, EndpointListKind::Delta, {Bench::entry(1, Lifecycle::Draining)});
+  EXPECT_FALSE(t.b.isStillEligible(t.now, id, 1));
+  t.b.onEndpointList(t.now, EndpointListKind::Delta, {Bench::entry(1)});
+  EXPECT_TRUE(t.b.isStillEligible(t.now, id, 1));
+  t.b.onClientLeft(t.now, id);
+  EXPECT_FALSE(t.b.isStillEligible(t.now, id, 1));
 }
 TEST(Fit, ASendThatNeverWentOutCostsNoFurtherAttempt) {
   Bench t;
-  for (MemberId m = 1; m <= 3; ++m) t.report(m, 0);
+  for (EndpointId m = 1; m <= 3; ++m) t.report(m, 0);
   const RequestId id = t.ask(kAny);
-  for (int k = 0; k < 3; ++k) t.end(id, Result::Moot);
+  for (int k = 0; k < 3; ++k) t.end(id, AttemptStatus::NotSent);
   EXPECT_EQ(t.sends(id).size(), 4u);
   EXPECT_FALSE(t.finalAnswer(id));
 }
 TEST(Zero, PositionsCountFromTheLatestZeroAndKnownOnesHold) {
   Bench t;
   t.report(1, 100);
-  t.b.countFrom(t.now - seconds(60));
+  t.b.setPositionEpoch(t.now - seconds(60));
   const RequestId id = t.ask(kBounded);
   EXPECT_EQ(t.lastTo(id), 1u);
-  t.end(id, Result::Ok, (60000 - 50) * 4 + 2);
+  t.end(id, AttemptStatus::Ok, kFromReplica);
+  t.reportPosition(1, 59.95f);  // 50 ms ago, by the new epoch
   t.pass(420);
   EXPECT_EQ(t.lastTo(t.ask(kBounded)), 1u);  // 470 ms old; by the first report it would be 520
 }
@@ -114,8 +116,8 @@
 TEST(FinalAnswer, NothingIsOwedOnceTheClientHasLeft) {
   Bench t;
   const RequestId id = t.ask(kAny);
-  t.b.clientLeft(t.now, id);
-  t.end(id, Result::Cancelled);
+  t.b.onClientLeft(t.now, id);
+  t.end(id, AttemptStatus::Cancelled);
   t.run(3000);
   EXPECT_FALSE(t.finalAnswer(id));
   EXPECT_EQ(t.sends(id).size(), 1u);
@@ -124,27 +126,27 @@
   Bench t;
   Request q;
   q.id = 9;
-  q.cls = 99;
-  t.b.request(t.now, q);
+  q.classIndex = 99;
+  t.b.onRequest(t.now, q);
   EXPECT_EQ(t.out.of("refuse", 9).size(), 1u);
-  Outcome o;
+  AttemptOutcome o;
   o.request = 12345;
-  o.member = 55;
-  t.b.outcome(t.now, o);
-  Probe p;
-  p.member = 77;
-  t.b.probed(t.now, p);
-  t.b.clientLeft(t.now, 4711);
-  t.b.timer(t.now, ~0ull);
+  o.endpoint = 55;
+  t.b.onAttemptOutcome(t.now, o);
+  HealthCheckResult p;
+  p.endpoint = 77;
+  t.b.onHealthCheck(t.now, p);
+  t.b.onClientLeft(t.now, 4711);
+  t.b.onTimer(t.now, TimerToken::decode(~0ull));
   const RequestId id = t.ask(kAny);
-  t.end(id, Result::Ok);
-  t.end(id, Result::Error);  // looks like a second outcome of the same attempt
+  t.end(id, AttemptStatus::Ok);
+  t.end(id, AttemptStatus::Error);  // looks like a second outcome of the same attempt
   EXPECT_FALSE(t.finalAnswer(id));
 }
 
 // ---- each outcome by each effect -------------------------------------------------------------------------
 struct Ending {
-  Result result;
+  AttemptStatus result;
   bool ran;
 };
 class Endings : public testing::TestWithParam<Ending> {};
@@ -152,7 +154,7 @@
   Bench t;
   const RequestId id = t.ask(kAny);
   t.pass(10);
-  t.end(id, GetParam().result, 2);
+  t.end(id, GetParam().result, kFromReplica);
   ASSERT_EQ(t.sends(id).size(), 2u);
   EXPECT_NE(t.sends(id)[0].member, t.sends(id)[1].member);
 }
@@ -181,23 +183,24 @@
   EXPECT_TRUE(t.out.of("refuse", id).empty());
   EXPECT_EQ(t.out.of("fail", id).size(), 1u);
 }
-INSTANTIATE_TEST_SUITE_P(All, Endings,
-                         testing::Values(Ending{Result::Error, true}, Ending{Result::Timeout, true},
-                                         Ending{Result::Reset, true}, Ending{Result::Cancelled, true},
-                                         Ending{Result::Full, false}, Ending{Result::ConnectFailed, false},
-                                         Ending{Result::Miss, false}, Ending{Result::Moot, false}));
+INSTANTIATE_TEST_SUITE_P(
+    All, Endings,
+    testing::Values(Ending{AttemptStatus::Error, true}, Ending{AttemptStatus::Timeout, true},
+                    Ending{AttemptStatus::Reset, true}, Ending{AttemptStatus::Cancelled, true},
+                    Ending{AttemptStatus::Rejected, false}, Ending{AttemptStatus::ConnectFailed, false},
+                    Ending{AttemptStatus::TooStale, false}, Ending{AttemptStatus::NotSent, false}));
 TEST(Keyed, IsSentAgainInsideTheMemory) {
   Bench t;
   const RequestId id = t.ask(kKeyedGroup);
   t.pass(100);
-  t.end(id, Result::Reset);
+  t.end(id, AttemptStatus::Reset);
   EXPECT_EQ(t.sends(id).size(), 2u);
 }
 TEST(Keyed, MayBeRefusedWhenAllMembersDropRepeats) {
   Bench t;
   const RequestId id = t.ask(kKeyedAll);
   t.pass(1000);
-  t.end(id, Result::Timeout);
+  t.end(id, AttemptStatus::Timeout);
   EXPECT_EQ(t.out.of("refuse", id).size(), 1u);
 }
 
@@ -218,15 +221,15 @@
 }
 TEST(Stale, AnF32PositionIsRoundedDown) {
   Settings s = settings();
-  s.zero = seconds(0);  // far from zero an f32 of seconds is coarse: 1100 s +- 61 us
+  s.positionEpoch = seconds(0);  // far from zero an f32 of seconds is coarse: 1100 s +- 61 us
   Bench t(s);
-  Probe p;
-  p.member = 2;
+  HealthCheckResult p;
+  p.endpoint = 2;
   p.ok = true;
   const float x = 1100.0f;
   p.report = {x, 0};
   t.now = seconds(1100) + milliseconds(500);  // exactly the bound, if the figure were exact
-  t.b.probed(t.now, p);
+  t.b.onHealthCheck(t.now, p);
   EXPECT_TRUE(t.sends(t.ask(kBounded)).empty());
 }
 TEST(Stale, ARememberedSessionReadWaitsForItsCommit) {
@@ -234,7 +237,7 @@
   t.teachPrimary(1);
   const RequestId w = t.ask(kWrite, 5);
   t.pass(20);
-  t.end(w, Result::Ok, t.note(0, 1));
+  t.end(w, AttemptStatus::Ok, t.evidence(0, Role::Primary));
   t.report(2, 10);  // from before the commit
   t.report(3, 10);
   const RequestId first = t.ask(kSession, 5);
@@ -248,7 +251,7 @@
 }
 TEST(Stale, ACarriedTokenIsRoundedUp) {
   Settings s = settings();
-  s.tokensCarried = true;
+  s.sessionTokensCarried = true;
   Bench t(s);
   t.report(2, 100);
   EXPECT_TRUE(t.sends(t.ask(kSession, 5, 99.0f)).empty());
@@ -265,7 +268,7 @@
 }
 TEST(Stale, CheckingMembersMayBeTriedUnproven) {
   Settings s = settings();
-  s.checks = Checks::Refuse;
+  s.staleReadPolicy = StaleReadPolicy::Reject;
   Bench t(s);
   EXPECT_EQ(t.sends(t.ask(kBounded)).size(), 1u);
 }
@@ -278,19 +281,19 @@
   t.report(3, 550);
   ASSERT_EQ(t.lastTo(a), 1u);
   t.pass(10);
-  t.end(a, Result::Ok, 2);
+  t.end(a, AttemptStatus::Ok, kFromReplica);
   EXPECT_TRUE(t.sends(t.ask(kBounded)).empty());
 }
 
 // ---- selection -------------------------------------------------------------------------------------------
 TEST(Selection, LeastRecentlyUsedFirst) {
   Bench t;
-  std::set<MemberId> met;
+  std::set<EndpointId> met;
   for (int k = 0; k < 3; ++k) {
     const RequestId id = t.ask(kAny);
     met.insert(t.lastTo(id));
     t.pass(10);
-    t.end(id, Result::Ok, 2);
+    t.end(id, AttemptStatus::Ok, kFromReplica);
     t.pass(10);
   }
   EXPECT_EQ(met.size(), 3u);
@@ -302,7 +305,7 @@
     const RequestId id = t.ask(kAny);
     EXPECT_NE(t.lastTo(id), 1u);
     t.pass(10);
-    t.end(id, Result::Ok, 2);
+    t.end(id, AttemptStatus::Ok, kFromReplica);
   }
 }
 // Members 1 and 2 turn late, one sample in two each, while what all showed together is mostly in time: their
@@ -314,7 +317,7 @@
   for (int k = 0; k < 80 && t.lastTo(id) != 3; ++k) {
     id = t.ask(kAny, 0, 0, 2000);
     t.pass(k < 40 || k % 4 < 2 ? 10 : 700);
-    t.end(id, Result::Ok, 2);
+    t.end(id, AttemptStatus::Ok, kFromReplica);
   }
   EXPECT_EQ(t.lastTo(id), 3u);
 }
@@ -328,24 +331,24 @@
     const RequestId id = t.ask(kAny);
     EXPECT_EQ(t.lastTo(id), 2u);
     t.pass(10);
-    t.end(id, Result::Ok, 2);
+    t.end(id, AttemptStatus::Ok, kFromReplica);
   }
   EXPECT_NE(t.lastTo(t.ask(kBounded)), 2u);
 }
 TEST(Selection, CopiesGoOutTogetherOnlyWhereAllowedAndEarned) {
   Settings s = settings();
-  s.parallelTries = true;
+  s.hedgingAllowed = true;
   Bench t(s);
   int doubled = 0;
   for (int k = 0; k < 200; ++k) {
     const RequestId id = t.ask(kAny);
     doubled += t.sends(id).size() > 1;
     t.pass(k % 2 ? 10 : 900);
-    t.end(id, Result::Ok, 2, 0);
+    t.end(id, AttemptStatus::Ok, kFromReplica, 0);
     if (t.sends(id).size() > 1) {
       EXPECT_EQ(t.out.of("cancel", id).size(), t.sends(id).size() - 1) << "the first answer wins";
       for (std::size_t n = 1; n < t.sends(id).size(); ++n)
-        t.end(id, Result::Cancelled, 0, static_cast<int>(n));
+        t.end(id, AttemptStatus::Cancelled, {}, static_cast<int>(n));
     }
   }
   EXPECT_GT(doubled, 0);
@@ -359,43 +362,43 @@
   for (int k = 0; k < 30; ++k) {
     const RequestId id = t.ask(kAny);
     t.pass(20);
-    t.end(id, Result::Ok, 2);
+    t.end(id, AttemptStatus::Ok, kFromReplica);
   }
   const RequestId stuck = t.ask(kAny);
-  const MemberId hung = t.lastTo(stuck);
+  const EndpointId hung = t.lastTo(stuck);
   t.run(110);
   ASSERT_EQ(t.out.of("probe").size(), 1u) << "is it dead, or was an answer lost?";
   EXPECT_TRUE(t.out.of("cancel", stuck).empty());
   t.run(60);  // ankara-schools big-2: its probe is not answered either; waiting for its time-out cost reads
   ASSERT_EQ(t.out.of("cancel", stuck).size(), 1u);
   EXPECT_EQ(t.sends(stuck).size(), 1u) << "no second attempt before the outcome of the first";
-  t.end(stuck, Result::Cancelled);
+  t.end(stuck, AttemptStatus::Cancelled);
   ASSERT_EQ(t.sends(stuck).size(), 2u);
   EXPECT_NE(t.lastTo(stuck), hung);
   for (int k = 0; k < 6; ++k) {
     const RequestId id = t.ask(kAny);
     EXPECT_NE(t.lastTo(id), hung);
     t.pass(10);
-    t.end(id, Result::Ok, 2);
+    t.end(id, AttemptStatus::Ok, kFromReplica);
   }
 }
 // Incident if8264e: connections broke at random on all members; each reset set one aside, then all were
 // refused.
 TEST(Health, ASingleResetDoesNotSetAMemberAside) {
   Bench t(settings(), 1);
-  t.end(t.ask(kAny), Result::Ok, 2);
+  t.end(t.ask(kAny), AttemptStatus::Ok, kFromReplica);
   const RequestId id = t.ask(kAny);
   t.pass(5);
-  t.end(id, Result::Reset);
+  t.end(id, AttemptStatus::Reset);
   EXPECT_FALSE(t.sends(t.ask(kAny)).empty());
 }
 TEST(Health, AFailedConnectionWithNothingHeardSinceDoes) {
   Settings s = settings();
-  s.probing = false;
+  s.healthChecksAllowed = false;
   Bench t(s, 1);
   const RequestId id = t.ask(kAny);
   t.pass(5);
-  t.end(id, Result::ConnectFailed);
+  t.end(id, AttemptStatus::ConnectFailed);
   EXPECT_EQ(t.sends(t.ask(kAny)).size(), 0u);
 }
 // muscat-guides, connections reset at random, new ones too: members were set aside in turn, each for a reset.
@@ -407,16 +410,16 @@
       const RequestId id = t.ask(kWrite);
       ASSERT_EQ(t.sends(id).size(), 1u) << k;
       t.pass(1);
-      t.end(id, k < 2 ? Result::Reset : Result::ConnectFailed);
+      t.end(id, k < 2 ? AttemptStatus::Reset : AttemptStatus::ConnectFailed);
     }
     ASSERT_EQ(t.out.of("probe").size(), 1u);
     t.pass(1);
-    Probe p;
-    p.member = 1;
+    HealthCheckResult p;
+    p.endpoint = 1;
     if (answers)
       t.report(1, 0, true);
     else
-      t.b.probed(t.now, p);
+      t.b.onHealthCheck(t.now, p);
     EXPECT_EQ(t.sends(t.ask(kWrite)).size(), answers ? 1u : 0u);
   }
 }
@@ -424,11 +427,11 @@
   Bench t(settings(), 1);
   const RequestId first = t.ask(kAny);
   t.pass(100);
-  t.end(first, Result::Ok, 2);
+  t.end(first, AttemptStatus::Ok, kFromReplica);
   const RequestId id = t.ask(kAny);
   for (int k = 0; k < 4; ++k) {
     ASSERT_EQ(t.sends(id).size(), static_cast<std::size_t>(k + 1));
-    t.end(id, Result::Reset);
+    t.end(id, AttemptStatus::Reset);
     if (k == 2) t.report(1, 0);  // the probe that three in a row bring
   }
 }
@@ -440,9 +443,9 @@
     const RequestId with = t.ask(kAny);
     EXPECT_EQ(t.sends(with).size(), 1u);
     t.pass(10);
-    t.end(id, k % 3 ? Result::Ok : Result::Reset, 2, 0);
-    if (!t.sends(with).empty()) t.end(with, Result::Ok, 2, 0);
-    if (t.sends(id).size() > 1) t.end(id, Result::Ok, 2);
+    t.end(id, k % 3 ? AttemptStatus::Ok : AttemptStatus::Reset, kFromReplica, 0);
+    if (!t.sends(with).empty()) t.end(with, AttemptStatus::Ok, kFromReplica, 0);
+    if (t.sends(id).size() > 1) t.end(id, AttemptStatus::Ok, kFromReplica);
   }
 }
 TEST(Health, AMemberThatFailsFastLosesItsTurn) {
@@ -454,10 +457,10 @@
       if (t.lastTo(id) != 1) break;
       ++toOne;
       t.pass(1);
-      t.end(id, Result::Error, 2);
+      t.end(id, AttemptStatus::Error, kFromReplica);
     }
     t.pass(15);
-    if (!t.finalAnswer(id)) t.end(id, Result::Ok, 2);
+    if (!t.finalAnswer(id)) t.end(id, AttemptStatus::Ok, kFromReplica);
   }
   EXPECT_LE(toOne, 6);
 }
@@ -466,9 +469,9 @@
 TEST(Writes, TryMembersByIdThenWaitForAnAnswerAsPrimary) {
   Bench t;
   const RequestId id = t.ask(kWrite);
-  for (MemberId m = 1; m <= 3; ++m) {
+  for (EndpointId m = 1; m <= 3; ++m) {
     ASSERT_EQ(t.lastTo(id), m);
-    t.end(id, Result::Miss, 2);
+    t.end(id, AttemptStatus::TooStale, kFromReplica);
   }
   EXPECT_EQ(t.sends(id).size(), 3u);
   const RequestId other = t.ask(kWrite);
@@ -483,10 +486,10 @@
 TEST(Writes, AMisplacedWriteLeavesNoLatencySample) {
   Bench t;
   const RequestId id = t.ask(kWrite);
-  t.end(id, Result::Miss, 2);
-  t.end(id, Result::Ok, t.note(0, 1));
+  t.end(id, AttemptStatus::TooStale, kFromReplica);
+  t.end(id, AttemptStatus::Ok, t.evidence(0, Role::Primary));
   ASSERT_EQ(t.lastTo(id), 2u);
-  t.b.list(t.now, ListKind::Delta, {Bench::entry(3, Lifecycle::Gone)});
+  t.b.onEndpointList(t.now, EndpointListKind::Delta, {Bench::entry(3, Lifecycle::Gone)});
   EXPECT_EQ(t.lastTo(t.ask(kAny)), 1u);
 }
 TEST(Writes, TheNewestEvidenceOfARoleWins) {
@@ -499,41 +502,43 @@
 }
 TEST(Writes, AListedRoleIsTheWeakestEvidence) {
   Settings s = settings();
-  s.roleListed = RoleListed::Start;
-  s.probing = false;
+  s.listedRole = ListedRole::AtStart;
+  s.healthChecksAllowed = false;
   Recorder r;
   Bench t(s);
-  ListedMember m = Bench::entry(2);
+  EndpointUpdate m = Bench::entry(2);
   m.primary = true;
-  t.b.list(t.now, ListKind::Delta, {m});
+  t.b.onEndpointList(t.now, EndpointListKind::Delta, {m});
   EXPECT_EQ(t.lastTo(t.ask(kWrite)), 2u);
   t.report(3, 0, true);
-  t.b.list(t.now, ListKind::Delta, {m});
+  t.b.onEndpointList(t.now, EndpointListKind::Delta, {m});
   EXPECT_EQ(t.lastTo(t.ask(kWrite)), 3u);
 }
 
 // ---- drains, cold starts, discovery ----------------------------------------------------------------------
 TEST(Drain, NothingGoesToAMemberFromTheEventThatTellsOfIt) {
   Bench t;
-  t.b.list(t.now, ListKind::Delta, {Bench::entry(1, Lifecycle::Draining), Bench::entry(2, Lifecycle::Gone)});
+  t.b.onEndpointList(t.now, EndpointListKind::Delta,
+                     {Bench::entry(1, Lifecycle::Draining), Bench::entry(2, Lifecycle::Gone)});
   for (int k = 0; k < 5; ++k) EXPECT_EQ(t.lastTo(t.ask(kAny)), 3u);
-  t.b.list(t.now, ListKind::Full, {Bench::entry(1)});
+  t.b.onEndpointList(t.now, EndpointListKind::Full, {Bench::entry(1)});
   EXPECT_EQ(t.lastTo(t.ask(kAny)), 1u) << "listed as ready again, and 3 is absent from a full list";
 }
 TEST(Drain, WhereGoneDoesNotBindOnlyDrainingDoes) {
   Settings s = settings();
-  s.droppedStayOpen = true;
+  s.removedEndpointsServe = true;
   Bench t(s);
-  t.b.list(t.now, ListKind::Delta, {Bench::entry(1, Lifecycle::Draining), Bench::entry(2, Lifecycle::Gone)});
-  t.b.list(t.now, ListKind::Delta, {Bench::entry(1, Lifecycle::Gone)});
-  std::set<MemberId> met;
+  t.b.onEndpointList(t.now, EndpointListKind::Delta,
+                     {Bench::entry(1, Lifecycle::Draining), Bench::entry(2, Lifecycle::Gone)});
+  t.b.onEndpointList(t.now, EndpointListKind::Delta, {Bench::entry(1, Lifecycle::Gone)});
+  std::set<EndpointId> met;
   for (int k = 0; k < 6; ++k) {
     const RequestId id = t.ask(kAny);
     met.insert(t.lastTo(id));
     t.pass(10);
-    t.end(id, Result::Ok, 2);
+    t.end(id, AttemptStatus::Ok, kFromReplica);
   }
-  EXPECT_EQ(met, (std::set<MemberId>{2, 3}));
+  EXPECT_EQ(met, (std::set<EndpointId>{2, 3}));
 }
 // Found on the bench (izmir-glaze-later, ankara-schools-later): hundreds of routers, each of which sent one
 // request at a time to a member that had just started, pushed it over.
@@ -542,11 +547,11 @@
   for (std::uint64_t seed = 1; seed <= 300; ++seed) {
     Bench t(settings(), 3, seed);
     t.next = 1000 * seed;
-    t.b.list(t.now, ListKind::Delta, {Bench::entry(1, Lifecycle::Ready, t.now)});
+    t.b.onEndpointList(t.now, EndpointListKind::Delta, {Bench::entry(1, Lifecycle::Ready, t.now)});
     for (int k = 0; k < 3; ++k, ++all) {
       const RequestId id = t.ask(kAny);
       cold += t.lastTo(id) == 1;
-      t.end(id, Result::Ok, 2);
+      t.end(id, AttemptStatus::Ok, kFromReplica);
     }
   }
   // A third of the requests is a warm member's; it can do a fifth of that at least, half of which it gets.
@@ -555,7 +560,7 @@
 }
 TEST(Cold, TheShareIsOfTheWholeGroupThoughTheOthersAreGone) {
   Bench t;
-  t.b.list(t.now, ListKind::Full, {Bench::entry(1, Lifecycle::Ready, t.now)});
+  t.b.onEndpointList(t.now, EndpointListKind::Full, {Bench::entry(1, Lifecycle::Ready, t.now)});
   int sent = 0;
   for (int k = 0; k < 300; ++k) sent += !t.sends(t.ask(kAny)).empty();
   EXPECT_GT(sent, 0);
@@ -564,7 +569,7 @@
 // Found on the bench (istanbul-main-later big-2: the busiest server at 12 times the mean): all routers began
 // with the same member.
 TEST(Herd, RoutersStartAtDifferentMembers) {
-  std::set<MemberId> first;
+  std::set<EndpointId> first;
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
     Bench t(settings(), 3, seed);
     first.insert(t.lastTo(t.ask(kAny)));
@@ -579,18 +584,18 @@
   for (int k = 0; k < 60; ++k) {
     const RequestId id = t.ask(kAny);
     t.pass(300);
-    t.end(id, Result::Ok, 2);
+    t.end(id, AttemptStatus::Ok, kFromReplica);
   }
   int failed = 0, again = 0;
   for (int k = 0; k < 20; ++k) {
     const RequestId id = t.ask(kAny);
     if (t.sends(id).empty()) continue;  // members were set aside
     t.pass(160);                        // more than at once: work was done
-    t.end(id, Result::Error, 2);
+    t.end(id, AttemptStatus::Error, kFromReplica);
     ++failed;
     if (t.sends(id).size() < 2) continue;
     ++again;
-    t.end(id, Result::Ok, 2);
+    t.end(id, AttemptStatus::Ok, kFromReplica);
   }
   EXPECT_GE(again, 1);
   EXPECT_LE(again, 1 + failed / 5);
@@ -601,7 +606,7 @@
   for (std::uint64_t seed = 1; seed <= 300; ++seed) {
     Bench t(settings(), 3, seed);
     t.next = 1000 * seed;
-    t.b.list(t.now, ListKind::Delta, {Bench::entry(1, Lifecycle::Ready, t.now)});
+    t.b.onEndpointList(t.now, EndpointListKind::Delta, {Bench::entry(1, Lifecycle::Ready, t.now)});
     cold += t.lastTo(t.ask(kWrite)) == 1;  // no primary is known, 1 is first by id
   }
   EXPECT_LE(cold, 300 / 3 / 5);
@@ -623,22 +628,22 @@
 // ankara-schools-later: most routers see a member's queue in its reports only.
 TEST(Asking, TheLessLoadedOfTwoIsChosenByTheirReports) {
   Settings s = settings();
-  s.checks = Checks::Refuse;
-  s.figures = {Figure::Position, Figure::Primary, Figure::Inflight};
+  s.staleReadPolicy = StaleReadPolicy::Reject;
+  s.reportFields = {ReportField::Position, ReportField::Primary, ReportField::InFlight};
   Bench t(s);
   t.teachPrimary(3);
   const RequestId warm = t.ask(kAny);
-  const auto tell = [&](MemberId m, float held) {
-    Probe p;
-    p.member = m;
+  const auto tell = [&](EndpointId m, float held) {
+    HealthCheckResult p;
+    p.endpoint = m;
     p.ok = true;
-    p.report = {static_cast<float>(std::chrono::duration<double>(t.now - s.zero).count()), 0, held};
-    t.b.probed(t.now, p);
+    p.report = {static_cast<float>(std::chrono::duration<double>(t.now - s.positionEpoch).count()), 0, held};
+    t.b.onHealthCheck(t.now, p);
   };
   tell(1, 0);
   tell(2, 0);
   t.pass(100);
-  t.end(warm, Result::Ok, 2);
+  t.end(warm, AttemptStatus::Ok, kFromReplica);
   t.pass(2000);
   const RequestId id = t.ask(kAny);
   ASSERT_TRUE(t.sends(id).empty());
@@ -651,32 +656,32 @@
 struct TwoBusy {
   Settings s = [] {
     Settings given = settings();
-    given.checks = Checks::Refuse;
-    given.figures = {Figure::Position, Figure::Primary, Figure::Inflight};
+    given.staleReadPolicy = StaleReadPolicy::Reject;
+    given.reportFields = {ReportField::Position, ReportField::Primary, ReportField::InFlight};
     return given;
   }();
   Bench t{s, 4};
   RequestId id = 0;
-  MemberId third = 0;
+  EndpointId third = 0;
   explicit TwoBusy(bool thirdIsIdle, int held = 8, int agoMs = 0) {
     t.reportLoad(4, true, 0);
-    for (MemberId m = 1; m <= 3; ++m) t.reportLoad(m, false, 0);
+    for (EndpointId m = 1; m <= 3; ++m) t.reportLoad(m, false, 0);
     for (int k = 0; k < 15; ++k) {  // one in five takes longer
       const RequestId warm = t.ask(kAny);
       third = t.lastTo(warm);
       t.pass(k % 5 == 4 ? 300 : 100);
-      t.end(warm, Result::Ok, 2);
-      for (MemberId m = 1; m <= 3; ++m) t.reportLoad(m, false, 0);
+      t.end(warm, AttemptStatus::Ok, kFromReplica);
+      for (EndpointId m = 1; m <= 3; ++m) t.reportLoad(m, false, 0);
     }
     t.pass(2000);
     t.out.all.clear();
     if (thirdIsIdle) t.reportLoad(third, false, 0);
-    for (MemberId m = 1; thirdIsIdle && m <= 3; ++m)
+    for (EndpointId m = 1; thirdIsIdle && m <= 3; ++m)
       if (m != third) t.reportLoad(m, false, held);
     t.pass(agoMs);
     id = t.ask(kAny);
     const std::vector<Action> asked = t.out.of("probe");
-    for (const Action& a : asked) t.reportLoad(a.member, false, a.member == third ? 0 : held);
+    for (const Action& a : asked) t.reportLoad(a.endpoint, false, a.endpoint == third ? 0 : held);
     EXPECT_EQ(asked.size(), thirdIsIdle ? 0u : 2u);
   }
 };
@@ -707,15 +712,16 @@
 // next to nothing and the rest was refused.
 TEST(ColdStart, AToldLoadOpensAMemberToItsShareOfReads) {
   Settings s = settings();
-  s.figures = {Figure::Position, Figure::Primary, Figure::Inflight};
-  s.fallMultiple = 4;
+  s.reportFields = {ReportField::Position, ReportField::Primary, ReportField::InFlight};
+  s.overloadFactor = 4;
   const auto share = [&](bool told) {
     int cold = 0;
     for (std::uint64_t seed = 1; seed <= 300; ++seed) {
       Bench t(s, 3, seed);
       t.next = 1000 * seed;
-      t.b.list(t.now, ListKind::Delta, {Bench::entry(2, Lifecycle::Ready, t.now - seconds(5))});
-      for (MemberId m = 1; m <= 3; ++m)
+      t.b.onEndpointList(t.now, EndpointListKind::Delta,
+                         {Bench::entry(2, Lifecycle::Ready, t.now - seconds(5))});
+      for (EndpointId m = 1; m <= 3; ++m)
         told ? t.reportLoad(m, m == 1, m == 2 ? 0 : 9) : t.report(m, 0, m == 1);
       for (int k = 0; k < 4; ++k) cold += t.lastTo(t.ask(kAny)) == 2;
     }
@@ -728,15 +734,15 @@
 // event7574: a hundred routers heard that one replica was idle and all ran there for a quarter of a second.
 TEST(ReadSet, AnOldWordOfALoadCountsForLessThanItsGroupsMean) {
   Settings s = settings();
-  s.figures = {Figure::Position, Figure::Primary, Figure::Inflight};
+  s.reportFields = {ReportField::Position, ReportField::Primary, ReportField::InFlight};
   Bench t(s);
-  const auto tell = [&](MemberId m, bool primary, int held) { t.reportLoad(m, primary, held); };
+  const auto tell = [&](EndpointId m, bool primary, int held) { t.reportLoad(m, primary, held); };
   tell(1, true, 60);
   tell(2, false, 0);
   for (int k = 0; k < 10; ++k) {
     const RequestId warm = t.ask(kAny);
     t.pass(100);
-    t.end(warm, Result::Ok, 2);
+    t.end(warm, AttemptStatus::Ok, kFromReplica);
     tell(2, false, 0);
     tell(3, false, 0);
   }
@@ -746,7 +752,7 @@
   const RequestId fresh = t.ask(kAny);
   EXPECT_EQ(t.lastTo(fresh), 2u);
   t.pass(100);
-  t.end(fresh, Result::Ok, 2);
+  t.end(fresh, AttemptStatus::Ok, kFromReplica);
   tell(2, false, 1);
   t.pass(700);
   const RequestId old = t.ask(kAny);
@@ -759,8 +765,9 @@
   const RequestId id = t.ask(kWrite);
   for (int k = 0; k < 12 && !t.finalAnswer(id); ++k) {
     const std::size_t before = t.sends(id).size();
-    if (before > 0) t.end(id, Result::Miss, 2);
-    t.b.list(t.now, ListKind::Delta, {Bench::entry(7)});  // any change of the list lets it look again
+    if (before > 0) t.end(id, AttemptStatus::TooStale, kFromReplica);
+    t.b.onEndpointList(t.now, EndpointListKind::Delta,
+                       {Bench::entry(7)});  // any change of the list lets it look again
     t.run(20);
     if (t.sends(id).size() == before) break;
   }
@@ -771,15 +778,15 @@
   EXPECT_EQ(t.lastTo(id), 7u);
 }
 // event4996: one of a hundred routers heard from a member every few seconds, so each read paid for probes.
-TEST(Peers, WhatOneRouterHeardSparesTheOthersTheirProbes) {
+TEST(GossipChannel, WhatOneRouterHeardSparesTheOthersTheirProbes) {
   Settings s = settings();
-  s.peers = true;
+  s.gossipAllowed = true;
   Bench here(s), there(s);
   here.report(1, 0, true);
   here.report(2, 40);
   here.report(2, 30);
   ASSERT_EQ(here.out.words.size(), 2u) << "a word a member, then none for a while";
-  for (const Word& w : here.out.words) there.b.heard(there.now, w);
+  for (const GossipMessage& w : here.out.words) there.b.onGossip(there.now, w);
   there.pass(20);
   there.report(2, 0);
   EXPECT_TRUE(there.out.words.empty()) << "all routers have just heard of it";
@@ -793,11 +800,11 @@
   EXPECT_EQ(there.out.words.size(), 2u);
 }
 // A day on which words are lost on the way: nobody heard that it had been told, and all 300 told everything.
-TEST(Peers, NoRouterTellsMoreThanTwiceItsPartThoughItHearsOfNobody) {
+TEST(GossipChannel, NoRouterTellsMoreThanTwiceItsPartThoughItHearsOfNobody) {
   Settings s = settings();
-  s.peers = true;
+  s.gossipAllowed = true;
   for (const int routers : {3, 300}) {
-    s.balancers = routers;
+    s.proxyCount = routers;
     Bench t(s);
     constexpr int kPasses = 1200;  // of 50 ms: a minute
     for (int k = 0; k < kPasses; ++k, t.pass(50)) t.report(2, 0);
@@ -807,31 +814,31 @@
   }
 }
 // Day 4 of the full score: each of a hundred proxies asked all members of a group for its primary.
-TEST(Peers, WhatAPeerJustSaidIsNotAskedAgainInTheSearchForAPrimary) {
+TEST(GossipChannel, WhatAPeerJustSaidIsNotAskedAgainInTheSearchForAPrimary) {
   Settings s = settings();
-  s.peers = true;
+  s.gossipAllowed = true;
   Bench t(s);
   const RequestId id = t.ask(kWrite);
-  for (int k = 0; k < 3; ++k) t.end(id, Result::Miss, 2);
+  for (int k = 0; k < 3; ++k) t.end(id, AttemptStatus::TooStale, kFromReplica);
   for (int k = 0; k < 5; ++k) {
-    for (MemberId m = 1; m <= 3; ++m) t.b.heard(t.now, {m, t.now - milliseconds(20), false, 0});
+    for (EndpointId m = 1; m <= 3; ++m) t.b.onGossip(t.now, {m, t.now - milliseconds(20), false, 0});
     t.run(100);
   }
   EXPECT_TRUE(t.out.of("probe").empty());
   t.run(400);
   EXPECT_GE(t.out.of("probe").size(), 3u);
 }
-TEST(Peers, AWordOfTheFutureOrOfNoMemberIsNone) {
+TEST(GossipChannel, AWordOfTheFutureOrOfNoMemberIsNone) {
   Settings s = settings();
-  s.peers = true;
+  s.gossipAllowed = true;
   Bench t(s, 1);
-  t.b.heard(t.now, {1, t.now + milliseconds(1), false, 0});
-  t.b.heard(t.now, {9, t.now, true, 0});
+  t.b.onGossip(t.now, {1, t.now + milliseconds(1), false, 0});
+  t.b.onGossip(t.now, {9, t.now, true, 0});
   EXPECT_TRUE(t.sends(t.ask(kBounded)).empty());
-  t.b.heard(t.now, {1, t.now, false, 0});
+  t.b.onGossip(t.now, {1, t.now, false, 0});
   EXPECT_EQ(t.out.of("send").size(), 1u);
 }
-TEST(Peers, NothingIsToldWhereItIsNotAllowed) {
+TEST(GossipChannel, NothingIsToldWhereItIsNotAllowed) {
   Bench t;
   t.report(2, 0);
   EXPECT_TRUE(t.out.words.empty());
@@ -842,21 +849,21 @@
   for (int k = 0; k < 30; ++k) {
     const RequestId id = t.ask(kAny);
     t.pass(20);
-    t.end(id, Result::Ok, 2);
+    t.end(id, AttemptStatus::Ok, kFromReplica);
   }
   const RequestId lost = t.ask(kAny);
-  const MemberId member = t.lastTo(lost);
+  const EndpointId member = t.lastTo(lost);
   t.run(110);
   t.report(member, 10);
   t.run(30);
   EXPECT_EQ(t.out.of("cancel", lost).size(), 1u);
-  t.end(lost, Result::Cancelled);
+  t.end(lost, AttemptStatus::Cancelled);
   EXPECT_NE(t.lastTo(lost), member);
-  std::set<MemberId> met;
+  std::set<EndpointId> met;
   for (int k = 0; k < 6; ++k) {
     const RequestId id = t.ask(kAny);
     met.insert(t.lastTo(id));
-    t.end(id, Result::Ok, 2);
+    t.end(id, AttemptStatus::Ok, kFromReplica);
   }
   EXPECT_EQ(met.count(member), 1u) << "it serves on";
 }
@@ -870,11 +877,11 @@
   for (int k = 0; k < 3; ++k) first.push_back(t.ask(kBounded));
   for (const RequestId id : first) {  // three in a row set the replica aside
     ASSERT_EQ(t.lastTo(id), 2u);
-    t.end(id, Result::Error, t.note(0, 2));
+    t.end(id, AttemptStatus::Error, t.evidence(0, Role::Replica));
   }
   t.pass(100);
   ASSERT_EQ(t.lastTo(first[0]), 1u);
-  t.end(first[0], Result::Ok, t.note(0, 1));
+  t.end(first[0], AttemptStatus::Ok, t.evidence(0, Role::Primary));
   t.report(2, 10);
   int atPrimary = 0, atReplica = 0;
   for (int k = 0; k < 30 && atReplica == 0; ++k) {
@@ -890,20 +897,20 @@
   Bench t;
   t.teachPrimary(1);
   const RequestId id = t.ask(kAny);
-  const MemberId busy = t.lastTo(id);
-  const MemberId quiet = busy == 2 ? 3 : 2;
-  t.b.list(t.now, ListKind::Delta,
-           {Bench::entry(quiet, Lifecycle::Gone), Bench::entry(busy, Lifecycle::Gone)});
+  const EndpointId busy = t.lastTo(id);
+  const EndpointId quiet = busy == 2 ? 3 : 2;
+  t.b.onEndpointList(t.now, EndpointListKind::Delta,
+                     {Bench::entry(quiet, Lifecycle::Gone), Bench::entry(busy, Lifecycle::Gone)});
   t.pass(9000);
-  EXPECT_TRUE(t.b.forget(t.now).empty());
+  EXPECT_TRUE(t.b.removeDeparted(t.now).empty());
   t.pass(1000);
-  EXPECT_EQ(t.b.forget(t.now), std::vector<MemberId>{quiet});
-  t.end(id, Result::Ok, 2);
-  EXPECT_EQ(t.b.forget(t.now), std::vector<MemberId>{busy});
+  EXPECT_EQ(t.b.removeDeparted(t.now), std::vector<EndpointId>{quiet});
+  t.end(id, AttemptStatus::Ok, kFromReplica);
+  EXPECT_EQ(t.b.removeDeparted(t.now), std::vector<EndpointId>{busy});
   t.report(quiet, 0);  // late: ignored
-  t.b.list(t.now, ListKind::Delta, {Bench::entry(quiet)});
+  t.b.onEndpointList(t.now, EndpointListKind::Delta, {Bench::entry(quiet)});
   t.pass(20000);
-  EXPECT_TRUE(t.b.forget(t.now).empty()) << "it is back";
+  EXPECT_TRUE(t.b.removeDeparted(t.now).empty()) << "it is back";
 }
 // muscat-guides, fast_errors on a primary: three errors that came at once kept all writes waiting for up to 8
 // s, while it answered half of what it got.
@@ -913,15 +920,15 @@
   for (int k = 0; k < 6; ++k) {
     const RequestId id = t.ask(kWrite);
     ASSERT_EQ(t.lastTo(id), 1u) << k;
-    t.end(id, Result::Error, t.note(0, 1));
+    t.end(id, AttemptStatus::Error, t.evidence(0, Role::Primary));
     t.pass(1);
   }
   // One whose connection fails is gone, and gets nothing for a while.
   const RequestId last = t.ask(kWrite);
-  t.end(last, Result::ConnectFailed);
-  Probe refused;
+  t.end(last, AttemptStatus::ConnectFailed);
+  HealthCheckResult refused;
   refused.member = 1;
-  t.b.probed(t.now, refused);
+  t.b.onHealthCheck(t.now, refused);
   const RequestId next = t.ask(kWrite);
   EXPECT_NE(t.lastTo(next), 1u);
 }
@@ -930,13 +937,13 @@
   t.teachPrimary(1);
   const RequestId first = t.ask(kBounded);
   t.pass(40);
-  t.end(first, Result::Ok, t.note(0, 1));
+  t.end(first, AttemptStatus::Ok, t.evidence(0, Role::Primary));
   const RequestId id = t.ask(kBounded);
   for (int k = 0; k < 5; ++k) {
     ASSERT_EQ(t.sends(id).size(), static_cast<std::size_t>(k + 1));
-    t.end(id, Result::Error, t.note(0, 1));  // at once: it draws on no purse
+    t.end(id, AttemptStatus::Error, t.evidence(0, Role::Primary));  // at once: it draws on no purse
   }
-  t.end(id, Result::Ok, t.note(0, 1));
+  t.end(id, AttemptStatus::Ok, t.evidence(0, Role::Primary));
   EXPECT_FALSE(t.finalAnswer(id));
 }
 // muscat-guides, replicas that lag: two that got no sends stayed next in turn and were the only ones asked,
@@ -944,7 +951,7 @@
 TEST(Asking, LaggardsThatWereAskedInVainLetTheOthersBeAsked) {
   Bench t(settings(), 5);
   t.teachPrimary(1);
-  std::set<MemberId> asked;
+  std::set<EndpointId> asked;
   for (int k = 0; k < 4; ++k) {
     t.pass(1000);
     const std::size_t before = t.out.all.size();
@@ -952,10 +959,11 @@
     const std::vector<Action> all(t.out.all.begin() + static_cast<std::ptrdiff_t>(before), t.out.all.end());
     for (const Action& a : all)
       if (a.what == "probe") {
-        asked.insert(a.member);
-        t.report(a.member, a.member <= 3 ? 5000 : 10, a.member == 1);
+        asked.insert(a.endpoint);
+        t.report(a.endpoint, a.endpoint <= 3 ? 5000 : 10, a.endpoint == 1);
       }
-    if (!t.sends(id).empty()) t.end(id, Result::Ok, t.note(10, t.lastTo(id) == 1 ? 1 : 2));
+    if (!t.sends(id).empty())
+      t.end(id, AttemptStatus::Ok, t.evidence(10, t.lastTo(id) == 1 ? Role::Primary : Role::Replica));
   }
   EXPECT_GT(asked.count(4) + asked.count(5), 0u);
 }
@@ -968,16 +976,16 @@
   t.pass(30);
   t.report(probes[1].member, 10);
   EXPECT_EQ(t.lastTo(id), probes[1].member);
-  Probe p;
-  p.member = probes[0].member;
+  HealthCheckResult p;
+  p.endpoint = probes[0].member;
   t.pass(220);
-  t.b.probed(t.now, p);
+  t.b.onHealthCheck(t.now, p);
   for (int k = 0; k < 5; ++k) EXPECT_NE(t.lastTo(t.ask(kAny)), probes[0].member);
 }
 TEST(Idle, ARouterWithNothingOutSetsNoTimer) {
   Bench t;
   const RequestId id = t.ask(kAny);
-  t.end(id, Result::Ok, 2);
+  t.end(id, AttemptStatus::Ok, kFromReplica);
   t.run(100);
   const std::size_t before = t.out.of("timer").size();
   t.run(5000);
@@ -985,26 +993,26 @@
 }
 TEST(Discovery, IsAskedAtTheStartAndAgainAfterAFailure) {
   Settings s = settings();
-  s.discovery = Discovery::Subscribe;
+  s.discovery = DiscoveryMode::Poll;
   Bench t(s);
   EXPECT_EQ(t.out.of("subscribe").size(), 1u);
-  t.b.list(t.now, ListKind::Failed, {});
+  t.b.onEndpointList(t.now, EndpointListKind::Failed, {});
   const Action again = t.out.of("timer").back();
-  EXPECT_LT(again.time, s.mustAskIn / 4);
+  EXPECT_LT(again.time, s.maxPollInterval / 4);
   t.now += again.time;
-  t.b.timer(t.now, again.token);
+  t.b.onTimer(t.now, again.token);
   EXPECT_EQ(t.out.of("subscribe").size(), 2u);
-  t.b.list(t.now, ListKind::Delta, {});
+  t.b.onEndpointList(t.now, EndpointListKind::Delta, {});
   for (const Action& a : t.out.of("timer"))
-    if (a.token != 0) t.b.timer(t.now + seconds(9), a.token);
+    if (a.token.encoded() != 0) t.b.onTimer(t.now + seconds(9), a.token);
   EXPECT_EQ(t.out.of("subscribe").size(), 2u) << "an answered call is not repeated";
 }
 // event4996: all proxies lost their watch at once and asked again at the same instants; some got no list in
 // 25 s.
 TEST(Discovery, ManyRoutersAskEachAtATimeOfItsOwn) {
   Settings s = settings();
-  s.discovery = Discovery::Subscribe;
-  s.balancers = 100;
+  s.discovery = DiscoveryMode::Poll;
+  s.proxyCount = 100;
   std::set<Time> first, again;
   for (std::uint64_t seed = 1; seed <= 100; ++seed) {
     Bench t(s, 3, seed);
@@ -1012,9 +1020,9 @@
     const Action start = t.out.of("timer").back();
     first.insert(start.time);
     EXPECT_LT(start.time, seconds(2));
-    t.b.timer(t.now += start.time, start.token);
+    t.b.onTimer(t.now += start.time, start.token);
     EXPECT_EQ(t.out.of("subscribe").size(), 1u);
-    t.b.list(t.now, ListKind::Failed, {});
+    t.b.onEndpointList(t.now, EndpointListKind::Failed, {});
     again.insert(t.out.of("timer").back().time);
   }
   EXPECT_GT(first.size(), 90u);
@@ -1025,15 +1033,15 @@
 // of silence and 6 s of spread, as 300 routers had, are too many.
 TEST(Discovery, AsksAgainInTimeHoweverManyTheRoutersAre) {
   Settings s = settings();
-  s.discovery = Discovery::Subscribe;
+  s.discovery = DiscoveryMode::Poll;
   for (const int routers : {1, 30, 300, 3000}) {
-    s.balancers = routers;
+    s.proxyCount = routers;
     Bench t(s);
     for (int k = 0; k < 8; ++k) {
-      t.b.list(t.now, ListKind::Failed, {});
+      t.b.onEndpointList(t.now, EndpointListKind::Failed, {});
       const Action again = t.out.of("timer").back();
       EXPECT_LE(again.time, seconds(2)) << routers;
-      t.b.timer(t.now += again.time, again.token);
+      t.b.onTimer(t.now += again.time, again.token);
       EXPECT_FALSE(t.out.of("subscribe").empty());
       t.out.all.clear();
     }
@@ -1041,12 +1049,12 @@
 }
 TEST(Discovery, AnUnansweredCallIsRepeatedBeforeItIsTooLate) {
   Settings s = settings();
-  s.discovery = Discovery::Subscribe;
+  s.discovery = DiscoveryMode::Poll;
   Bench t(s);
   const Action guard = t.out.of("timer").back();
-  EXPECT_LT(guard.time, s.mustAskIn);
+  EXPECT_LT(guard.time, s.maxPollInterval);
   t.now += guard.time;
-  t.b.timer(t.now, guard.token);
+  t.b.onTimer(t.now, guard.token);
   EXPECT_EQ(t.out.of("subscribe").size(), 2u);
 }
 
@@ -1058,7 +1066,7 @@
   for (int k = 0; k < 20; ++k) {
     const RequestId id = t.ask(kAny);
     t.pass(100);
-    t.end(id, Result::Ok, 2);
+    t.end(id, AttemptStatus::Ok, kFromReplica);
   }
   int refused = 0;
   for (int k = 0; k < 200; ++k) refused += t.finalAnswer(t.ask(kAny));
@@ -1069,19 +1077,19 @@
 // Incident i1a9b26: a share of the attempts was never answered; each counted as load for seconds.
 TEST(Refusals, AttemptsThatWereOvertakenLongAgoAreNoLoad) {
   Settings s = settings();
-  s.cancel = false;
+  s.cancellationAllowed = false;
   Bench t(s, 1);
   for (int k = 0; k < 20; ++k) {
     const RequestId id = t.ask(kAny);
     t.pass(20);
-    t.end(id, Result::Ok, 2);
+    t.end(id, AttemptStatus::Ok, kFromReplica);
   }
   for (int k = 0; k < 12; ++k) {
     t.ask(kAny);  // lost
     const RequestId id = t.ask(kAny);
     ASSERT_EQ(t.sends(id).size(), 1u) << k;
     t.pass(20);
-    t.end(id, Result::Ok, 2);
+    t.end(id, AttemptStatus::Ok, kFromReplica);
     t.pass(130);
   }
 }
@@ -1090,17 +1098,17 @@
     Bench t;
     for (int k = 0; k < 50; ++k) {
       const RequestId id = t.ask(k % 4);
-      t.report(static_cast<MemberId>(k % 3 + 1), k, k % 7 == 0);
+      t.report(static_cast<EndpointId>(k % 3 + 1), k, k % 7 == 0);
       t.run(15);
-      if (!t.sends(id).empty()) t.end(id, k % 5 ? Result::Ok : Result::Error, 2);
+      if (!t.sends(id).empty()) t.end(id, k % 5 ? AttemptStatus::Ok : AttemptStatus::Error, kFromReplica);
     }
     std::string s;
     for (const Action& a : t.out.all)
-      s += a.what + std::to_string(a.id) + "/" + std::to_string(a.member) + " ";
+      s += a.what + std::to_string(a.id) + "/" + std::to_string(a.endpoint) + " ";
     return s;
   };
   EXPECT_EQ(play(), play());
 }
 
 }  // namespace
-}  // namespace knotstack::test
+}  // namespace stonebay::test
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -3,13 +3,13 @@
 
 #include <algorithm>
 
+#include "codec/gossip/message.hpp"
+#include "codec/http/http.hpp"
+#include "codec/pg/pg.hpp"
+#include "discovery/endpoint_list.hpp"
 #include "log/log.hpp"
-#include "membership/list.hpp"
-#include "wire/http/http.hpp"
-#include "wire/peer/words.hpp"
-#include "wire/pg/pg.hpp"
 
-namespace sablespur {
+namespace stonebay {
 namespace {
 
 TEST(Pg, CommentSaysWhatTheProtocolPutsThere) {
@@ -80,31 +80,31 @@
 
 TEST(Words, ComeBackAsTheyWentAndFitTheirDatagrams) {
   const std::int64_t now = 1796140835411;
-  std::vector<peer::Word> words;
+  std::vector<gossip::Message> words;
   for (int k = 0; k < 45; ++k)
     words.push_back({0xabcdef012345u + static_cast<unsigned>(k), now - 100 * k, k % 2 == 0, 10 * k});
-  const std::vector<std::string> all = peer::encode(words);
+  const std::vector<std::string> all = gossip::encode(words);
   ASSERT_EQ(all.size(), 3u);
   std::size_t at = 0;
   for (const std::string& bytes : all) {
-    EXPECT_LE(bytes.size(), peer::kLongest);
-    for (const peer::Word& w : peer::parse(bytes, now + 30)) {
+    EXPECT_LE(bytes.size(), gossip::kLongest);
+    for (const gossip::Message& w : gossip::parse(bytes, now + 30)) {
       EXPECT_EQ(w.key, words[at].key);
       EXPECT_EQ(w.positionMs, words[at].positionMs);
       EXPECT_EQ(w.primary, words[at].primary);
-      EXPECT_EQ(w.inflight, std::min(words[at].inflight, 255));
+      EXPECT_EQ(w.inFlight, std::min(words[at].inflight, 255));
       ++at;
     }
     for (std::size_t cut = 0; cut < bytes.size(); cut += (cut + 1) % 12 == 1 ? 2 : 1)  // not between words
-      EXPECT_TRUE(peer::parse(bytes.substr(0, cut), now).empty()) << cut;
+      EXPECT_TRUE(gossip::parse(bytes.substr(0, cut), now).empty()) << cut;
   }
   EXPECT_EQ(at, words.size());
   std::string odd = all[0];
   odd[0] = 2;
-  EXPECT_TRUE(peer::parse(odd, now).empty()) << "a later version's";
+  EXPECT_TRUE(gossip::parse(odd, now).empty()) << "a later version's";
   // Across the wrap of the low 32 bits the nearest instant is meant.
   const std::int64_t wrap = (now >> 32 << 32) + (std::int64_t{1} << 32);
-  EXPECT_EQ(peer::parse(peer::encode({{1, wrap - 5, false, 0}})[0], wrap + 20)[0].positionMs, wrap - 5);
+  EXPECT_EQ(gossip::parse(gossip::encode({{1, wrap - 5, false, 0}})[0], wrap + 20)[0].positionMs, wrap - 5);
 }
 
 TEST(Http, ChunksMayBeSplitAnywhere) {
@@ -159,16 +159,16 @@
   EXPECT_FALSE(list.reset);
   ASSERT_EQ(list.instances.size(), 2u);
   EXPECT_EQ(list.instances[0].group, 3u);
-  EXPECT_EQ(list.instances[0].state, knotstack::Lifecycle::Draining);
+  EXPECT_EQ(list.instances[0].state, Lifecycle::Draining);
   EXPECT_EQ(list.instances[0].startedMs, 7);
   EXPECT_EQ(list.instances[0].address.port(), 5432);
-  EXPECT_EQ(list.instances[1].state, knotstack::Lifecycle::Gone);
+  EXPECT_EQ(list.instances[1].state, Lifecycle::Gone);
   const auto fault = [&](const std::string& from, const std::string& to) {
     std::string bad = text;
     bad.replace(bad.find(from), from.size(), to);
     try {
       parseInstances(bad);
-    } catch (const BadInput& e) {
+    } catch (const InvalidInput& e) {
       return std::string(e.what());
     }
     return std::string("no fault");
@@ -178,7 +178,7 @@
   EXPECT_NE(fault("\"cell\":3", "\"cell\":70000").find("instances[0].cell"), std::string::npos);
   EXPECT_NE(fault("leaving", "gone").find("instances[0].lifecycle"), std::string::npos);
   EXPECT_NE(fault("\"instanceId\":\"s-2\"", "\"x\":1").find("instances[1].instanceId"), std::string::npos);
-  EXPECT_THROW(parseInstances("{\"generation\":"), BadInput);
+  EXPECT_THROW(parseInstances("{\"generation\":"), InvalidInput);
 }
 
 TEST(List, IsCutFromAStreamWhereverItIsSplitOrIndented) {
@@ -188,7 +188,7 @@
       "\"a}]\\\"{\\\\\",\n      \"lifecycle\": \"left\"\n    }\n  ]\n}";
   const std::string text = "\n" + one + "\r\n\n" + two + one;
   for (std::size_t step : {std::size_t{1}, std::size_t{7}, text.size()}) {
-    ListReader reader;
+    EndpointListReader reader;
     std::vector<InstanceList> lists;
     for (std::size_t at = 0; at < text.size(); at += step)
       reader.feed(std::string_view(text).substr(at, step),
@@ -199,10 +199,10 @@
     EXPECT_EQ(lists[2].generation, 1u);
   }
   const auto none = [](InstanceList) {};
-  EXPECT_THROW(ListReader().feed("x", none), BadInput);
-  EXPECT_THROW(ListReader().feed("{]", none), BadInput);
+  EXPECT_THROW(EndpointListReader().feed("x", none), InvalidInput);
+  EXPECT_THROW(EndpointListReader().feed("{]", none), InvalidInput);
   int before = 0;
-  EXPECT_THROW(ListReader().feed(one + "]", [&](InstanceList) { ++before; }), BadInput);
+  EXPECT_THROW(EndpointListReader().feed(one + "]", [&](InstanceList) { ++before; }), InvalidInput);
   EXPECT_EQ(before, 1);
 }
 
@@ -230,4 +230,4 @@
 }
 
 }  // namespace
-}  // namespace sablespur
+}  // namespace stonebay
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -9,7 +9,7 @@
 #include "config/config.hpp"
 #include "scenario.hpp"
 
-namespace sablespur::test {
+namespace stonebay::test {
 namespace {
 
 TEST(Proxy, ServesAReadFromAReplicaAndPassesTheStatementOn) {
@@ -219,7 +219,7 @@
 // same.
 TEST(Proxy, ARefusalSaysWhenToComeBack) {
   Setting s;
-  s.retryAfter = false;
+  s.retryAfterAllowed = false;
   Scenario t(s);
   t.run(R"(
     s1 wait silent
@@ -289,7 +289,7 @@
 // tables, and those that had something to ask were turned away.
 TEST(Proxy, OneOfManyProxiesDialsOnNeedAlone) {
   Setting s;
-  s.balancers = 100;
+  s.proxyCount = 100;
   Scenario t(s);
   t.run(R"(
     proxy expect quiet
@@ -704,7 +704,7 @@
 
 // ---- configuration ---------------------------------------------------------------------------------------
 std::string complaint(const std::string& text) {
-  char path[] = "/tmp/sablespur-test-XXXXXX";
+  char path[] = "/tmp/stonebay-test-XXXXXX";
   close(mkstemp(path));
   std::ofstream(path) << text;
   int err = -1, status = 0;
@@ -741,7 +741,7 @@
   EXPECT_EQ(why, "/nonexistent: it cannot be read; see that it exists and may be read\n");
   EXPECT_EQ(command({"serve", "--config", "/nonexistent"}).first, 1);
 
-  char path[] = "/tmp/sablespur-test-XXXXXX";
+  char path[] = "/tmp/stonebay-test-XXXXXX";
   close(mkstemp(path));
   std::ofstream(path) << settingsFile({}, 1, {2});
   EXPECT_EQ(command({"check", path}).first, 0);
@@ -870,10 +870,10 @@
     s.memoryMb = memory;
     s.sockets = sockets;
     const Config c = parseConfig(configuration(s, 1, {2}));
-    EXPECT_GE(c.clientConnections, static_cast<std::size_t>(sockets) / 3);
-    EXPECT_GE(c.serverConnections, c.clientConnections);
-    EXPECT_LE(c.clientConnections + c.serverConnections, static_cast<std::size_t>(sockets));
-    EXPECT_GE(c.largeStatements, std::size_t{20} * 2 * 65536);
+    EXPECT_GE(c.maxClientConnections, static_cast<std::size_t>(sockets) / 3);
+    EXPECT_GE(c.maxServerConnections, c.maxClientConnections);
+    EXPECT_LE(c.maxClientConnections + c.maxServerConnections, static_cast<std::size_t>(sockets));
+    EXPECT_GE(c.maxLargeStatementBytes, std::size_t{20} * 2 * 65536);
   }
 }
 TEST(Configuration, ErrorsNameTheKey) {
@@ -902,4 +902,4 @@
 }
 
 }  // namespace
-}  // namespace sablespur::test
+}  // namespace stonebay::test
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -15,10 +15,10 @@
 #include <fstream>
 #include <sstream>
 
-#include "lab/name_server.hpp"
-#include "wire/pg/pg.hpp"
+#include "codec/pg/pg.hpp"
+#include "testbed/name_server.hpp"
 
-namespace sablespur::test {
+namespace stonebay::test {
 namespace {
 
 constexpr auto kWatchdog = std::chrono::seconds(20);
@@ -129,10 +129,10 @@
       setrlimit(RLIMIT_NOFILE, &limit);
     }
     setenv("NODE_CONFIG", configPath.c_str(), 1);
-    std::vector<char*> argv{const_cast<char*>("sablespur")};
+    std::vector<char*> argv{const_cast<char*>("stonebay")};
     for (const std::string& a : arguments) argv.push_back(const_cast<char*>(a.c_str()));
     argv.push_back(nullptr);
-    execv(SABLESPUR_PROGRAM, argv.data());
+    execv(STONEBAY_PROGRAM, argv.data());
     _exit(127);
   }
   close(ends[1]);
@@ -148,11 +148,11 @@
   listListener_ = listenOn(listPort);
   if (setting.dnssd) {
     base_.reset(event_base_new());
-    names_ = std::make_unique<lab::NameServer>(base_.get(), domain_, "_postgresql._tcp");
+    names_ = std::make_unique<testbed::NameServer>(base_.get(), domain_, "_postgresql._tcp");
     listPort = names_->port();
     for (std::size_t k = 1; k <= servers_.size(); ++k) run("dns publish s" + std::to_string(k));
   }
-  char path[] = "/tmp/sablespur-test-XXXXXX";
+  char path[] = "/tmp/stonebay-test-XXXXXX";
   const int file = mkstemp(path);
   configPath_ = path;
   close(file);
@@ -470,15 +470,15 @@
 
 void Scenario::dns(const std::string& verb, const std::string& what, const std::string& rest) {
   if (verb == "mood") {
-    lab::NameServer::Mood mood{};
-    ASSERT_TRUE(lab::NameServer::moodOf(what, mood)) << at_;
+    testbed::NameServer::Mood mood{};
+    ASSERT_TRUE(testbed::NameServer::moodOf(what, mood)) << at_;
     return names_->mood(mood);
   }
   if (verb == "move") {  // another domain, at the same name server's port
     const int port = names_->port();
     names_.reset();
     domain_ = what;
-    names_ = std::make_unique<lab::NameServer>(base_.get(), domain_, "_postgresql._tcp", port);
+    names_ = std::make_unique<testbed::NameServer>(base_.get(), domain_, "_postgresql._tcp", port);
     configure(port);
     kill(pid_, SIGHUP);
     return;
@@ -486,7 +486,7 @@
   const std::string label = "s-" + what.substr(1);
   if (verb == "withdraw") return names_->withdraw(label);
   ASSERT_EQ(verb, "publish") << at_;
-  lab::ServiceInstance i;
+  testbed::ServiceInstance i;
   i.label = label;
   i.addresses = {"127.0.0.1"};
   i.port = static_cast<std::uint16_t>(servers_.at(std::stoul(what.substr(1)) - 1).port);
@@ -661,4 +661,4 @@
       << "step '" << at_ << "': got " << body.substr(0, 200);
 }
 
-}  // namespace sablespur::test
+}  // namespace stonebay::test
--- a/tests/scenario.hpp
+++ b/tests/scenario.hpp
@@ -1,4 +1,4 @@
-// A small language for what clients, data servers and discovery do to a real sablespur process. A step a
+// A small language for what clients, data servers and discovery do to a real stonebay process. A step a
 // line:
 //
 //   c1 send query TEXT     c1 expect row TEXT     c1 expect error CODE     c1 expect closed     c1 close
@@ -30,10 +30,10 @@
 #include <string>
 #include <vector>
 
-namespace sablespur::lab {
+namespace stonebay::testbed {
 class NameServer;
 }
-namespace sablespur::test {
+namespace stonebay::test {
 
 struct Setting {  // what a scenario's configuration may choose
   int servers = 2;
@@ -41,7 +41,7 @@
   int sockets = 1024, memoryMb = 192;
   std::string reports = "pull";
   int balancers = 3;
-  bool retryAfter = true;
+  bool retryAfterAllowed = true;
   bool dnssd = false;   // found by service records; in our form
   bool ini = false;     // settings in our form, by `serve --config`
   int descriptors = 0;  // RLIMIT_NOFILE of the process; 0: as it is
@@ -109,8 +109,8 @@
     void operator()(event_base* b) const { event_base_free(b); }
   };
   std::unique_ptr<event_base, FreeBase> base_;
-  std::unique_ptr<lab::NameServer> names_;
+  std::unique_ptr<testbed::NameServer> names_;
   std::string domain_ = "ruwi.example.org";
 };
 
-}  // namespace sablespur::test
+}  // namespace stonebay::test
--- a/tests/wire_test.cpp
+++ b/tests/simulator_adapter_test.cpp
@@ -1,12 +1,12 @@
-#include "wire.hpp"
-
 #include <gtest/gtest.h>
 #include <unistd.h>
 
 #include <cstring>
 #include <string>
 
-namespace knotstack::wire {
+#include "simulator/adapter.hpp"
+
+namespace stonebay::simulator {
 namespace {
 
 using Bytes = std::vector<std::uint8_t>;
@@ -151,7 +151,7 @@
       Bytes b = batch();
       record(b, static_cast<std::uint8_t>(code),
              Bytes(fields.begin(), fields.begin() + static_cast<long>(n)));
-      EXPECT_THROW(h.handle(b.data(), b.size(), 4), Malformed) << code << " cut at " << n;
+      EXPECT_THROW(h.handle(b.data(), b.size(), 4), MalformedFrame) << code << " cut at " << n;
     }
   }
   Bytes whole = started();
@@ -160,7 +160,7 @@
     const Bytes part(whole.begin(), whole.begin() + static_cast<long>(n));
     try {
       h.handle(part.data(), part.size(), 4);
-    } catch (const Malformed& e) {
+    } catch (const MalformedFrame& e) {
       EXPECT_NE(std::string(e.what()).find("at byte"), std::string::npos);
     }
   }
@@ -219,8 +219,8 @@
   Bytes c = batch();
   record(c, 7,
          hex("0300 c5913a5d 01 00000000 0000000000000000 00000000 da05940000000000 0000c07f 0000 00000000"));
-  EXPECT_THROW(h.handle(c.data(), c.size(), 4), Malformed);
+  EXPECT_THROW(h.handle(c.data(), c.size(), 4), MalformedFrame);
 }
 
 }  // namespace
-}  // namespace knotstack::wire
+}  // namespace stonebay::simulator
--- a/tests/lab_test.cpp
+++ b/tests/testbed_test.cpp
@@ -1,15 +1,15 @@
-// The lab itself: its models, its auditors, and each auditor against a proxy that breaks its rule.
+// The testbed itself: its models, its auditors, and each auditor against a proxy that breaks its rule.
 #include <gtest/gtest.h>
 
 #include <cstdlib>
 #include <filesystem>
 
-#include "lab/audit.hpp"
-#include "lab/experiment.hpp"
-#include "lab/model.hpp"
-#include "lab/run.hpp"
+#include "testbed/audit.hpp"
+#include "testbed/experiment.hpp"
+#include "testbed/model.hpp"
+#include "testbed/run.hpp"
 
-namespace sablespur::lab {
+namespace stonebay::testbed {
 namespace {
 
 using std::chrono::milliseconds;
@@ -105,14 +105,14 @@
   EXPECT_EQ(f["worth_share"], 0.5);
 }
 TEST(LabExperiment, FaultsNameTheLine) {
-  std::vector<Fault> faults;
+  std::vector<ConfigError> faults;
   parseExperiment(
       "[experiment]\nduration = 5\n[fleet]\nmember = 3\n[class r]\nshare = 1\n[script]\n5s withdraw\n5x kill "
       "s-1\n"
       "from 1s every 0 until 5s kill s-1\n[claims]\nlost == 0\n",
       "x.ini", faults);
   std::string all;
-  for (const Fault& f : faults) all += f.text() + "\n";
+  for (const ConfigError& f : faults) all += f.text() + "\n";
   for (const char* wanted :
        {"x.ini:2: [experiment] duration: '5' has no unit", "x.ini:4: [fleet] member: there is no",
         "x.ini:8: [script]", "x.ini:9: [script]", "x.ini:10: [script]: it repeats without end",
@@ -122,9 +122,9 @@
 TEST(LabExperiment, ThoseInTheFolderAreFreeOfFaults) {
   int n = 0;
   for (const auto& entry :
-       std::filesystem::recursive_directory_iterator(SABLESPUR_SOURCE "/lab/experiments")) {
+       std::filesystem::recursive_directory_iterator(STONEBAY_SOURCE "/testbed/experiments")) {
     if (entry.path().extension() != ".ini") continue;
-    std::vector<Fault> faults;
+    std::vector<ConfigError> faults;
     const Experiment e = readExperiment(entry.path().string(), faults);
     EXPECT_TRUE(faults.empty()) << faults.front().text();
     EXPECT_FALSE(e.claims.empty()) << entry.path();
@@ -144,7 +144,7 @@
 class LabRogue : public testing::TestWithParam<Rogue> {};
 TEST_P(LabRogue, IsFound) {
   setenv("ROGUE", GetParam().mode, 1);
-  std::vector<Fault> faults;
+  std::vector<ConfigError> faults;
   const Experiment e = parseExperiment(R"(
 [experiment]
 duration = 3s
@@ -188,13 +188,13 @@
     changed.script.clear();
     changed.script.push_back({milliseconds(200), {"withdraw", "s-3"}, 0});
   }
-  char dir[] = "/tmp/sablespur-lab-XXXXXX";
+  char dir[] = "/tmp/stonebay-testbed-XXXXXX";
   ASSERT_NE(mkdtemp(dir), nullptr);
   Run::Options o;
-  o.program = SABLESPUR_ROGUE;
+  o.program = STONEBAY_FAULT_INJECTION;
   o.directory = dir;
-  lab::Run run(changed, o);
-  Outcome out = run.play();
+  testbed::Run run(changed, o);
+  AttemptOutcome out = run.play();
   std::filesystem::remove_all(dir);
   EXPECT_GT(out.figures[GetParam().figure], 0) << "by " << GetParam().mode;
   EXPECT_GT(out.figures["served"], 0);
@@ -212,4 +212,4 @@
                          [](const auto& i) { return std::string(i.param.mode); });
 
 }  // namespace
-}  // namespace sablespur::lab
+}  // namespace stonebay::testbed
