--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -44,21 +44,21 @@
   Address listen, discovery;
   Address gossipListen,
       gossipBroadcast;  // datagrams between proxies: where they come in, where all are reached; or none
-  std::vector<Address> peers;  // whose datagrams are believed
+  std::vector<Address> gossipPeers;  // whose datagrams are believed
   std::uint64_t seed = 0;
   // Bounds that follow from the limits on descriptors and memory.
   std::size_t maxClientConnections = 0, maxServerConnections = 0;
   std::size_t maxActiveClients = 0;  // of the clients, those that have asked something, idle ones included
   std::size_t maxLargeStatementBytes =
       0;  // bytes that statements too long to be read ahead may take, all together
-  InstanceList known;
+  InstanceList knownEndpoints;
   Settings settings;
   std::vector<std::string> classes;  // names, in the order of settings.classes
   std::vector<std::string> zones;
   std::vector<std::string> reportNames;  // in the order of settings.figures
   Time connectTimeout{};                 // a connection that is not up by then has failed
   Time idleTimeout{};                    // data servers close what stands idle for so long
-  bool sessions = false;                 // some class needs to know a request's session
+  bool tracksSessions = false;                 // some class needs to know a request's session
   Source source = Source::Registry;
   DnsSdSettings dnssd;            // of Source::DnsSd
   std::vector<GroupName> groups;  // those that have a name
--- a/src/discovery/endpoint_feed.cpp
+++ b/src/discovery/endpoint_feed.cpp
@@ -27,12 +27,12 @@
   pass();
 }
 
-void EndpointFeed::listed(InstanceList list) {
+void EndpointFeed::onEndpointList(InstanceList list) {
   members_.changed(clock_.now(), std::move(list));
   pass();
 }
 
-void EndpointFeed::listFailed(const std::string& why) {
+void EndpointFeed::onListFailure(const std::string& why) {
   const auto now = clock_.now();
   members_.failed(now, why);
   const auto view = members_.view(now);
--- a/testbed/main.cpp
+++ b/testbed/main.cpp
@@ -58,7 +58,7 @@
   return fs::exists(p) ? p.string() : "stonebay";
 }
 
-int complain(const std::vector<ConfigError>& faults) {
+int complain(const std::vector<stonebay::ConfigError>& faults) {
   for (const auto& f : faults) std::fprintf(stderr, "%s\n", f.text().c_str());
   return 1;
 }
@@ -78,7 +78,7 @@
   std::sort(files.begin(), files.end());
   int bad = 0;
   for (const auto& f : files) {
-    std::vector<ConfigError> faults;
+    std::vector<stonebay::ConfigError> faults;
     const Experiment e = readExperiment(f.string(), faults);
     bad |= faults.empty() ? 0 : complain(faults);
     std::printf("%-48s %4lld s  %s\n", f.string().c_str(),
@@ -140,7 +140,7 @@
   CLI11_PARSE(app, argc, argv);
   try {
     if (listing->parsed()) return list(dir);
-    std::vector<ConfigError> faults;
+    std::vector<stonebay::ConfigError> faults;
     Experiment e = demo->parsed() ? parseExperiment(kDemo, "demo", faults) : readExperiment(file, faults);
     if (!faults.empty()) return complain(faults);
     if (seed >= 0) e.seed = static_cast<std::uint64_t>(seed);
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -174,20 +174,20 @@
 TEST_F(DispatcherTest, DataOlderThanTheBoundIsNotRead) {
   Dispatcher fresh(base.get(), config);
   fresh.start(members, lists);
-  fresh.turn();
+  fresh.processEvents();
   const double old =
       static_cast<double>((fresh.now() - std::chrono::seconds(6)).count()) / 1e6;  // bound: 5 s
-  fresh.probed(2, true, {old, 0.0, 0.0});
-  fresh.turn();
+  fresh.onHealthCheck(2, true, {old, 0.0, 0.0});
+  fresh.processEvents();
   Request q;
   q.group = 3;
   q.deadline = fresh.now() + std::chrono::seconds(5);
-  fresh.request(handler, q, ForwardedRequest{newBuffer(), newBuffer(), {}});
-  fresh.turn();
+  fresh.submit(handler, q, ForwardedRequest{newBuffer(), newBuffer(), {}});
+  fresh.processEvents();
   EXPECT_TRUE(members.sent.empty());
-  fresh.probed(1, false, {});
-  fresh.probed(2, true, {static_cast<double>(fresh.now().count()) / 1e6, 0.0, 0.0});
-  fresh.turn();
+  fresh.onHealthCheck(1, false, {});
+  fresh.onHealthCheck(2, true, {static_cast<double>(fresh.now().count()) / 1e6, 0.0, 0.0});
+  fresh.processEvents();
   ASSERT_EQ(members.sent.size(), 1u);
   EXPECT_EQ(members.sent[0].member, 2u);
 }
@@ -197,22 +197,22 @@
   Dispatcher fresh(base.get(), config);
   FakeEndpointPool its;
   fresh.start(its, lists);
-  fresh.turn();
+  fresh.processEvents();
   Request read, write;
   read.group = write.group = 3;
   read.deadline = write.deadline = fresh.now() + std::chrono::seconds(5);
   write.classIndex = 1;
-  fresh.request(handler, read, ForwardedRequest{newBuffer(), newBuffer(), {}});
-  const RequestId id = fresh.request(handler, write, ForwardedRequest{newBuffer(), newBuffer(), {}});
-  fresh.turn();
+  fresh.submit(handler, read, ForwardedRequest{newBuffer(), newBuffer(), {}});
+  const RequestId id = fresh.submit(handler, write, ForwardedRequest{newBuffer(), newBuffer(), {}});
+  fresh.processEvents();
   ASSERT_EQ(its.sent.size(), 1u);  // the write looks for the primary; of no member's data is anything known
   const EndpointId asked = its.sent[0].member;
   AttemptResult e;
   e.status = AttemptStatus::TooStale;
   e.role = Role::Replica;
   e.report = {static_cast<double>(fresh.now().count()) / 1e6, 0.0, 1.0};
-  fresh.ended(id, 0, asked, std::move(e));
-  fresh.turn();
+  fresh.onAttemptEnded(id, 0, asked, std::move(e));
+  fresh.processEvents();
   ASSERT_EQ(its.sent.size(), 3u);
   EXPECT_TRUE(its.sent[1].member == asked || its.sent[2].member == asked);
 }
@@ -239,9 +239,9 @@
   GossipSocket sockets(base.get(), one, config);
   FakeEndpointPool its;
   one.start(its, lists, &sockets);
-  one.turn();
-  one.probed(2, true, {static_cast<double>(one.now().count()) / 1e6, 0.0, 3.0});
-  one.turn();
+  one.processEvents();
+  one.onHealthCheck(2, true, {static_cast<double>(one.now().count()) / 1e6, 0.0, 3.0});
+  one.processEvents();
   char bytes[512];
   sockaddr_storage from{};
   socklen_t length = sizeof from;
@@ -251,7 +251,7 @@
   usleep(2000);  // a newer position than the one that member 2 reported
   const auto nowMs = one.now().count() / 1000;
   gossip::Message word = gossip::parse({bytes, 13}, nowMs).at(0);
-  EXPECT_EQ(word.inflight, 3);
+  EXPECT_EQ(word.inFlight, 3);
   EXPECT_FALSE(word.primary);
   word.primary = true;
   word.positionMs = nowMs;
@@ -264,11 +264,11 @@
     sendto(fd, said.data(), said.size(), 0, reinterpret_cast<const sockaddr*>(&from), length);
     sendto(fd, "nonsense", 8, 0, reinterpret_cast<const sockaddr*>(&from), length);
     event_base_loop(base.get(), EVLOOP_ONCE);
-    EXPECT_EQ(one.pending(), fd == peerFd);
+    EXPECT_EQ(one.hasPendingEvents(), fd == peerFd);
   }
-  one.turn();
-  one.request(handler, write, ForwardedRequest{newBuffer(), newBuffer(), {}});
-  one.turn();
+  one.processEvents();
+  one.submit(handler, write, ForwardedRequest{newBuffer(), newBuffer(), {}});
+  one.processEvents();
   ASSERT_EQ(its.sent.size(), 1u);
   EXPECT_EQ(its.sent[0].member, 2u);
   close(peerFd);
--- a/tests/example.cpp
+++ b/tests/example.cpp
@@ -19,7 +19,7 @@
   void reject(RequestId id, Time) override { ++finals, std::printf("  refuse %d\n", static_cast<int>(id)); }
   void fail(RequestId id) override { ++finals, std::printf("  fail %d\n", static_cast<int>(id)); }
   void cancel(RequestId id, int a) override { std::printf("  cancel %d/%d\n", static_cast<int>(id), a); }
-  void scheduleTimer(Time, std::uint64_t) override {
+  void scheduleTimer(Time, TimerToken) override {
   }                                         // a real program calls LoadBalancer::timer when it is due
   void checkHealth(EndpointId) override {}  // a real program asks the member for a report
   void broadcast(const GossipMessage&) override {}
--- a/tests/load_balancer_test.cpp
+++ b/tests/load_balancer_test.cpp
@@ -156,7 +156,7 @@
   t.pass(10);
   t.end(id, GetParam().result, kFromReplica);
   ASSERT_EQ(t.sends(id).size(), 2u);
-  EXPECT_NE(t.sends(id)[0].member, t.sends(id)[1].member);
+  EXPECT_NE(t.sends(id)[0].endpoint, t.sends(id)[1].endpoint);
 }
 TEST_P(Endings, UnsafeThatMayHaveRunFails) {
   Bench t;
@@ -620,8 +620,8 @@
   const RequestId id = t.ask(kBounded);
   ASSERT_TRUE(t.sends(id).empty());
   ASSERT_EQ(t.out.of("probe").size(), 2u);
-  t.report(t.out.of("probe")[0].member, 100);
-  EXPECT_EQ(t.lastTo(id), t.out.of("probe")[0].member);
+  t.report(t.out.of("probe")[0].endpoint, 100);
+  EXPECT_EQ(t.lastTo(id), t.out.of("probe")[0].endpoint);
   const RequestId second = t.ask(kBounded);
   EXPECT_FALSE(t.sends(second).empty()) << "a proven replica is at hand";
 }
@@ -927,7 +927,7 @@
   const RequestId last = t.ask(kWrite);
   t.end(last, AttemptStatus::ConnectFailed);
   HealthCheckResult refused;
-  refused.member = 1;
+  refused.endpoint = 1;
   t.b.onHealthCheck(t.now, refused);
   const RequestId next = t.ask(kWrite);
   EXPECT_NE(t.lastTo(next), 1u);
@@ -974,13 +974,13 @@
   const auto probes = t.out.of("probe");
   ASSERT_EQ(probes.size(), 2u);
   t.pass(30);
-  t.report(probes[1].member, 10);
-  EXPECT_EQ(t.lastTo(id), probes[1].member);
+  t.report(probes[1].endpoint, 10);
+  EXPECT_EQ(t.lastTo(id), probes[1].endpoint);
   HealthCheckResult p;
-  p.endpoint = probes[0].member;
+  p.endpoint = probes[0].endpoint;
   t.pass(220);
   t.b.onHealthCheck(t.now, p);
-  for (int k = 0; k < 5; ++k) EXPECT_NE(t.lastTo(t.ask(kAny)), probes[0].member);
+  for (int k = 0; k < 5; ++k) EXPECT_NE(t.lastTo(t.ask(kAny)), probes[0].endpoint);
 }
 TEST(Idle, ARouterWithNothingOutSetsNoTimer) {
   Bench t;
--- a/tests/property_test.cpp
+++ b/tests/property_test.cpp
@@ -11,12 +11,12 @@
 class Nasty : public testing::TestWithParam<int> {};
 
 struct Try {
-  EndpointId member;
+  EndpointId endpoint;
   bool open = true;
   Time at{};
 };
 struct Known {
-  int cls = 0;
+  int classIndex = 0;
   Time deadline{};
   Time commit{-1};
   bool ended = false, ran = false;
@@ -113,7 +113,7 @@
         AttemptOutcome o;
         o.request = id;
         o.attempt = static_cast<int>(n);
-        o.endpoint = k.tries[n].member;
+        o.endpoint = k.tries[n].endpoint;
         o.status = AttemptStatus::Timeout;
         o.requestClosed = k.ended;
         t.b.onAttemptOutcome(t.now, o);
@@ -200,7 +200,7 @@
           AttemptOutcome o;
           o.request = it->first;
           o.attempt = static_cast<int>(n);
-          o.endpoint = k.tries[n].member;
+          o.endpoint = k.tries[n].endpoint;
           o.status = result;
           o.requestClosed = k.ended || result == AttemptStatus::Ok;
           const bool answered = result == AttemptStatus::Ok || result == AttemptStatus::TooStale ||
@@ -227,7 +227,7 @@
             if (!k.tries[x].open || result != AttemptStatus::Ok) continue;
             k.tries[x].open = false;
             o.attempt = static_cast<int>(x);
-            o.endpoint = k.tries[x].member;
+            o.endpoint = k.tries[x].endpoint;
             o.status = AttemptStatus::Cancelled;
             o.role = Role::Unknown;
             o.position.reset();
--- a/tests/testbed_test.cpp
+++ b/tests/testbed_test.cpp
@@ -194,7 +194,7 @@
   o.program = STONEBAY_FAULT_INJECTION;
   o.directory = dir;
   testbed::Run run(changed, o);
-  AttemptOutcome out = run.play();
+  Outcome out = run.play();
   std::filesystem::remove_all(dir);
   EXPECT_GT(out.figures[GetParam().figure], 0) << "by " << GetParam().mode;
   EXPECT_GT(out.figures["served"], 0);
