--- a/tests/balancer_fixture.hpp
+++ b/tests/balancer_fixture.hpp
@@ -26,7 +26,7 @@
 struct Action {
   std::string what;
   std::uint64_t id = 0;
-  EndpointId member = 0;
+  EndpointId endpoint = 0;
   Time time{};
   int attempt = 0;
   TimerToken token;
@@ -147,7 +147,7 @@
     return q.id;
   }
   std::vector<Action> sends(RequestId id) const { return out.of("send", id); }
-  EndpointId lastTo(RequestId id) const { return sends(id).empty() ? 0 : sends(id).back().member; }
+  EndpointId lastTo(RequestId id) const { return sends(id).empty() ? 0 : sends(id).back().endpoint; }
   bool finalAnswer(RequestId id) const {
     return !out.of("refuse", id).empty() || !out.of("fail", id).empty();
   }
@@ -157,7 +157,7 @@
     AttemptOutcome o;
     o.request = id;
     o.attempt = attempt < 0 ? static_cast<int>(all.size()) - 1 : attempt;
-    o.endpoint = all[static_cast<std::size_t>(o.attempt)].member;
+    o.endpoint = all[static_cast<std::size_t>(o.attempt)].endpoint;
     o.status = r;
     o.requestClosed = r == AttemptStatus::Ok;
     o.role = evidence.role;
--- a/tests/property_test.cpp
+++ b/tests/property_test.cpp
@@ -16,7 +16,7 @@
   Time at{};
 };
 struct Known {
-  int cls = 0;
+  int classIndex = 0;
   Time deadline{};
   Time commit{-1};
   bool ended = false, ran = false;
