--- a/tests/discovery_polling_test.cpp
+++ b/tests/discovery_polling_test.cpp
@@ -1,3 +1,4 @@
+// Tests of when discovery is polled.
 #include <set>
 
 #include "balancer_fixture.hpp"
@@ -5,74 +6,81 @@
 namespace stonebay::test {
 namespace {
 
-TEST(Discovery, IsAskedAtTheStartAndAgainAfterAFailure) {
-  Settings s = settings();
-  s.discovery = DiscoveryMode::Poll;
-  Bench t(s);
-  EXPECT_EQ(t.out.of("subscribe").size(), 1u);
-  t.b.onEndpointList(t.now, EndpointListKind::Failed, {});
-  const Action again = t.out.of("timer").back();
-  EXPECT_LT(again.time, s.maxPollInterval / 4);
-  t.now += again.time;
-  t.b.onTimer(t.now, again.token);
-  EXPECT_EQ(t.out.of("subscribe").size(), 2u);
-  t.b.onEndpointList(t.now, EndpointListKind::Delta, {});
-  for (const Action& a : t.out.of("timer"))
-    if (a.token.encoded() != 0) t.b.onTimer(t.now + seconds(9), a.token);
-  EXPECT_EQ(t.out.of("subscribe").size(), 2u) << "an answered call is not repeated";
+Settings settingsWithPolling(int proxyCount = 1) {
+  Settings settings = defaultSettings();
+  settings.discovery = DiscoveryMode::Poll;
+  settings.proxyCount = proxyCount;
+  return settings;
 }
 
-// event4996: all proxies lost their watch at once and asked again at the same instants; some got no list in
+Action lastTimer(const BalancerFixture& fixture) { return fixture.actions.of(ActionKind::Timer).back(); }
+
+void fire(BalancerFixture& fixture, const Action& timer) {
+  fixture.advanceTime(timer.time);
+  fixture.balancer.onTimer(fixture.now, timer.token);
+}
+
+void failPoll(BalancerFixture& fixture) {
+  fixture.balancer.onEndpointList(fixture.now, EndpointListKind::Failed, {});
+}
+
+TEST(DiscoveryPolling, PollsAtTheStartAndAgainAfterAFailure) {
+  BalancerFixture fixture(settingsWithPolling());
+  EXPECT_EQ(fixture.actions.count(ActionKind::PollDiscovery), 1u);
+  failPoll(fixture);
+  const Action retry = lastTimer(fixture);
+  EXPECT_LT(retry.time, fixture.settings.maxPollInterval / 4);
+  fire(fixture, retry);
+  EXPECT_EQ(fixture.actions.count(ActionKind::PollDiscovery), 2u);
+  fixture.updateEndpoints({});
+  for (const Action& timer : fixture.actions.of(ActionKind::Timer))
+    if (timer.token.encoded() != 0) fixture.balancer.onTimer(fixture.now + 9s, timer.token);
+  EXPECT_EQ(fixture.actions.count(ActionKind::PollDiscovery), 2u) << "an answered poll is not repeated";
+}
+
+// event4996: all proxies lost their watch at once and polled again at the same instants; some got no list in
 // 25 s.
-TEST(Discovery, ManyRoutersAskEachAtATimeOfItsOwn) {
-  Settings s = settings();
-  s.discovery = DiscoveryMode::Poll;
-  s.proxyCount = 100;
-  std::set<Time> first, again;
+TEST(DiscoveryPolling, ManyProxiesPollAtJitteredTimes) {
+  std::set<Time> initialDelays;
+  std::set<Time> retryDelays;
   for (std::uint64_t seed = 1; seed <= 100; ++seed) {
-    Bench t(s, 3, seed);
-    EXPECT_TRUE(t.out.of("subscribe").empty());
-    const Action start = t.out.of("timer").back();
-    first.insert(start.time);
-    EXPECT_LT(start.time, seconds(2));
-    t.b.onTimer(t.now += start.time, start.token);
-    EXPECT_EQ(t.out.of("subscribe").size(), 1u);
-    t.b.onEndpointList(t.now, EndpointListKind::Failed, {});
-    again.insert(t.out.of("timer").back().time);
+    BalancerFixture fixture(settingsWithPolling(100), 3, seed);
+    EXPECT_EQ(fixture.actions.count(ActionKind::PollDiscovery), 0u);
+    const Action initial = lastTimer(fixture);
+    initialDelays.insert(initial.time);
+    EXPECT_LT(initial.time, 2s);
+    fire(fixture, initial);
+    EXPECT_EQ(fixture.actions.count(ActionKind::PollDiscovery), 1u);
+    failPoll(fixture);
+    retryDelays.insert(lastTimer(fixture).time);
   }
-  EXPECT_GT(first.size(), 90u);
-  EXPECT_GT(again.size(), 90u);
-  EXPECT_GT(*again.rbegin() - *again.begin(), milliseconds(500));
+  EXPECT_GT(initialDelays.size(), 90u);
+  EXPECT_GT(retryDelays.size(), 90u);
+  EXPECT_GT(*retryDelays.rbegin() - *retryDelays.begin(), 500ms);
 }
 
-// A change counts as told 6 s after discovery had it and could be reached, and after a watch fell silent: 3 s
-// of silence and 6 s of spread, as 300 routers had, are too many.
-TEST(Discovery, AsksAgainInTimeHoweverManyTheRoutersAre) {
-  Settings s = settings();
-  s.discovery = DiscoveryMode::Poll;
-  for (const int routers : {1, 30, 300, 3000}) {
-    s.proxyCount = routers;
-    Bench t(s);
+// A change has to be known 6 s after discovery had it and could be reached, also after a watch fell silent:
+// 3 s of silence and 6 s of jitter, as 300 proxies had, are too much.
+TEST(DiscoveryPolling, RetryDelayIsBoundedForAnyNumberOfProxies) {
+  for (const int proxies : {1, 30, 300, 3000}) {
+    BalancerFixture fixture(settingsWithPolling(proxies));
     for (int k = 0; k < 8; ++k) {
-      t.b.onEndpointList(t.now, EndpointListKind::Failed, {});
-      const Action again = t.out.of("timer").back();
-      EXPECT_LE(again.time, seconds(2)) << routers;
-      t.b.onTimer(t.now += again.time, again.token);
-      EXPECT_FALSE(t.out.of("subscribe").empty());
-      t.out.all.clear();
+      failPoll(fixture);
+      const Action retry = lastTimer(fixture);
+      EXPECT_LE(retry.time, 2s) << proxies;
+      fire(fixture, retry);
+      EXPECT_GT(fixture.actions.count(ActionKind::PollDiscovery), 0u);
+      fixture.actions.recorded.clear();
     }
   }
 }
 
-TEST(Discovery, AnUnansweredCallIsRepeatedBeforeItIsTooLate) {
-  Settings s = settings();
-  s.discovery = DiscoveryMode::Poll;
-  Bench t(s);
-  const Action guard = t.out.of("timer").back();
-  EXPECT_LT(guard.time, s.maxPollInterval);
-  t.now += guard.time;
-  t.b.onTimer(t.now, guard.token);
-  EXPECT_EQ(t.out.of("subscribe").size(), 2u);
+TEST(DiscoveryPolling, UnansweredPollIsRepeatedWithinTheMaximumInterval) {
+  BalancerFixture fixture(settingsWithPolling());
+  const Action timeout = lastTimer(fixture);
+  EXPECT_LT(timeout.time, fixture.settings.maxPollInterval);
+  fire(fixture, timeout);
+  EXPECT_EQ(fixture.actions.count(ActionKind::PollDiscovery), 2u);
 }
 
 }  // namespace
--- a/tests/endpoint_table_test.cpp
+++ b/tests/endpoint_table_test.cpp
@@ -1,3 +1,4 @@
+// Tests of what is known of endpoints: listed state, roles by their evidence, positions, removal.
 #include <set>
 #include <vector>
 
@@ -6,120 +7,114 @@
 namespace stonebay::test {
 namespace {
 
-TEST(Zero, PositionsCountFromTheLatestZeroAndKnownOnesHold) {
-  Bench t;
-  t.report(1, 100);
-  t.b.setPositionEpoch(t.now - seconds(60));
-  const RequestId id = t.ask(kBounded);
-  EXPECT_EQ(t.lastTo(id), 1u);
-  t.end(id, AttemptStatus::Ok, kFromReplica);
-  t.reportPosition(1, 59.95f);  // 50 ms ago, by the new epoch
-  t.pass(420);
-  EXPECT_EQ(t.lastTo(t.ask(kBounded)), 1u);  // 470 ms old; by the first report it would be 520
+TEST(EndpointTable, PositionsCountFromTheLatestEpochAndKnownOnesStayValid) {
+  BalancerFixture fixture;
+  fixture.reportPosition(1, 100ms);
+  fixture.balancer.setPositionEpoch(fixture.now - 60s);
+  const RequestId id = fixture.submit(kBoundedRead);
+  EXPECT_EQ(fixture.lastEndpoint(id), 1u);
+  fixture.endAttempt(id, AttemptStatus::Ok, kFromReplica);
+  fixture.reportPositionAfterEpoch(1, 59.95f);  // 50 ms ago, by the new epoch
+  fixture.advanceTime(420ms);
+  // 470 ms old; by the first report it would be 520.
+  EXPECT_EQ(fixture.lastEndpoint(fixture.submit(kBoundedRead)), 1u);
 }
 
-TEST(Stale, PositionsNeverRegress) {
-  Bench t;
-  t.report(2, 50);
-  t.report(2, 900);  // an older report overtaken by a newer one
-  EXPECT_EQ(t.lastTo(t.ask(kBounded)), 2u);
+TEST(EndpointTable, PositionsNeverRegress) {
+  BalancerFixture fixture;
+  fixture.reportPosition(2, 50ms);
+  fixture.reportPosition(2, 900ms);  // an older report, overtaken by a newer one
+  EXPECT_EQ(fixture.lastEndpoint(fixture.submit(kBoundedRead)), 2u);
 }
 
-TEST(Stale, AnF32PositionIsRoundedDown) {
-  Settings s = settings();
-  s.positionEpoch = seconds(0);  // far from zero an f32 of seconds is coarse: 1100 s +- 61 us
-  Bench t(s);
-  HealthCheckResult p;
-  p.endpoint = 2;
-  p.ok = true;
-  const float x = 1100.0f;
-  p.report = {x, 0};
-  t.now = seconds(1100) + milliseconds(500);  // exactly the bound, if the figure were exact
-  t.b.onHealthCheck(t.now, p);
-  EXPECT_TRUE(t.sends(t.ask(kBounded)).empty());
+TEST(EndpointTable, SinglePrecisionPositionIsRoundedDown) {
+  Settings settings = defaultSettings();
+  settings.positionEpoch = 0s;  // far from 0 a float of seconds is coarse: 1100 s +- 61 us
+  BalancerFixture fixture(settings);
+  fixture.now = 1100s + 500ms;  // exactly the bound, if the float were exact
+  fixture.reportPositionAfterEpoch(2, 1100.0f);
+  EXPECT_TRUE(fixture.sends(fixture.submit(kBoundedRead)).empty());
 }
 
-TEST(Stale, AnAnswerAsReplicaEndsTheFormerPrimarysExcuse) {
-  Bench t;
-  t.teachPrimary(1);
-  t.pass(600);
-  const RequestId a = t.ask(kBounded);
-  t.report(2, 550);
-  t.report(3, 550);
-  ASSERT_EQ(t.lastTo(a), 1u);
-  t.pass(10);
-  t.end(a, AttemptStatus::Ok, kFromReplica);
-  EXPECT_TRUE(t.sends(t.ask(kBounded)).empty());
+TEST(EndpointTable, FormerPrimaryThatRespondsAsReplicaNeedsAProvenPosition) {
+  BalancerFixture fixture;
+  fixture.reportPrimary(1);
+  fixture.advanceTime(600ms);
+  const RequestId id = fixture.submit(kBoundedRead);
+  fixture.reportPosition(2, 550ms);
+  fixture.reportPosition(3, 550ms);
+  ASSERT_EQ(fixture.lastEndpoint(id), 1u);
+  fixture.advanceTime(10ms);
+  fixture.endAttempt(id, AttemptStatus::Ok, kFromReplica);
+  EXPECT_TRUE(fixture.sends(fixture.submit(kBoundedRead)).empty());
 }
 
-TEST(Writes, TheNewestEvidenceOfARoleWins) {
-  Bench t;
-  t.teachPrimary(1);
-  t.pass(100);
-  t.teachPrimary(3);
-  t.report(1, 90, true);  // an old report that came late
-  EXPECT_EQ(t.lastTo(t.ask(kWrite)), 3u);
+TEST(EndpointTable, NewestEvidenceOfARoleWins) {
+  BalancerFixture fixture;
+  fixture.reportPrimary(1);
+  fixture.advanceTime(100ms);
+  fixture.reportPrimary(3);
+  fixture.reportPosition(1, 90ms, true);  // an old report that came late
+  EXPECT_EQ(fixture.lastEndpoint(fixture.submit(kWrite)), 3u);
 }
 
-TEST(Writes, AListedRoleIsTheWeakestEvidence) {
-  Settings s = settings();
-  s.listedRole = ListedRole::AtStart;
-  s.healthChecksAllowed = false;
-  Recorder r;
-  Bench t(s);
-  EndpointUpdate m = Bench::entry(2);
-  m.primary = true;
-  t.b.onEndpointList(t.now, EndpointListKind::Delta, {m});
-  EXPECT_EQ(t.lastTo(t.ask(kWrite)), 2u);
-  t.report(3, 0, true);
-  t.b.onEndpointList(t.now, EndpointListKind::Delta, {m});
-  EXPECT_EQ(t.lastTo(t.ask(kWrite)), 3u);
+TEST(EndpointTable, ListedRoleIsTheWeakestEvidence) {
+  Settings settings = defaultSettings();
+  settings.listedRole = ListedRole::AtStart;
+  settings.healthChecksAllowed = false;
+  BalancerFixture fixture(settings);
+  EndpointUpdate listedPrimary = BalancerFixture::endpointUpdate(2);
+  listedPrimary.primary = true;
+  fixture.updateEndpoints({listedPrimary});
+  EXPECT_EQ(fixture.lastEndpoint(fixture.submit(kWrite)), 2u);
+  fixture.reportPrimary(3);
+  fixture.updateEndpoints({listedPrimary});
+  EXPECT_EQ(fixture.lastEndpoint(fixture.submit(kWrite)), 3u);
 }
 
-TEST(Drain, NothingGoesToAMemberFromTheEventThatTellsOfIt) {
-  Bench t;
-  t.b.onEndpointList(t.now, EndpointListKind::Delta,
-                     {Bench::entry(1, Lifecycle::Draining), Bench::entry(2, Lifecycle::Gone)});
-  for (int k = 0; k < 5; ++k) EXPECT_EQ(t.lastTo(t.ask(kAny)), 3u);
-  t.b.onEndpointList(t.now, EndpointListKind::Full, {Bench::entry(1)});
-  EXPECT_EQ(t.lastTo(t.ask(kAny)), 1u) << "listed as ready again, and 3 is absent from a full list";
+TEST(EndpointTable, DrainingAndRemovedEndpointsGetNoRequestsFromThatEventOn) {
+  BalancerFixture fixture;
+  fixture.updateEndpoints({BalancerFixture::endpointUpdate(1, Lifecycle::Draining),
+                           BalancerFixture::endpointUpdate(2, Lifecycle::Gone)});
+  for (int k = 0; k < 5; ++k) EXPECT_EQ(fixture.lastEndpoint(fixture.submit(kEventualRead)), 3u);
+  fixture.balancer.onEndpointList(fixture.now, EndpointListKind::Full, {BalancerFixture::endpointUpdate(1)});
+  EXPECT_EQ(fixture.lastEndpoint(fixture.submit(kEventualRead)), 1u)
+      << "listed as ready again, and 3 is absent from a complete list";
 }
 
-TEST(Drain, WhereGoneDoesNotBindOnlyDrainingDoes) {
-  Settings s = settings();
-  s.removedEndpointsServe = true;
-  Bench t(s);
-  t.b.onEndpointList(t.now, EndpointListKind::Delta,
-                     {Bench::entry(1, Lifecycle::Draining), Bench::entry(2, Lifecycle::Gone)});
-  t.b.onEndpointList(t.now, EndpointListKind::Delta, {Bench::entry(1, Lifecycle::Gone)});
-  std::set<EndpointId> met;
+TEST(EndpointTable, OnlyDrainingForbidsRequestsWhereRemovedEndpointsServe) {
+  Settings settings = defaultSettings();
+  settings.removedEndpointsServe = true;
+  BalancerFixture fixture(settings);
+  fixture.updateEndpoints({BalancerFixture::endpointUpdate(1, Lifecycle::Draining),
+                           BalancerFixture::endpointUpdate(2, Lifecycle::Gone)});
+  fixture.updateEndpoints({BalancerFixture::endpointUpdate(1, Lifecycle::Gone)});
+  std::set<EndpointId> used;
   for (int k = 0; k < 6; ++k) {
-    const RequestId id = t.ask(kAny);
-    met.insert(t.lastTo(id));
-    t.pass(10);
-    t.end(id, AttemptStatus::Ok, kFromReplica);
+    const RequestId id = fixture.serve(kEventualRead, 10ms);
+    used.insert(fixture.lastEndpoint(id));
   }
-  EXPECT_EQ(met, (std::set<EndpointId>{2, 3}));
+  EXPECT_EQ(used, (std::set<EndpointId>{2, 3}));
 }
 
-TEST(Forgetting, TakesWhatIsGoneAndQuietAndNothingElse) {
-  Bench t;
-  t.teachPrimary(1);
-  const RequestId id = t.ask(kAny);
-  const EndpointId busy = t.lastTo(id);
-  const EndpointId quiet = busy == 2 ? 3 : 2;
-  t.b.onEndpointList(t.now, EndpointListKind::Delta,
-                     {Bench::entry(quiet, Lifecycle::Gone), Bench::entry(busy, Lifecycle::Gone)});
-  t.pass(9000);
-  EXPECT_TRUE(t.b.removeDeparted(t.now).empty());
-  t.pass(1000);
-  EXPECT_EQ(t.b.removeDeparted(t.now), std::vector<EndpointId>{quiet});
-  t.end(id, AttemptStatus::Ok, kFromReplica);
-  EXPECT_EQ(t.b.removeDeparted(t.now), std::vector<EndpointId>{busy});
-  t.report(quiet, 0);  // late: ignored
-  t.b.onEndpointList(t.now, EndpointListKind::Delta, {Bench::entry(quiet)});
-  t.pass(20000);
-  EXPECT_TRUE(t.b.removeDeparted(t.now).empty()) << "it is back";
+TEST(EndpointTable, OnlyEndpointsThatAreGoneAndIdleAreRemoved) {
+  BalancerFixture fixture;
+  fixture.reportPrimary(1);
+  const RequestId id = fixture.submit(kEventualRead);
+  const EndpointId busy = fixture.lastEndpoint(id);
+  const EndpointId idle = busy == 2 ? 3 : 2;
+  fixture.updateEndpoints({BalancerFixture::endpointUpdate(idle, Lifecycle::Gone),
+                           BalancerFixture::endpointUpdate(busy, Lifecycle::Gone)});
+  fixture.advanceTime(9000ms);
+  EXPECT_TRUE(fixture.balancer.removeDeparted(fixture.now).empty());
+  fixture.advanceTime(1000ms);
+  EXPECT_EQ(fixture.balancer.removeDeparted(fixture.now), std::vector<EndpointId>{idle});
+  fixture.endAttempt(id, AttemptStatus::Ok, kFromReplica);
+  EXPECT_EQ(fixture.balancer.removeDeparted(fixture.now), std::vector<EndpointId>{busy});
+  fixture.reportPosition(idle, 0ms);  // late: ignored
+  fixture.updateEndpoints({BalancerFixture::endpointUpdate(idle)});
+  fixture.advanceTime(20000ms);
+  EXPECT_TRUE(fixture.balancer.removeDeparted(fixture.now).empty()) << "it is listed again";
 }
 
 }  // namespace
--- a/tests/gossip_policy_test.cpp
+++ b/tests/gossip_policy_test.cpp
@@ -1,77 +1,86 @@
+// Tests of broadcasts between proxies: what is sent, how often, and what is made of it.
 #include "balancer_fixture.hpp"
 
 namespace stonebay::test {
 namespace {
 
-// event4996: one of a hundred routers heard from a member every few seconds, so each read paid for probes.
-TEST(GossipChannel, WhatOneRouterHeardSparesTheOthersTheirProbes) {
-  Settings s = settings();
-  s.gossipAllowed = true;
-  Bench here(s), there(s);
-  here.report(1, 0, true);
-  here.report(2, 40);
-  here.report(2, 30);
-  ASSERT_EQ(here.out.words.size(), 2u) << "a word a member, then none for a while";
-  for (const GossipMessage& w : here.out.words) there.b.onGossip(there.now, w);
-  there.pass(20);
-  there.report(2, 0);
-  EXPECT_TRUE(there.out.words.empty()) << "all routers have just heard of it";
-  const RequestId read = there.ask(kBounded), write = there.ask(kWrite);
-  EXPECT_TRUE(there.out.of("probe").empty());
-  EXPECT_EQ(there.lastTo(read), 2u);
-  EXPECT_EQ(there.lastTo(write), 1u);
-  there.pass(400);
-  there.report(3, 0);
-  there.report(2, 0);
-  EXPECT_EQ(there.out.words.size(), 2u);
+Settings settingsWithGossip() {
+  Settings settings = defaultSettings();
+  settings.gossipAllowed = true;
+  return settings;
 }
 
-// A day on which words are lost on the way: nobody heard that it had been told, and all 300 told everything.
-TEST(GossipChannel, NoRouterTellsMoreThanTwiceItsPartThoughItHearsOfNobody) {
-  Settings s = settings();
-  s.gossipAllowed = true;
-  for (const int routers : {3, 300}) {
-    s.proxyCount = routers;
-    Bench t(s);
-    constexpr int kPasses = 1200;  // of 50 ms: a minute
-    for (int k = 0; k < kPasses; ++k, t.pass(50)) t.report(2, 0);
-    const double part = 60 / 0.25 / routers;  // a word in a quarter of a second from all of them
-    EXPECT_GT(t.out.words.size(), part);
-    EXPECT_LT(t.out.words.size(), 2.5 * part + 1);
+// event4996: each of a hundred proxies got a report of an endpoint every few seconds only, so that each read
+// cost health checks.
+TEST(GossipPolicy, ReportToOneProxySparesTheOthersTheirHealthChecks) {
+  BalancerFixture sender(settingsWithGossip());
+  BalancerFixture receiver(settingsWithGossip());
+  sender.reportPrimary(1);
+  sender.reportPosition(2, 40ms);
+  sender.reportPosition(2, 30ms);
+  ASSERT_EQ(sender.actions.broadcasts.size(), 2u) << "one message an endpoint, then none for a while";
+  for (const GossipMessage& message : sender.actions.broadcasts)
+    receiver.balancer.onGossip(receiver.now, message);
+  receiver.advanceTime(20ms);
+  receiver.reportPosition(2, 0ms);
+  EXPECT_TRUE(receiver.actions.broadcasts.empty()) << "all proxies have just been notified of it";
+  const RequestId read = receiver.submit(kBoundedRead);
+  const RequestId write = receiver.submit(kWrite);
+  EXPECT_EQ(receiver.actions.count(ActionKind::HealthCheck), 0u);
+  EXPECT_EQ(receiver.lastEndpoint(read), 2u);
+  EXPECT_EQ(receiver.lastEndpoint(write), 1u);
+  receiver.advanceTime(400ms);
+  receiver.reportPosition(3, 0ms);
+  receiver.reportPosition(2, 0ms);
+  EXPECT_EQ(receiver.actions.broadcasts.size(), 2u);
+}
+
+// A day on which messages are lost on the way: no proxy learned of the others' broadcasts, and all 300
+// broadcast everything.
+TEST(GossipPolicy, BroadcastRateStaysBelowTwiceTheProxysShareWhenNoGossipArrives) {
+  Settings settings = settingsWithGossip();
+  for (const int proxies : {3, 300}) {
+    settings.proxyCount = proxies;
+    BalancerFixture fixture(settings);
+    constexpr int kReports = 1200;  // one in 50 ms: a minute
+    for (int k = 0; k < kReports; ++k) {
+      fixture.reportPosition(2, 0ms);
+      fixture.advanceTime(50ms);
+    }
+    const double share = 60 / 0.25 / proxies;  // one message in a quarter of a second from all of them
+    EXPECT_GT(fixture.actions.broadcasts.size(), share);
+    EXPECT_LT(fixture.actions.broadcasts.size(), 2.5 * share + 1);
   }
 }
 
-// Day 4 of the full score: each of a hundred proxies asked all members of a group for its primary.
-TEST(GossipChannel, WhatAPeerJustSaidIsNotAskedAgainInTheSearchForAPrimary) {
-  Settings s = settings();
-  s.gossipAllowed = true;
-  Bench t(s);
-  const RequestId id = t.ask(kWrite);
-  for (int k = 0; k < 3; ++k) t.end(id, AttemptStatus::TooStale, kFromReplica);
+// Day 4 of the full score: each of a hundred proxies checked all endpoints of a group to find its primary.
+TEST(GossipPolicy, EndpointsWithRecentGossipAreNotCheckedDuringPrimaryDiscovery) {
+  BalancerFixture fixture(settingsWithGossip());
+  const RequestId id = fixture.submit(kWrite);
+  for (int k = 0; k < 3; ++k) fixture.endAttempt(id, AttemptStatus::TooStale, kFromReplica);
   for (int k = 0; k < 5; ++k) {
-    for (EndpointId m = 1; m <= 3; ++m) t.b.onGossip(t.now, {m, t.now - milliseconds(20), false, 0});
-    t.run(100);
+    for (EndpointId endpoint = 1; endpoint <= 3; ++endpoint)
+      fixture.balancer.onGossip(fixture.now, {endpoint, fixture.now - 20ms, false, 0});
+    fixture.runTimers(100ms);
   }
-  EXPECT_TRUE(t.out.of("probe").empty());
-  t.run(400);
-  EXPECT_GE(t.out.of("probe").size(), 3u);
+  EXPECT_EQ(fixture.actions.count(ActionKind::HealthCheck), 0u);
+  fixture.runTimers(400ms);
+  EXPECT_GE(fixture.actions.count(ActionKind::HealthCheck), 3u);
 }
 
-TEST(GossipChannel, AWordOfTheFutureOrOfNoMemberIsNone) {
-  Settings s = settings();
-  s.gossipAllowed = true;
-  Bench t(s, 1);
-  t.b.onGossip(t.now, {1, t.now + milliseconds(1), false, 0});
-  t.b.onGossip(t.now, {9, t.now, true, 0});
-  EXPECT_TRUE(t.sends(t.ask(kBounded)).empty());
-  t.b.onGossip(t.now, {1, t.now, false, 0});
-  EXPECT_EQ(t.out.of("send").size(), 1u);
+TEST(GossipPolicy, MessagesFromTheFutureOrAboutUnknownEndpointsAreIgnored) {
+  BalancerFixture fixture(settingsWithGossip(), 1);
+  fixture.balancer.onGossip(fixture.now, {1, fixture.now + 1ms, false, 0});
+  fixture.balancer.onGossip(fixture.now, {9, fixture.now, true, 0});
+  EXPECT_TRUE(fixture.sends(fixture.submit(kBoundedRead)).empty());
+  fixture.balancer.onGossip(fixture.now, {1, fixture.now, false, 0});
+  EXPECT_EQ(fixture.actions.count(ActionKind::Send), 1u);
 }
 
-TEST(GossipChannel, NothingIsToldWhereItIsNotAllowed) {
-  Bench t;
-  t.report(2, 0);
-  EXPECT_TRUE(t.out.words.empty());
+TEST(GossipPolicy, NothingIsBroadcastWhereGossipIsNotAllowed) {
+  BalancerFixture fixture;
+  fixture.reportPosition(2, 0ms);
+  EXPECT_TRUE(fixture.actions.broadcasts.empty());
 }
 
 }  // namespace
--- a/tests/load_balancer_test.cpp
+++ b/tests/load_balancer_test.cpp
@@ -1,3 +1,5 @@
+// Tests of what joins the parts: settings, the one final response, late sends, idleness and determinism.
+#include <stdexcept>
 #include <string>
 
 #include "balancer_fixture.hpp"
@@ -5,114 +7,112 @@
 namespace stonebay::test {
 namespace {
 
-TEST(Settings, ContradictionsAreTold) {
-  Recorder r;
-  Settings s = settings();
-  s.classes.clear();
-  EXPECT_THROW(LoadBalancer(s, 1, r), std::invalid_argument);
-  s = settings();
-  s.classes[0].latencyObjective = s.classes[0].deadline + milliseconds(1);
-  EXPECT_THROW(LoadBalancer(s, 1, r), std::invalid_argument);
-  s = settings();
-  s.initialCapacity = 0;
-  EXPECT_THROW(LoadBalancer(s, 1, r), std::invalid_argument);
+TEST(LoadBalancer, ContradictorySettingsThrow) {
+  RecordingSink sink;
+  Settings settings = defaultSettings();
+  settings.classes.clear();
+  EXPECT_THROW(LoadBalancer(settings, 1, sink), std::invalid_argument);
+  settings = defaultSettings();
+  settings.classes[0].latencyObjective = settings.classes[0].deadline + 1ms;
+  EXPECT_THROW(LoadBalancer(settings, 1, sink), std::invalid_argument);
+  settings = defaultSettings();
+  settings.initialCapacity = 0;
+  EXPECT_THROW(LoadBalancer(settings, 1, sink), std::invalid_argument);
 }
 
-TEST(FinalAnswer, OkEndsARequestAndNothingMoreIsSent) {
-  Bench t;
-  const RequestId id = t.ask(kAny);
-  ASSERT_EQ(t.sends(id).size(), 1u);
-  t.pass(20);
-  t.end(id, AttemptStatus::Ok, kFromReplica);
-  t.run(3000);
-  EXPECT_EQ(t.sends(id).size(), 1u);
-  EXPECT_FALSE(t.finalAnswer(id));
+TEST(LoadBalancer, SuccessfulResponseEndsTheRequest) {
+  BalancerFixture fixture;
+  const RequestId id = fixture.submit(kEventualRead);
+  ASSERT_EQ(fixture.sends(id).size(), 1u);
+  fixture.advanceTime(20ms);
+  fixture.endAttempt(id, AttemptStatus::Ok, kFromReplica);
+  fixture.runTimers(3000ms);
+  EXPECT_EQ(fixture.sends(id).size(), 1u);
+  EXPECT_FALSE(fixture.hasFinalResponse(id));
 }
 
-TEST(FinalAnswer, AReadThatTimedOutAtItsDeadlineIsRefusedAtOnce) {
-  Bench t;
-  const RequestId id = t.ask(kAny);
-  t.pass(2000);
-  t.end(id, AttemptStatus::Timeout);
-  EXPECT_EQ(t.out.of("refuse", id).size(), 1u);
+TEST(LoadBalancer, ReadThatTimesOutAtItsDeadlineIsRejectedImmediately) {
+  BalancerFixture fixture;
+  const RequestId id = fixture.submit(kEventualRead);
+  fixture.advanceTime(2000ms);
+  fixture.endAttempt(id, AttemptStatus::Timeout);
+  EXPECT_EQ(fixture.actions.count(ActionKind::Reject, id), 1u);
 }
 
-TEST(Fit, OldDataADrainOrTheEndOfTheRequestForbidALateSend) {
-  Bench t;
-  t.report(1, 0);
-  const RequestId id = t.ask(kBounded);
-  ASSERT_EQ(t.lastTo(id), 1u);
-  EXPECT_TRUE(t.b.isStillEligible(t.now + milliseconds(400), id, 1));
-  EXPECT_FALSE(t.b.isStillEligible(t.now + milliseconds(600), id, 1));  // the bound is 500 ms
-  t.now += milliseconds(600);
-  t.report(1, 0);
-  EXPECT_TRUE(t.b.isStillEligible(t.now, id, 1));  // newer word has come
-  t.b.onEndpointList(t.now, EndpointListKind::Delta, {Bench::entry(1, Lifecycle::Draining)});
-  EXPECT_FALSE(t.b.isStillEligible(t.now, id, 1));
-  t.b.onEndpointList(t.now, EndpointListKind::Delta, {Bench::entry(1)});
-  EXPECT_TRUE(t.b.isStillEligible(t.now, id, 1));
-  t.b.onClientLeft(t.now, id);
-  EXPECT_FALSE(t.b.isStillEligible(t.now, id, 1));
+TEST(LoadBalancer, StaleDataDrainingOrTheEndOfTheRequestMakeALateSendIneligible) {
+  BalancerFixture fixture;
+  fixture.reportPosition(1, 0ms);
+  const RequestId id = fixture.submit(kBoundedRead);
+  ASSERT_EQ(fixture.lastEndpoint(id), 1u);
+  EXPECT_TRUE(fixture.balancer.isStillEligible(fixture.now + 400ms, id, 1));
+  EXPECT_FALSE(fixture.balancer.isStillEligible(fixture.now + 600ms, id, 1));  // the bound is 500 ms
+  fixture.advanceTime(600ms);
+  fixture.reportPosition(1, 0ms);
+  EXPECT_TRUE(fixture.balancer.isStillEligible(fixture.now, id, 1));  // by the newer report
+  fixture.updateEndpoints({BalancerFixture::endpointUpdate(1, Lifecycle::Draining)});
+  EXPECT_FALSE(fixture.balancer.isStillEligible(fixture.now, id, 1));
+  fixture.updateEndpoints({BalancerFixture::endpointUpdate(1)});
+  EXPECT_TRUE(fixture.balancer.isStillEligible(fixture.now, id, 1));
+  fixture.balancer.onClientLeft(fixture.now, id);
+  EXPECT_FALSE(fixture.balancer.isStillEligible(fixture.now, id, 1));
 }
 
-TEST(FinalAnswer, NothingIsOwedOnceTheClientHasLeft) {
-  Bench t;
-  const RequestId id = t.ask(kAny);
-  t.b.onClientLeft(t.now, id);
-  t.end(id, AttemptStatus::Cancelled);
-  t.run(3000);
-  EXPECT_FALSE(t.finalAnswer(id));
-  EXPECT_EQ(t.sends(id).size(), 1u);
+TEST(LoadBalancer, NoFinalResponseOnceTheClientHasLeft) {
+  BalancerFixture fixture;
+  const RequestId id = fixture.submit(kEventualRead);
+  fixture.balancer.onClientLeft(fixture.now, id);
+  fixture.endAttempt(id, AttemptStatus::Cancelled);
+  fixture.runTimers(3000ms);
+  EXPECT_FALSE(fixture.hasFinalResponse(id));
+  EXPECT_EQ(fixture.sends(id).size(), 1u);
 }
 
-TEST(FinalAnswer, UnknownClassesAndUnknownEventsDoNoHarm) {
-  Bench t;
-  Request q;
-  q.id = 9;
-  q.classIndex = 99;
-  t.b.onRequest(t.now, q);
-  EXPECT_EQ(t.out.of("refuse", 9).size(), 1u);
-  AttemptOutcome o;
-  o.request = 12345;
-  o.endpoint = 55;
-  t.b.onAttemptOutcome(t.now, o);
-  HealthCheckResult p;
-  p.endpoint = 77;
-  t.b.onHealthCheck(t.now, p);
-  t.b.onClientLeft(t.now, 4711);
-  t.b.onTimer(t.now, TimerToken::decode(~0ull));
-  const RequestId id = t.ask(kAny);
-  t.end(id, AttemptStatus::Ok);
-  t.end(id, AttemptStatus::Error);  // looks like a second outcome of the same attempt
-  EXPECT_FALSE(t.finalAnswer(id));
+TEST(LoadBalancer, UnknownClassIsRejectedAndUnknownEventsAreIgnored) {
+  BalancerFixture fixture;
+  Request request;
+  request.id = 9;
+  request.classIndex = 99;
+  fixture.balancer.onRequest(fixture.now, request);
+  EXPECT_EQ(fixture.actions.count(ActionKind::Reject, 9), 1u);
+  AttemptOutcome outcome;
+  outcome.request = 12345;
+  outcome.endpoint = 55;
+  fixture.balancer.onAttemptOutcome(fixture.now, outcome);
+  fixture.failHealthCheck(77);
+  fixture.balancer.onClientLeft(fixture.now, 4711);
+  fixture.balancer.onTimer(fixture.now, TimerToken::decode(~0ull));
+  const RequestId id = fixture.submit(kEventualRead);
+  fixture.endAttempt(id, AttemptStatus::Ok);
+  fixture.endAttempt(id, AttemptStatus::Error);  // looks like a second outcome of the same attempt
+  EXPECT_FALSE(fixture.hasFinalResponse(id));
 }
 
-TEST(Idle, ARouterWithNothingOutSetsNoTimer) {
-  Bench t;
-  const RequestId id = t.ask(kAny);
-  t.end(id, AttemptStatus::Ok, kFromReplica);
-  t.run(100);
-  const std::size_t before = t.out.of("timer").size();
-  t.run(5000);
-  EXPECT_EQ(t.out.of("timer").size(), before);
+TEST(LoadBalancer, NoTimerIsScheduledWhileNothingIsInFlight) {
+  BalancerFixture fixture;
+  fixture.serve(kEventualRead);
+  fixture.runTimers(100ms);
+  const std::size_t before = fixture.actions.count(ActionKind::Timer);
+  fixture.runTimers(5000ms);
+  EXPECT_EQ(fixture.actions.count(ActionKind::Timer), before);
 }
 
-TEST(Determinism, TheSameEventsGiveTheSameActions) {
-  const auto play = [] {
-    Bench t;
-    for (int k = 0; k < 50; ++k) {
-      const RequestId id = t.ask(k % 4);
-      t.report(static_cast<EndpointId>(k % 3 + 1), k, k % 7 == 0);
-      t.run(15);
-      if (!t.sends(id).empty()) t.end(id, k % 5 ? AttemptStatus::Ok : AttemptStatus::Error, kFromReplica);
-    }
-    std::string s;
-    for (const Action& a : t.out.all)
-      s += a.what + std::to_string(a.id) + "/" + std::to_string(a.endpoint) + " ";
-    return s;
-  };
-  EXPECT_EQ(play(), play());
+std::string playFixedEvents() {
+  BalancerFixture fixture;
+  for (int k = 0; k < 50; ++k) {
+    const RequestId id = fixture.submit(k % 4);
+    fixture.reportPosition(static_cast<EndpointId>(k % 3 + 1), milliseconds(k), k % 7 == 0);
+    fixture.runTimers(15ms);
+    if (fixture.sends(id).empty()) continue;
+    fixture.endAttempt(id, k % 5 != 0 ? AttemptStatus::Ok : AttemptStatus::Error, kFromReplica);
+  }
+  std::string transcript;
+  for (const Action& action : fixture.actions.recorded)
+    transcript += std::to_string(static_cast<int>(action.kind)) + ":" + std::to_string(action.request) + "/" +
+                  std::to_string(action.endpoint) + " ";
+  return transcript;
 }
 
+TEST(LoadBalancer, SameEventsGiveTheSameActions) { EXPECT_EQ(playFixedEvents(), playFixedEvents()); }
+
 }  // namespace
 }  // namespace stonebay::test
--- a/tests/outlier_detection_test.cpp
+++ b/tests/outlier_detection_test.cpp
@@ -1,3 +1,4 @@
+// Tests of ejection: silence, broken connections, immediate failures, and the health checks that decide.
 #include <set>
 #include <vector>
 
@@ -6,196 +7,206 @@
 namespace stonebay::test {
 namespace {
 
-// Found by thought: a hung member tops the sort with a window of good samples. Its silence is the evidence.
-TEST(Health, SilenceSetsAMemberAsideAndItsReadsGoElsewhere) {
-  Bench t;
-  for (int k = 0; k < 30; ++k) {
-    const RequestId id = t.ask(kAny);
-    t.pass(20);
-    t.end(id, AttemptStatus::Ok, kFromReplica);
-  }
-  const RequestId stuck = t.ask(kAny);
-  const EndpointId hung = t.lastTo(stuck);
-  t.run(110);
-  ASSERT_EQ(t.out.of("probe").size(), 1u) << "is it dead, or was an answer lost?";
-  EXPECT_TRUE(t.out.of("cancel", stuck).empty());
-  t.run(60);  // ankara-schools big-2: its probe is not answered either; waiting for its time-out cost reads
-  ASSERT_EQ(t.out.of("cancel", stuck).size(), 1u);
-  EXPECT_EQ(t.sends(stuck).size(), 1u) << "no second attempt before the outcome of the first";
-  t.end(stuck, AttemptStatus::Cancelled);
-  ASSERT_EQ(t.sends(stuck).size(), 2u);
-  EXPECT_NE(t.lastTo(stuck), hung);
+// Gives the balancer samples of 20 ms for every endpoint.
+void warmUp(BalancerFixture& fixture) {
+  for (int k = 0; k < 30; ++k) fixture.serve(kEventualRead, 20ms);
+}
+
+// Found by reasoning: an endpoint that hangs is sorted first, with a window full of good samples. Its silence
+// is the evidence.
+TEST(OutlierDetection, SilentEndpointIsEjectedAndItsReadsAreRetriedElsewhere) {
+  BalancerFixture fixture;
+  warmUp(fixture);
+  const RequestId stuck = fixture.submit(kEventualRead);
+  const EndpointId hung = fixture.lastEndpoint(stuck);
+  fixture.runTimers(110ms);
+  ASSERT_EQ(fixture.actions.count(ActionKind::HealthCheck), 1u) << "is it dead, or was a response lost?";
+  EXPECT_EQ(fixture.actions.count(ActionKind::Cancel, stuck), 0u);
+  // Deployment ankara-schools, run big-2: the health check is not answered either; to wait for its timeout
+  // cost reads.
+  fixture.runTimers(60ms);
+  ASSERT_EQ(fixture.actions.count(ActionKind::Cancel, stuck), 1u);
+  EXPECT_EQ(fixture.sends(stuck).size(), 1u) << "no second attempt before the outcome of the first";
+  fixture.endAttempt(stuck, AttemptStatus::Cancelled);
+  ASSERT_EQ(fixture.sends(stuck).size(), 2u);
+  EXPECT_NE(fixture.lastEndpoint(stuck), hung);
   for (int k = 0; k < 6; ++k) {
-    const RequestId id = t.ask(kAny);
-    EXPECT_NE(t.lastTo(id), hung);
-    t.pass(10);
-    t.end(id, AttemptStatus::Ok, kFromReplica);
+    const RequestId id = fixture.submit(kEventualRead);
+    EXPECT_NE(fixture.lastEndpoint(id), hung);
+    fixture.advanceTime(10ms);
+    fixture.endAttempt(id, AttemptStatus::Ok, kFromReplica);
   }
 }
 
-// Incident if8264e: connections broke at random on all members; each reset set one aside, then all were
-// refused.
-TEST(Health, ASingleResetDoesNotSetAMemberAside) {
-  Bench t(settings(), 1);
-  t.end(t.ask(kAny), AttemptStatus::Ok, kFromReplica);
-  const RequestId id = t.ask(kAny);
-  t.pass(5);
-  t.end(id, AttemptStatus::Reset);
-  EXPECT_FALSE(t.sends(t.ask(kAny)).empty());
+// Incident if8264e: connections broke at random on all endpoints; each reset ejected one, and then all
+// requests were rejected.
+TEST(OutlierDetection, SingleResetDoesNotEject) {
+  BalancerFixture fixture(defaultSettings(), 1);
+  fixture.serve(kEventualRead);
+  const RequestId id = fixture.submit(kEventualRead);
+  fixture.advanceTime(5ms);
+  fixture.endAttempt(id, AttemptStatus::Reset);
+  EXPECT_FALSE(fixture.sends(fixture.submit(kEventualRead)).empty());
 }
 
-TEST(Health, AFailedConnectionWithNothingHeardSinceDoes) {
-  Settings s = settings();
-  s.healthChecksAllowed = false;
-  Bench t(s, 1);
-  const RequestId id = t.ask(kAny);
-  t.pass(5);
-  t.end(id, AttemptStatus::ConnectFailed);
-  EXPECT_EQ(t.sends(t.ask(kAny)).size(), 0u);
+TEST(OutlierDetection, ConnectFailureWithNoResponseSinceEjects) {
+  Settings settings = defaultSettings();
+  settings.healthChecksAllowed = false;
+  BalancerFixture fixture(settings, 1);
+  const RequestId id = fixture.submit(kEventualRead);
+  fixture.advanceTime(5ms);
+  fixture.endAttempt(id, AttemptStatus::ConnectFailed);
+  EXPECT_EQ(fixture.sends(fixture.submit(kEventualRead)).size(), 0u);
 }
 
-// muscat-guides, connections reset at random, new ones too: members were set aside in turn, each for a reset.
-TEST(Health, BrokenConnectionsAskForAProbeAndItsAnswerDecides) {
-  for (const bool answers : {true, false}) {
-    Bench t(settings(), 1);
-    t.teachPrimary(1);
+// Deployment muscat-guides, where connections were reset at random, new ones too: endpoints were ejected in
+// turn, each for a reset.
+TEST(OutlierDetection, HealthCheckDecidesAfterBrokenConnections) {
+  for (const bool isAnswered : {true, false}) {
+    BalancerFixture fixture(defaultSettings(), 1);
+    fixture.reportPrimary(1);
     for (int k = 0; k < 3; ++k) {
-      const RequestId id = t.ask(kWrite);
-      ASSERT_EQ(t.sends(id).size(), 1u) << k;
-      t.pass(1);
-      t.end(id, k < 2 ? AttemptStatus::Reset : AttemptStatus::ConnectFailed);
+      const RequestId id = fixture.submit(kWrite);
+      ASSERT_EQ(fixture.sends(id).size(), 1u) << k;
+      fixture.advanceTime(1ms);
+      fixture.endAttempt(id, k < 2 ? AttemptStatus::Reset : AttemptStatus::ConnectFailed);
     }
-    ASSERT_EQ(t.out.of("probe").size(), 1u);
-    t.pass(1);
-    HealthCheckResult p;
-    p.endpoint = 1;
-    if (answers)
-      t.report(1, 0, true);
+    ASSERT_EQ(fixture.actions.count(ActionKind::HealthCheck), 1u);
+    fixture.advanceTime(1ms);
+    if (isAnswered)
+      fixture.reportPrimary(1);
     else
-      t.b.onHealthCheck(t.now, p);
-    EXPECT_EQ(t.sends(t.ask(kWrite)).size(), answers ? 1u : 0u);
+      fixture.failHealthCheck(1);
+    EXPECT_EQ(fixture.sends(fixture.submit(kWrite)).size(), isAnswered ? 1u : 0u);
   }
 }
 
-TEST(Health, AMemberThatFailsFastLosesItsTurn) {
-  Bench t;
-  int toOne = 0;
-  for (int k = 0; k < 60; ++k) {
-    const RequestId id = t.ask(kAny);
-    for (int n = 0; n < 5 && !t.finalAnswer(id); ++n) {
-      if (t.lastTo(id) != 1) break;
-      ++toOne;
-      t.pass(1);
-      t.end(id, AttemptStatus::Error, kFromReplica);
-    }
-    t.pass(15);
-    if (!t.finalAnswer(id)) t.end(id, AttemptStatus::Ok, kFromReplica);
+// Fails up to five attempts of a request for as long as they go to endpoint 1; returns how many did.
+int failAttemptsAtEndpointOne(BalancerFixture& fixture, RequestId id) {
+  int failed = 0;
+  while (failed < 5 && !fixture.hasFinalResponse(id) && fixture.lastEndpoint(id) == 1) {
+    ++failed;
+    fixture.advanceTime(1ms);
+    fixture.endAttempt(id, AttemptStatus::Error, kFromReplica);
   }
-  EXPECT_LE(toOne, 6);
+  return failed;
 }
 
-// istanbul-main-later: answers were lost, members that went on answering probes were set aside in turn.
-TEST(Health, AnAnsweredProbeTellsALostAnswerFromAHang) {
-  Bench t;
-  for (int k = 0; k < 30; ++k) {
-    const RequestId id = t.ask(kAny);
-    t.pass(20);
-    t.end(id, AttemptStatus::Ok, kFromReplica);
+TEST(OutlierDetection, EndpointThatFailsFastLosesItsTurn) {
+  BalancerFixture fixture;
+  int failedAtOne = 0;
+  for (int k = 0; k < 60; ++k) {
+    const RequestId id = fixture.submit(kEventualRead);
+    failedAtOne += failAttemptsAtEndpointOne(fixture, id);
+    fixture.advanceTime(15ms);
+    if (!fixture.hasFinalResponse(id)) fixture.endAttempt(id, AttemptStatus::Ok, kFromReplica);
   }
-  const RequestId lost = t.ask(kAny);
-  const EndpointId member = t.lastTo(lost);
-  t.run(110);
-  t.report(member, 10);
-  t.run(30);
-  EXPECT_EQ(t.out.of("cancel", lost).size(), 1u);
-  t.end(lost, AttemptStatus::Cancelled);
-  EXPECT_NE(t.lastTo(lost), member);
-  std::set<EndpointId> met;
+  EXPECT_LE(failedAtOne, 6);
+}
+
+// Deployment istanbul-main-later: responses were lost, and endpoints that went on answering health checks
+// were ejected in turn.
+TEST(OutlierDetection, AnsweredHealthCheckTellsALostResponseFromAHungEndpoint) {
+  BalancerFixture fixture;
+  warmUp(fixture);
+  const RequestId lost = fixture.submit(kEventualRead);
+  const EndpointId endpoint = fixture.lastEndpoint(lost);
+  fixture.runTimers(110ms);
+  fixture.reportPosition(endpoint, 10ms);
+  fixture.runTimers(30ms);
+  EXPECT_EQ(fixture.actions.count(ActionKind::Cancel, lost), 1u);
+  fixture.endAttempt(lost, AttemptStatus::Cancelled);
+  EXPECT_NE(fixture.lastEndpoint(lost), endpoint);
+  std::set<EndpointId> used;
   for (int k = 0; k < 6; ++k) {
-    const RequestId id = t.ask(kAny);
-    met.insert(t.lastTo(id));
-    t.end(id, AttemptStatus::Ok, kFromReplica);
+    const RequestId id = fixture.serve(kEventualRead);
+    used.insert(fixture.lastEndpoint(id));
   }
-  EXPECT_EQ(met.count(member), 1u) << "it serves on";
+  EXPECT_EQ(used.count(endpoint), 1u) << "it is not ejected";
 }
 
-// muscat-guides, lag and fast_errors together: reads were refused for a full primary while a replica with
-// fresh data failed only some.
-TEST(Health, AReadThatAFullPrimaryCannotTakeGoesToAMemberThatFailsSomeAtOnce) {
-  Bench t(settings(), 2);
-  t.teachPrimary(1);
-  t.report(2, 10);
-  std::vector<RequestId> first;
-  for (int k = 0; k < 3; ++k) first.push_back(t.ask(kBounded));
-  for (const RequestId id : first) {  // three in a row set the replica aside
-    ASSERT_EQ(t.lastTo(id), 2u);
-    t.end(id, AttemptStatus::Error, t.evidence(0, Role::Replica));
+// Three bounded reads fail at once at replica 2, which ejects it; one is retried at the primary, endpoint 1.
+// The replica then reports a new position.
+void ejectReplicaTwo(BalancerFixture& fixture) {
+  std::vector<RequestId> reads;
+  for (int k = 0; k < 3; ++k) reads.push_back(fixture.submit(kBoundedRead));
+  for (const RequestId id : reads) {
+    ASSERT_EQ(fixture.lastEndpoint(id), 2u);
+    fixture.endAttempt(id, AttemptStatus::Error, fixture.evidence(0ms, Role::Replica));
   }
-  t.pass(100);
-  ASSERT_EQ(t.lastTo(first[0]), 1u);
-  t.end(first[0], AttemptStatus::Ok, t.evidence(0, Role::Primary));
-  t.report(2, 10);
-  int atPrimary = 0, atReplica = 0;
+  fixture.advanceTime(100ms);
+  ASSERT_EQ(fixture.lastEndpoint(reads[0]), 1u);
+  fixture.endAttempt(reads[0], AttemptStatus::Ok, fixture.evidence(0ms, Role::Primary));
+  fixture.reportPosition(2, 10ms);
+}
+
+// Deployment muscat-guides, faults lag and fast_errors together: reads were rejected for a primary at its
+// capacity, while a replica with fresh data failed only some.
+TEST(OutlierDetection, ReadThatABusyPrimaryCannotTakeGoesToAnEndpointThatFailsFast) {
+  BalancerFixture fixture(defaultSettings(), 2);
+  fixture.reportPrimary(1);
+  fixture.reportPosition(2, 10ms);
+  ASSERT_NO_FATAL_FAILURE(ejectReplicaTwo(fixture));
+  int atPrimary = 0;
+  int atReplica = 0;
   for (int k = 0; k < 30 && atReplica == 0; ++k) {
-    const RequestId id = t.ask(kBounded);
-    ASSERT_FALSE(t.finalAnswer(id)) << "refused, with " << atPrimary << " at the primary";
-    atPrimary += t.lastTo(id) == 1;
-    atReplica += t.lastTo(id) == 2;
+    const RequestId id = fixture.submit(kBoundedRead);
+    ASSERT_FALSE(fixture.hasFinalResponse(id)) << "rejected, with " << atPrimary << " at the primary";
+    if (fixture.lastEndpoint(id) == 1) ++atPrimary;
+    if (fixture.lastEndpoint(id) == 2) ++atReplica;
   }
   EXPECT_GT(atPrimary, 1);
   EXPECT_EQ(atReplica, 1);
 }
 
-// muscat-guides, fast_errors on a primary: three errors that came at once kept all writes waiting for up to 8
-// s, while it answered half of what it got.
-TEST(Health, APrimaryThatFailsSomeAtOnceStillTakesWrites) {
-  Bench t;
-  t.teachPrimary(1);
+// Deployment muscat-guides, fault fast_errors on a primary: three immediate errors kept all writes waiting
+// for up to 8 s, while it answered half of what it got.
+TEST(OutlierDetection, PrimaryThatFailsFastStillGetsWritesUntilItsConnectionFails) {
+  BalancerFixture fixture;
+  fixture.reportPrimary(1);
   for (int k = 0; k < 6; ++k) {
-    const RequestId id = t.ask(kWrite);
-    ASSERT_EQ(t.lastTo(id), 1u) << k;
-    t.end(id, AttemptStatus::Error, t.evidence(0, Role::Primary));
-    t.pass(1);
+    const RequestId id = fixture.submit(kWrite);
+    ASSERT_EQ(fixture.lastEndpoint(id), 1u) << k;
+    fixture.endAttempt(id, AttemptStatus::Error, fixture.evidence(0ms, Role::Primary));
+    fixture.advanceTime(1ms);
   }
-  // One whose connection fails is gone, and gets nothing for a while.
-  const RequestId last = t.ask(kWrite);
-  t.end(last, AttemptStatus::ConnectFailed);
-  HealthCheckResult refused;
-  refused.endpoint = 1;
-  t.b.onHealthCheck(t.now, refused);
-  const RequestId next = t.ask(kWrite);
-  EXPECT_NE(t.lastTo(next), 1u);
+  // One whose connection fails is presumed down and gets nothing for a while.
+  const RequestId last = fixture.submit(kWrite);
+  fixture.endAttempt(last, AttemptStatus::ConnectFailed);
+  fixture.failHealthCheck(1);
+  const RequestId next = fixture.submit(kWrite);
+  EXPECT_NE(fixture.lastEndpoint(next), 1u);
 }
 
-TEST(Health, AReadGoesToAMemberThatFailsSomeAtOnceWhereNoOtherCanTakeIt) {
-  Bench t(settings(), 1);
-  t.teachPrimary(1);
-  const RequestId first = t.ask(kBounded);
-  t.pass(40);
-  t.end(first, AttemptStatus::Ok, t.evidence(0, Role::Primary));
-  const RequestId id = t.ask(kBounded);
+TEST(OutlierDetection, ReadIsRetriedAtAnEndpointThatFailsFastWhereNoOtherCanTakeIt) {
+  BalancerFixture fixture(defaultSettings(), 1);
+  fixture.reportPrimary(1);
+  const RequestId served = fixture.submit(kBoundedRead);
+  fixture.advanceTime(40ms);
+  fixture.endAttempt(served, AttemptStatus::Ok, fixture.evidence(0ms, Role::Primary));
+  const RequestId id = fixture.submit(kBoundedRead);
   for (int k = 0; k < 5; ++k) {
-    ASSERT_EQ(t.sends(id).size(), static_cast<std::size_t>(k + 1));
-    t.end(id, AttemptStatus::Error, t.evidence(0, Role::Primary));  // at once: it draws on no purse
+    ASSERT_EQ(fixture.sends(id).size(), static_cast<std::size_t>(k + 1));
+    // An immediate failure: it does not draw on the retry budget.
+    fixture.endAttempt(id, AttemptStatus::Error, fixture.evidence(0ms, Role::Primary));
   }
-  t.end(id, AttemptStatus::Ok, t.evidence(0, Role::Primary));
-  EXPECT_FALSE(t.finalAnswer(id));
+  fixture.endAttempt(id, AttemptStatus::Ok, fixture.evidence(0ms, Role::Primary));
+  EXPECT_FALSE(fixture.hasFinalResponse(id));
 }
 
-TEST(Asking, AnUnansweredProbeSetsAMemberAside) {
-  Bench t;
-  t.teachPrimary(1);
-  const RequestId id = t.ask(kBounded);
-  const auto probes = t.out.of("probe");
-  ASSERT_EQ(probes.size(), 2u);
-  t.pass(30);
-  t.report(probes[1].endpoint, 10);
-  EXPECT_EQ(t.lastTo(id), probes[1].endpoint);
-  HealthCheckResult p;
-  p.endpoint = probes[0].endpoint;
-  t.pass(220);
-  t.b.onHealthCheck(t.now, p);
-  for (int k = 0; k < 5; ++k) EXPECT_NE(t.lastTo(t.ask(kAny)), probes[0].endpoint);
+TEST(OutlierDetection, UnansweredHealthCheckEjects) {
+  BalancerFixture fixture;
+  fixture.reportPrimary(1);
+  const RequestId id = fixture.submit(kBoundedRead);
+  const std::vector<Action> healthChecks = fixture.actions.of(ActionKind::HealthCheck);
+  ASSERT_EQ(healthChecks.size(), 2u);
+  fixture.advanceTime(30ms);
+  fixture.reportPosition(healthChecks[1].endpoint, 10ms);
+  EXPECT_EQ(fixture.lastEndpoint(id), healthChecks[1].endpoint);
+  fixture.advanceTime(220ms);
+  fixture.failHealthCheck(healthChecks[0].endpoint);
+  for (int k = 0; k < 5; ++k)
+    EXPECT_NE(fixture.lastEndpoint(fixture.submit(kEventualRead)), healthChecks[0].endpoint);
 }
 
 }  // namespace
--- a/tests/property_test.cpp
+++ b/tests/property_test.cpp
@@ -1,247 +1,269 @@
-// Long, fixed sequences of legal but nasty events, and the invariants that hold whatever comes.
+// Long, fixed sequences of legal but adverse events, and the invariants that hold in all of them.
 #include <algorithm>
+#include <array>
 #include <map>
 #include <random>
 
 #include "balancer_fixture.hpp"
+#include "invariant_checker.hpp"
 
 namespace stonebay::test {
 namespace {
 
-class Nasty : public testing::TestWithParam<int> {};
+constexpr int kSteps = 4000;
+constexpr int kEndpoints = 5;
+constexpr int kClasses = 7;
+constexpr Time kHealthCheckLatency = 3ms;
 
-struct Try {
-  EndpointId member;
-  bool open = true;
-  Time at{};
-};
-struct Known {
-  int classIndex = 0;
-  Time deadline{};
-  Time commit{-1};
-  bool ended = false, ran = false;
-  Time ranAt{};
-  std::vector<Try> tries;
-};
+Settings settingsOfVariant(int variant) {
+  const unsigned bits = static_cast<unsigned>(variant);
+  Settings settings = defaultSettings();
+  settings.staleReadPolicy = static_cast<StaleReadPolicy>(variant % 3);
+  settings.sessionTokensCarried = (bits & 1U) != 0;
+  settings.positionsInResponses = (bits & 2U) != 0;
+  settings.hedgingAllowed = (bits & 4U) != 0;
+  settings.discovery = (bits & 8U) != 0 ? DiscoveryMode::Poll : DiscoveryMode::Push;
+  settings.removedEndpointsServe = (bits & 16U) != 0;
+  return settings;
+}
 
-TEST_P(Nasty, InvariantsHold) {
-  const int variant = GetParam();
-  std::mt19937_64 random(static_cast<std::uint64_t>(variant) * 7919 + 1);
-  const auto pick = [&](int n) { return static_cast<int>(random() % static_cast<std::uint64_t>(n)); };
-  Settings s = settings();
-  s.staleReadPolicy = static_cast<StaleReadPolicy>(variant % 3);
-  s.sessionTokensCarried = variant & 1;
-  s.positionsInResponses = variant & 2;
-  s.hedgingAllowed = variant & 4;
-  s.discovery = variant & 8 ? DiscoveryMode::Poll : DiscoveryMode::Push;
-  s.removedEndpointsServe = variant & 16;
-  Bench t(s, 5);
-  std::map<RequestId, Known> known;
-  std::map<EndpointId, Lifecycle> state;
-  std::map<EndpointId, bool> draining;
-  std::map<EndpointId, Time> proven;
-  std::map<EndpointId, bool> wasPrimary;
-  std::map<std::uint64_t, Time> commits;
-  std::multimap<Time, TimerToken> timers;
-  std::multimap<Time, EndpointId> probes;
-  for (EndpointId m = 1; m <= 5; ++m) state[m] = Lifecycle::Ready;
-  std::size_t seen = 0;
-  const auto drain = [&] {
-    for (; seen < t.out.all.size(); ++seen) {
-      const Action a = t.out.all[seen];
-      if (a.what == "timer") timers.emplace(t.now + a.time, a.token);
-      if (a.what == "probe") probes.emplace(t.now + milliseconds(3), a.endpoint);
-      if (a.what == "send") {
-        Known& k = known.at(a.id);
-        const ClassSettings& c = s.classes[static_cast<std::size_t>(k.classIndex)];
-        ASSERT_FALSE(k.ended) << "a send after the final answer";
-        ASSERT_LT(k.tries.size(), static_cast<std::size_t>(s.maxAttempts));
-        if (s.removedEndpointsServe) {
-          ASSERT_FALSE(draining[a.endpoint]);
-        } else {
-          ASSERT_EQ(state[a.endpoint], Lifecycle::Ready) << "a send to a drained member";
-        }
-        const bool open = std::any_of(k.tries.begin(), k.tries.end(), [](const Try& x) { return x.open; });
-        if (!s.hedgingAllowed || c.idempotency == Idempotency::NonIdempotent) {
-          ASSERT_FALSE(open) << "two attempts at once";
-        }
-        if (c.idempotency == Idempotency::NonIdempotent) {
-          ASSERT_FALSE(k.ran) << "a repeat of what may have run";
-        }
-        if (c.idempotency == Idempotency::IdempotencyKey && k.ran) {
-          ASSERT_LT(t.now, k.ranAt + c.deduplicationWindow);
-        }
-        if (s.staleReadPolicy == StaleReadPolicy::Serve && !wasPrimary[a.endpoint]) {
-          const Time need =
-              c.consistency == Consistency::BoundedStaleness ? t.now - c.maxStaleness : k.commit;
-          if (c.consistency != Consistency::Write) {
-            ASSERT_GE(proven[a.endpoint], need) << "a stale send";
-          }
-        }
-        k.tries.push_back({a.endpoint, true, t.now});
-      }
-      if (a.what == "refuse" || a.what == "fail") {
-        Known& k = known.at(a.id);
-        const ClassSettings& c = s.classes[static_cast<std::size_t>(k.classIndex)];
-        ASSERT_FALSE(k.ended) << "two final answers";
-        const bool open = std::any_of(k.tries.begin(), k.tries.end(), [](const Try& x) { return x.open; });
-        if (a.what == "refuse" && (c.idempotency == Idempotency::NonIdempotent ||
-                                   c.deduplicationScope != DeduplicationScope::All)) {
-          ASSERT_FALSE(c.idempotency != Idempotency::Idempotent && (k.ran || open))
-              << "a refusal of what may have run";
-        }
-        k.ended = true;
-      }
+// Plays one sequence of events and checks the actions after each event. The order of the calls of pick()
+// decides the sequence.
+class EventSequence {
+ public:
+  explicit EventSequence(int variant)
+      : random_(static_cast<std::uint64_t>(variant) * 7919 + 1),
+        fixture_(settingsOfVariant(variant), kEndpoints),
+        checker_(fixture_.settings) {
+    for (EndpointId id = 1; id <= kEndpoints; ++id) checker_.endpoints[id].listed = Lifecycle::Ready;
+  }
+
+  void play() {
+    for (int step = 0; step < kSteps; ++step) {
+      fixture_.advanceTime(step % 997 == 0 ? 7s : milliseconds(pick(8)));  // the clock may jump ahead
+      ASSERT_NO_FATAL_FAILURE(fireTimers());
+      ASSERT_NO_FATAL_FAILURE(timeOutAttempts());
+      ASSERT_NO_FATAL_FAILURE(answerHealthChecks());
+      ASSERT_NO_FATAL_FAILURE(playRandomEvent());
+      ASSERT_NO_FATAL_FAILURE(checkNewActions());
     }
-  };
-  for (int step = 0; step < 4000; ++step) {
-    t.now += step % 997 == 0 ? Time(seconds(7)) : Time(milliseconds(pick(8)));  // the clock may jump ahead
-    while (!timers.empty() && timers.begin()->first <= t.now) {
-      const TimerToken token = timers.begin()->second;
-      timers.erase(timers.begin());
-      t.b.onTimer(t.now, token);
-      drain();
-      if (HasFatalFailure()) return;
+    for (const auto& [id, request] : checker_.requests)
+      EXPECT_TRUE(request.isFinished || fixture_.now <= request.deadline) << id;
+  }
+
+ private:
+  int pick(int n) { return static_cast<int>(random_() % static_cast<std::uint64_t>(n)); }
+  EndpointId pickEndpoint() { return 1 + random_() % kEndpoints; }
+
+  // ---- events ----
+  void fireTimers() {
+    while (!timers_.empty() && timers_.begin()->first <= fixture_.now) {
+      const TimerToken token = timers_.begin()->second;
+      timers_.erase(timers_.begin());
+      fixture_.balancer.onTimer(fixture_.now, token);
+      ASSERT_NO_FATAL_FAILURE(checkNewActions());
     }
-    for (auto& [id, k] : known) {  // time-outs at the deadline come from outside
-      if (t.now < k.deadline) continue;
-      for (std::size_t n = 0; n < k.tries.size(); ++n) {
-        if (!k.tries[n].open) continue;
-        k.tries[n].open = false;
-        if (!k.ran) k.ranAt = k.tries[n].at;
-        k.ran = true;
-        AttemptOutcome o;
-        o.request = id;
-        o.attempt = static_cast<int>(n);
-        o.endpoint = k.tries[n].member;
-        o.status = AttemptStatus::Timeout;
-        o.requestClosed = k.ended;
-        t.b.onAttemptOutcome(t.now, o);
-        drain();
-        if (HasFatalFailure()) return;
+  }
+
+  // Attempts time out at the client's deadline, which the embedding program watches.
+  void timeOutAttempts() {
+    for (auto& [id, request] : checker_.requests) {
+      if (fixture_.now < request.deadline) continue;
+      for (std::size_t i = 0; i < request.attempts.size(); ++i) {
+        if (!request.attempts[i].inFlight) continue;
+        request.endAttempt(i, true);
+        fixture_.balancer.onAttemptOutcome(fixture_.now, outcomeOf(id, request, i, AttemptStatus::Timeout));
+        ASSERT_NO_FATAL_FAILURE(checkNewActions());
       }
-      ASSERT_TRUE(k.ended) << "no final answer by the deadline";
+      ASSERT_TRUE(request.isFinished) << "no final response by the deadline";
     }
-    while (!probes.empty() && probes.begin()->first <= t.now) {
-      const EndpointId m = probes.begin()->second;
-      probes.erase(probes.begin());
-      HealthCheckResult p;
-      p.endpoint = m;
-      p.ok = pick(5) != 0;
-      const Time at = t.now - milliseconds(pick(600));
-      const bool primary = pick(12) == 0;
-      if (p.ok) {
-        p.report = {static_cast<float>(std::chrono::duration<double>(at - s.positionEpoch).count()),
-                    primary ? 1.0f : 0.0f};
-        proven[m] = std::max(proven[m], at);
-        if (primary) wasPrimary[m] = true;
-      }
-      t.b.onHealthCheck(t.now, p);
-      drain();
-      if (HasFatalFailure()) return;
+  }
+
+  void answerHealthChecks() {
+    while (!healthChecks_.empty() && healthChecks_.begin()->first <= fixture_.now) {
+      const EndpointId endpoint = healthChecks_.begin()->second;
+      healthChecks_.erase(healthChecks_.begin());
+      answerHealthCheck(endpoint);
+      ASSERT_NO_FATAL_FAILURE(checkNewActions());
     }
+  }
+
+  void answerHealthCheck(EndpointId endpoint) {
+    const bool ok = pick(5) != 0;
+    const Time age = milliseconds(pick(600));
+    const bool isPrimary = pick(12) == 0;
+    if (!ok) {
+      fixture_.failHealthCheck(endpoint);
+      return;
+    }
+    EndpointState& state = checker_.endpoints[endpoint];
+    state.provenPosition = std::max(state.provenPosition, fixture_.now - age);
+    if (isPrimary) state.isPrimary = true;
+    fixture_.reportPosition(endpoint, age, isPrimary);
+  }
+
+  void playRandomEvent() {
     switch (pick(8)) {
       case 0:
       case 1:
-      case 2: {
-        const int cls = pick(7);
-        Known k;
-        k.classIndex = cls;
-        k.deadline = t.now + s.classes[static_cast<std::size_t>(cls)].deadline / (1 + pick(2));
-        const std::uint64_t session = 1 + random() % 5;
-        const float age = static_cast<float>(pick(900));
-        if (cls == kFresh) k.commit = t.now;
-        if (cls == kSession && s.sessionTokensCarried && age > 0)
-          k.commit = t.now - Time(static_cast<std::int64_t>(age * 1000));
-        if (cls == kSession && !s.sessionTokensCarried && commits.count(session)) k.commit = commits[session];
-        const RequestId id = t.next;
-        known[id] = k;
-        t.ask(cls, session, age, static_cast<int>((k.deadline - t.now) / milliseconds(1)));
+      case 2:
+        submitRequest();
         break;
-      }
-      case 3: {  // the list changes under way
-        const EndpointId m = 1 + random() % 5;
-        const auto to = static_cast<Lifecycle>(pick(4) ? 1 : pick(3));
-        if (pick(3) == 0) {
-          state[m] = to;
-          draining[m] = to == Lifecycle::Draining || (draining[m] && to == Lifecycle::Gone);
-          t.b.onEndpointList(t.now, EndpointListKind::Delta,
-                             {Bench::entry(m, to, pick(2) ? t.now : Time(0))});
-        } else if (pick(9) == 0) {
-          t.b.onEndpointList(t.now, EndpointListKind::Failed, {});
-        }
+      case 3:
+        changeEndpointList();
         break;
-      }
       case 4:
-        if (!known.empty() && pick(20) == 0) {
-          auto it = known.end();
-          --it;
-          it->second.ended = true;
-          t.b.onClientLeft(t.now, it->first);
-        }
+        leaveLatestRequest();
         break;
       default:
-        for (auto it = known.rbegin(); it != known.rend(); ++it) {
-          Known& k = it->second;
-          std::size_t n = 0;
-          while (n < k.tries.size() && !k.tries[n].open) ++n;
-          if (n == k.tries.size() || pick(3) == 0) continue;
-          static const AttemptStatus results[] = {
-              AttemptStatus::Ok,      AttemptStatus::Ok,       AttemptStatus::Ok,
-              AttemptStatus::Error,   AttemptStatus::Rejected, AttemptStatus::Reset,
-              AttemptStatus::Timeout, AttemptStatus::TooStale, AttemptStatus::ConnectFailed};
-          const AttemptStatus result = results[pick(9)];
-          k.tries[n].open = false;
-          if (result != AttemptStatus::Rejected && result != AttemptStatus::TooStale &&
-              result != AttemptStatus::ConnectFailed && !k.ran) {
-            k.ran = true;
-            k.ranAt = k.tries[n].at;
-          }
-          AttemptOutcome o;
-          o.request = it->first;
-          o.attempt = static_cast<int>(n);
-          o.endpoint = k.tries[n].member;
-          o.status = result;
-          o.requestClosed = k.ended || result == AttemptStatus::Ok;
-          const bool answered = result == AttemptStatus::Ok || result == AttemptStatus::TooStale ||
-                                result == AttemptStatus::Rejected;
-          const bool primary = pick(6) == 0;
-          if (answered) {
-            o.role = primary ? Role::Primary : Role::Replica;
-            wasPrimary[o.endpoint] = primary;
-            if (s.classes[static_cast<std::size_t>(k.classIndex)].consistency == Consistency::Write &&
-                result == AttemptStatus::Ok) {
-              const Evidence commit =
-                  t.evidence(0, Role::Primary);  // the primary has applied at least its commit
-              o.role = commit.role;
-              o.position = commit.position;
-              wasPrimary[o.endpoint] = true;
-              proven[o.endpoint] = std::max(proven[o.endpoint], t.now - milliseconds(1));
-            }
-          }
-          if (result == AttemptStatus::Ok) k.ended = true;
-          t.b.onAttemptOutcome(t.now, o);
-          drain();
-          if (HasFatalFailure()) return;
-          for (std::size_t x = 0; x < k.tries.size(); ++x) {  // the rest of a set is cancelled
-            if (!k.tries[x].open || result != AttemptStatus::Ok) continue;
-            k.tries[x].open = false;
-            o.attempt = static_cast<int>(x);
-            o.endpoint = k.tries[x].member;
-            o.status = AttemptStatus::Cancelled;
-            o.role = Role::Unknown;
-            o.position.reset();
-            t.b.onAttemptOutcome(t.now, o);
-          }
-          break;
-        }
+        endSomeAttempt();
     }
-    drain();
-    if (HasFatalFailure()) return;
   }
-  for (const auto& [id, k] : known) EXPECT_TRUE(k.ended || t.now <= k.deadline) << id;
+
+  void submitRequest() {
+    TrackedRequest request;
+    request.classIndex = pick(kClasses);
+    const Time deadline = checker_.classOf(request).deadline / (1 + pick(2));
+    request.deadline = fixture_.now + deadline;
+    const std::uint64_t session = 1 + random_() % 5;
+    const int sessionTokenAgeMs = pick(900);
+    if (request.classIndex == kStrongRead) request.requiredPosition = fixture_.now;
+    if (request.classIndex == kReadYourWritesRead && fixture_.settings.sessionTokensCarried &&
+        sessionTokenAgeMs > 0)
+      request.requiredPosition = fixture_.now - milliseconds(sessionTokenAgeMs);
+    checker_.requests[fixture_.nextRequestId] = request;
+    fixture_.submit(request.classIndex, session, static_cast<float>(sessionTokenAgeMs), deadline);
+  }
+
+  void changeEndpointList() {
+    const EndpointId endpoint = pickEndpoint();
+    const auto listed = pick(4) != 0 ? Lifecycle::Ready : static_cast<Lifecycle>(pick(3));
+    if (pick(3) == 0) {
+      EndpointState& state = checker_.endpoints[endpoint];
+      state.listed = listed;
+      state.isDraining = listed == Lifecycle::Draining || (state.isDraining && listed == Lifecycle::Gone);
+      const Time started = pick(2) != 0 ? fixture_.now : Time(0);
+      fixture_.updateEndpoints({BalancerFixture::endpointUpdate(endpoint, listed, started)});
+    } else if (pick(9) == 0) {
+      fixture_.balancer.onEndpointList(fixture_.now, EndpointListKind::Failed, {});
+    }
+  }
+
+  void leaveLatestRequest() {
+    if (checker_.requests.empty() || pick(20) != 0) return;
+    auto& [id, request] = *checker_.requests.rbegin();
+    request.isFinished = true;
+    fixture_.balancer.onClientLeft(fixture_.now, id);
+  }
+
+  void endSomeAttempt() {
+    for (auto it = checker_.requests.rbegin(); it != checker_.requests.rend(); ++it) {
+      const std::size_t attempt = it->second.earliestInFlight();
+      if (attempt == it->second.attempts.size() || pick(3) == 0) continue;
+      endAttempt(it->first, it->second, attempt);
+      return;
+    }
+  }
+
+  void endAttempt(RequestId id, TrackedRequest& request, std::size_t attempt) {
+    const AttemptStatus status = pickStatus();
+    const bool neverRan = status == AttemptStatus::Rejected || status == AttemptStatus::TooStale ||
+                          status == AttemptStatus::ConnectFailed;
+    request.endAttempt(attempt, !neverRan);
+    AttemptOutcome outcome = outcomeOf(id, request, attempt, status);
+    addEvidence(outcome, checker_.classOf(request).consistency, pick(6) == 0);
+    if (status == AttemptStatus::Ok) request.isFinished = true;
+    fixture_.balancer.onAttemptOutcome(fixture_.now, outcome);
+    ASSERT_NO_FATAL_FAILURE(checkNewActions());
+    if (status == AttemptStatus::Ok) cancelOtherAttempts(id, request);
+  }
+
+  AttemptStatus pickStatus() {
+    static constexpr std::array<AttemptStatus, 9> kStatuses = {
+        AttemptStatus::Ok,      AttemptStatus::Ok,       AttemptStatus::Ok,
+        AttemptStatus::Error,   AttemptStatus::Rejected, AttemptStatus::Reset,
+        AttemptStatus::Timeout, AttemptStatus::TooStale, AttemptStatus::ConnectFailed};
+    return kStatuses[static_cast<std::size_t>(pick(9))];
+  }
+
+  // Responses give the endpoint's role; that to a write gives the position of its commit as well.
+  void addEvidence(AttemptOutcome& outcome, Consistency consistency, bool isPrimary) {
+    const bool isResponse = outcome.status == AttemptStatus::Ok ||
+                            outcome.status == AttemptStatus::TooStale ||
+                            outcome.status == AttemptStatus::Rejected;
+    if (!isResponse) return;
+    EndpointState& state = checker_.endpoints[outcome.endpoint];
+    outcome.role = isPrimary ? Role::Primary : Role::Replica;
+    state.isPrimary = isPrimary;
+    if (consistency != Consistency::Write || outcome.status != AttemptStatus::Ok) return;
+    const Evidence commit = fixture_.evidence(0ms, Role::Primary);
+    outcome.role = commit.role;
+    outcome.position = commit.position;
+    state.isPrimary = true;
+    state.provenPosition = std::max(state.provenPosition, fixture_.now - 1ms);
+  }
+
+  void cancelOtherAttempts(RequestId id, TrackedRequest& request) {
+    for (std::size_t i = 0; i < request.attempts.size(); ++i) {
+      if (!request.attempts[i].inFlight) continue;
+      request.attempts[i].inFlight = false;
+      fixture_.balancer.onAttemptOutcome(fixture_.now, outcomeOf(id, request, i, AttemptStatus::Cancelled));
+    }
+  }
+
+  static AttemptOutcome outcomeOf(RequestId id, const TrackedRequest& request, std::size_t attempt,
+                                  AttemptStatus status) {
+    AttemptOutcome outcome;
+    outcome.request = id;
+    outcome.attempt = static_cast<int>(attempt);
+    outcome.endpoint = request.attempts[attempt].endpoint;
+    outcome.status = status;
+    outcome.requestClosed = request.isFinished || status == AttemptStatus::Ok;
+    return outcome;
+  }
+
+  // ---- actions ----
+  void checkNewActions() {
+    for (; checkedActions_ < fixture_.actions.recorded.size(); ++checkedActions_)
+      ASSERT_NO_FATAL_FAILURE(checkAction(fixture_.actions.recorded[checkedActions_]));
+  }
+
+  void checkAction(const Action& action) {
+    switch (action.kind) {
+      case ActionKind::Timer:
+        timers_.emplace(fixture_.now + action.time, action.token);
+        break;
+      case ActionKind::HealthCheck:
+        healthChecks_.emplace(fixture_.now + kHealthCheckLatency, action.endpoint);
+        break;
+      case ActionKind::Send:
+        checker_.checkSend(fixture_.now, action.request, action.endpoint);
+        break;
+      case ActionKind::Reject:
+      case ActionKind::Fail:
+        checker_.checkFinalResponse(action.request, action.kind);
+        break;
+      default:
+        break;
+    }
+  }
+
+  std::mt19937_64 random_;
+  BalancerFixture fixture_;
+  InvariantChecker checker_;
+  std::multimap<Time, TimerToken> timers_;
+  std::multimap<Time, EndpointId> healthChecks_;
+  std::size_t checkedActions_ = 0;  // of fixture_.actions.recorded
+};
+
+class AdverseEventSequences : public testing::TestWithParam<int> {};
+
+TEST_P(AdverseEventSequences, InvariantsHold) {
+  EventSequence sequence(GetParam());
+  sequence.play();
 }
-INSTANTIATE_TEST_SUITE_P(Sequences, Nasty, testing::Range(0, 32));
+
+INSTANTIATE_TEST_SUITE_P(Variants, AdverseEventSequences, testing::Range(0, 32));
 
 }  // namespace
 }  // namespace stonebay::test
--- /dev/null
+++ b/tests/recording_sink.hpp
@@ -0,0 +1,87 @@
+// An ActionSink that records every action.
+#pragma once
+
+#include <algorithm>
+#include <cstddef>
+#include <iterator>
+#include <string>
+#include <vector>
+
+#include "stonebay/load_balancer.hpp"
+
+namespace stonebay::test {
+
+/// The calls of ActionSink other than broadcast().
+enum class ActionKind { Send, Reject, Fail, Cancel, Timer, HealthCheck, PollDiscovery, Log };
+
+/// One call of an ActionSink; what does not apply to its kind stays 0.
+struct Action {
+  ActionKind kind = ActionKind::Log;
+  RequestId request = 0;
+  EndpointId endpoint = 0;
+  Time time{};  ///< Send: until when; Reject: Retry-After; Timer: the interval
+  int attempt = 0;
+  TimerToken token;
+  Time dueAt{};  ///< Timer: when it is due on the sink's clock
+};
+
+/// Records actions in their order, and broadcasts apart from them.
+class RecordingSink : public ActionSink {
+ public:
+  std::vector<Action> recorded;
+  std::vector<GossipMessage> broadcasts;
+  const Time* clock = nullptr;  ///< may be null: timers are due counted from 0
+
+  void send(RequestId id, EndpointId endpoint, Time until) override {
+    Action action = make(ActionKind::Send, id);
+    action.endpoint = endpoint;
+    action.time = until;
+    recorded.push_back(action);
+  }
+  void reject(RequestId id, Time retryAfter) override {
+    Action action = make(ActionKind::Reject, id);
+    action.time = retryAfter;
+    recorded.push_back(action);
+  }
+  void fail(RequestId id) override { recorded.push_back(make(ActionKind::Fail, id)); }
+  void cancel(RequestId id, int attempt) override {
+    Action action = make(ActionKind::Cancel, id);
+    action.attempt = attempt;
+    recorded.push_back(action);
+  }
+  void scheduleTimer(Time in, TimerToken token) override {
+    Action action = make(ActionKind::Timer);
+    action.time = in;
+    action.token = token;
+    action.dueAt = clock != nullptr ? *clock + in : in;
+    recorded.push_back(action);
+  }
+  void checkHealth(EndpointId endpoint) override {
+    Action action = make(ActionKind::HealthCheck);
+    action.endpoint = endpoint;
+    recorded.push_back(action);
+  }
+  void broadcast(const GossipMessage& message) override { broadcasts.push_back(message); }
+  void pollDiscovery() override { recorded.push_back(make(ActionKind::PollDiscovery)); }
+  void log(const std::string& /*line*/) override { recorded.push_back(make(ActionKind::Log)); }
+
+  /// The actions of a kind, of one request or (0) of all.
+  std::vector<Action> of(ActionKind kind, RequestId id = 0) const {
+    std::vector<Action> found;
+    std::copy_if(recorded.begin(), recorded.end(), std::back_inserter(found), [&](const Action& action) {
+      return action.kind == kind && (id == 0 || action.request == id);
+    });
+    return found;
+  }
+  std::size_t count(ActionKind kind, RequestId id = 0) const { return of(kind, id).size(); }
+
+ private:
+  static Action make(ActionKind kind, RequestId id = 0) {
+    Action action;
+    action.kind = kind;
+    action.request = id;
+    return action;
+  }
+};
+
+}  // namespace stonebay::test
--- a/tests/replica_selection_test.cpp
+++ b/tests/replica_selection_test.cpp
@@ -1,3 +1,4 @@
+// Tests of which endpoint a read goes to: staleness, order of use, the primary's part.
 #include <set>
 #include <vector>
 
@@ -6,156 +7,167 @@
 namespace stonebay::test {
 namespace {
 
-TEST(Stale, ASilentMemberNeedsAProvenPosition) {
-  Bench t;
-  EXPECT_TRUE(t.sends(t.ask(kBounded)).empty());
-  t.report(2, 100);
-  EXPECT_EQ(t.lastTo(t.ask(kBounded)), 2u);
-  t.pass(450);  // 550 ms old now, the bound is 500
-  EXPECT_TRUE(t.sends(t.ask(kBounded)).empty());
+TEST(ReplicaSelection, BoundedReadNeedsAProvenPositionWhereStaleReadsAreServed) {
+  BalancerFixture fixture;
+  EXPECT_TRUE(fixture.sends(fixture.submit(kBoundedRead)).empty());
+  fixture.reportPosition(2, 100ms);
+  EXPECT_EQ(fixture.lastEndpoint(fixture.submit(kBoundedRead)), 2u);
+  fixture.advanceTime(450ms);  // 550 ms old now, the bound is 500
+  EXPECT_TRUE(fixture.sends(fixture.submit(kBoundedRead)).empty());
 }
 
-TEST(Stale, ARememberedSessionReadWaitsForItsCommit) {
-  Bench t;
-  t.teachPrimary(1);
-  const RequestId w = t.ask(kWrite, 5);
-  t.pass(20);
-  t.end(w, AttemptStatus::Ok, t.evidence(0, Role::Primary));
-  t.report(2, 10);  // from before the commit
-  t.report(3, 10);
-  const RequestId first = t.ask(kSession, 5);
-  EXPECT_TRUE(t.sends(first).empty()) << "a replica may have it by now: two are asked";
-  t.report(2, 30);
-  EXPECT_EQ(t.lastTo(first), 1u) << "only the primary has it for certain";
-  EXPECT_NE(t.lastTo(t.ask(kSession, 6)), 1u) << "another session wrote nothing: replicas will do";
-  t.pass(30);
-  t.report(2, 1);
-  EXPECT_EQ(t.lastTo(t.ask(kSession, 5)), 2u);
+TEST(ReplicaSelection, ReadYourWritesReadWaitsForTheRememberedCommitOfItsSession) {
+  BalancerFixture fixture;
+  fixture.reportPrimary(1);
+  const RequestId write = fixture.submit(kWrite, 5);
+  fixture.advanceTime(20ms);
+  fixture.endAttempt(write, AttemptStatus::Ok, fixture.evidence(0ms, Role::Primary));
+  fixture.reportPosition(2, 10ms);  // from before the commit
+  fixture.reportPosition(3, 10ms);
+  const RequestId read = fixture.submit(kReadYourWritesRead, 5);
+  EXPECT_TRUE(fixture.sends(read).empty()) << "a replica may have it by now: two health checks are out";
+  fixture.reportPosition(2, 30ms);
+  EXPECT_EQ(fixture.lastEndpoint(read), 1u) << "only the primary has it for certain";
+  EXPECT_NE(fixture.lastEndpoint(fixture.submit(kReadYourWritesRead, 6)), 1u)
+      << "another session wrote nothing: replicas will do";
+  fixture.advanceTime(30ms);
+  fixture.reportPosition(2, 1ms);
+  EXPECT_EQ(fixture.lastEndpoint(fixture.submit(kReadYourWritesRead, 5)), 2u);
 }
 
-TEST(Stale, ACarriedTokenIsRoundedUp) {
-  Settings s = settings();
-  s.sessionTokensCarried = true;
-  Bench t(s);
-  t.report(2, 100);
-  EXPECT_TRUE(t.sends(t.ask(kSession, 5, 99.0f)).empty());
-  EXPECT_EQ(t.lastTo(t.ask(kSession, 5, 101.0f)), 2u);
-  EXPECT_FALSE(t.sends(t.ask(kSession, 5, 0.0f)).empty()) << "no write: any data will do";
+TEST(ReplicaSelection, AgeInASessionTokenIsRoundedUp) {
+  Settings settings = defaultSettings();
+  settings.sessionTokensCarried = true;
+  BalancerFixture fixture(settings);
+  fixture.reportPosition(2, 100ms);
+  EXPECT_TRUE(fixture.sends(fixture.submit(kReadYourWritesRead, 5, 99.0f)).empty());
+  EXPECT_EQ(fixture.lastEndpoint(fixture.submit(kReadYourWritesRead, 5, 101.0f)), 2u);
+  EXPECT_FALSE(fixture.sends(fixture.submit(kReadYourWritesRead, 5, 0.0f)).empty())
+      << "no write: any data will do";
 }
 
-TEST(Stale, AFreshReadGoesToThePrimary) {
-  Bench t;
-  t.report(2, 0);
-  t.report(3, 0);
-  t.teachPrimary(1);
-  t.pass(1);
-  EXPECT_EQ(t.lastTo(t.ask(kFresh)), 1u);
+TEST(ReplicaSelection, StrongReadGoesToThePrimary) {
+  BalancerFixture fixture;
+  fixture.reportPosition(2, 0ms);
+  fixture.reportPosition(3, 0ms);
+  fixture.reportPrimary(1);
+  fixture.advanceTime(1ms);
+  EXPECT_EQ(fixture.lastEndpoint(fixture.submit(kStrongRead)), 1u);
 }
 
-TEST(Stale, CheckingMembersMayBeTriedUnproven) {
-  Settings s = settings();
-  s.staleReadPolicy = StaleReadPolicy::Reject;
-  Bench t(s);
-  EXPECT_EQ(t.sends(t.ask(kBounded)).size(), 1u);
+TEST(ReplicaSelection, EndpointsThatRejectStaleReadsMayBeTriedWithoutAProvenPosition) {
+  Settings settings = defaultSettings();
+  settings.staleReadPolicy = StaleReadPolicy::Reject;
+  BalancerFixture fixture(settings);
+  EXPECT_EQ(fixture.sends(fixture.submit(kBoundedRead)).size(), 1u);
 }
 
-TEST(Selection, LeastRecentlyUsedFirst) {
-  Bench t;
-  std::set<EndpointId> met;
+TEST(ReplicaSelection, LeastRecentlyUsedReplicaIsPreferred) {
+  BalancerFixture fixture;
+  std::set<EndpointId> used;
   for (int k = 0; k < 3; ++k) {
-    const RequestId id = t.ask(kAny);
-    met.insert(t.lastTo(id));
-    t.pass(10);
-    t.end(id, AttemptStatus::Ok, kFromReplica);
-    t.pass(10);
+    const RequestId id = fixture.serve(kEventualRead, 10ms);
+    used.insert(fixture.lastEndpoint(id));
+    fixture.advanceTime(10ms);
   }
-  EXPECT_EQ(met.size(), 3u);
+  EXPECT_EQ(used.size(), 3u);
 }
 
-TEST(Selection, ThePrimaryIsSparedWhileReplicasReachTheTarget) {
-  Bench t;
-  t.teachPrimary(1);
+TEST(ReplicaSelection, PrimaryIsSparedWhileReplicasReachTheTargetProbability) {
+  BalancerFixture fixture;
+  fixture.reportPrimary(1);
   for (int k = 0; k < 20; ++k) {
-    const RequestId id = t.ask(kAny);
-    EXPECT_NE(t.lastTo(id), 1u);
-    t.pass(10);
-    t.end(id, AttemptStatus::Ok, kFromReplica);
+    const RequestId id = fixture.submit(kEventualRead);
+    EXPECT_NE(fixture.lastEndpoint(id), 1u);
+    fixture.advanceTime(10ms);
+    fixture.endAttempt(id, AttemptStatus::Ok, kFromReplica);
   }
 }
 
-// Members 1 and 2 turn late, one sample in two each, while what all showed together is mostly in time: their
-// chances fall short of the target, and the primary, of which nothing else is known, joins and is best.
-TEST(Selection, ThePrimaryJoinsWhenReplicasFallShort) {
-  Bench t;
-  t.teachPrimary(3);
+// Endpoints 1 and 2 become late, one sample in two each, while the samples of all together are mostly in
+// time: their probabilities fall short of the target, and the primary, of which nothing else is known, joins
+// the read set and is the best of it.
+TEST(ReplicaSelection, PrimaryJoinsWhenReplicasFallShortOfTheTargetProbability) {
+  BalancerFixture fixture;
+  fixture.reportPrimary(3);
   RequestId id = 0;
-  for (int k = 0; k < 80 && t.lastTo(id) != 3; ++k) {
-    id = t.ask(kAny, 0, 0, 2000);
-    t.pass(k < 40 || k % 4 < 2 ? 10 : 700);
-    t.end(id, AttemptStatus::Ok, kFromReplica);
+  for (int k = 0; k < 80 && fixture.lastEndpoint(id) != 3; ++k) {
+    id = fixture.submit(kEventualRead, 0, 0, 2000ms);
+    fixture.advanceTime(k < 40 || k % 4 < 2 ? 10ms : 700ms);
+    fixture.endAttempt(id, AttemptStatus::Ok, kFromReplica);
   }
-  EXPECT_EQ(t.lastTo(id), 3u);
+  EXPECT_EQ(fixture.lastEndpoint(id), 3u);
 }
 
 // Found on the bench (izmir-glaze): long reads took turns on all replicas and made each of them stale.
-TEST(Selection, ReadsOfAnyDataLeaveTheFreshMembersAlone) {
-  Bench t;
-  t.report(1, 10);
-  t.report(2, 700);  // too old for the bound of 500 ms
-  t.report(3, 10);
+TEST(ReplicaSelection, EventualReadsLeaveUpToDateReplicasToBoundedReads) {
+  BalancerFixture fixture;
+  fixture.reportPosition(1, 10ms);
+  fixture.reportPosition(2, 700ms);  // too old for the bound of 500 ms
+  fixture.reportPosition(3, 10ms);
   for (int k = 0; k < 3; ++k) {
-    const RequestId id = t.ask(kAny);
-    EXPECT_EQ(t.lastTo(id), 2u);
-    t.pass(10);
-    t.end(id, AttemptStatus::Ok, kFromReplica);
+    const RequestId id = fixture.submit(kEventualRead);
+    EXPECT_EQ(fixture.lastEndpoint(id), 2u);
+    fixture.advanceTime(10ms);
+    fixture.endAttempt(id, AttemptStatus::Ok, kFromReplica);
   }
-  EXPECT_NE(t.lastTo(t.ask(kBounded)), 2u);
+  EXPECT_NE(fixture.lastEndpoint(fixture.submit(kBoundedRead)), 2u);
 }
 
-// Found on the bench (istanbul-main-later big-2: the busiest server at 12 times the mean): all routers began
-// with the same member.
-TEST(Herd, RoutersStartAtDifferentMembers) {
-  std::set<EndpointId> first;
+// Found on the bench (istanbul-main-later, run big-2: the busiest server at 12 times the mean): all proxies
+// began with the same endpoint.
+TEST(ReplicaSelection, ProxiesStartWithDifferentEndpoints) {
+  std::set<EndpointId> initial;
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
-    Bench t(settings(), 3, seed);
-    first.insert(t.lastTo(t.ask(kAny)));
+    BalancerFixture fixture(defaultSettings(), 3, seed);
+    initial.insert(fixture.lastEndpoint(fixture.submit(kEventualRead)));
   }
-  EXPECT_EQ(first.size(), 3u);
+  EXPECT_EQ(initial.size(), 3u);
 }
 
-// istanbul-main-later: a router with a few requests a second never held a proven position.
-TEST(Asking, AReadWaitsForTheWordOfTheNextInTurnAndNoLonger) {
-  Bench t;
-  t.teachPrimary(1);
-  const RequestId id = t.ask(kBounded);
-  ASSERT_TRUE(t.sends(id).empty());
-  ASSERT_EQ(t.out.of("probe").size(), 2u);
-  t.report(t.out.of("probe")[0].endpoint, 100);
-  EXPECT_EQ(t.lastTo(id), t.out.of("probe")[0].endpoint);
-  const RequestId second = t.ask(kBounded);
-  EXPECT_FALSE(t.sends(second).empty()) << "a proven replica is at hand";
+// Deployment istanbul-main-later: a proxy with a few requests a second never held a proven position.
+TEST(ReplicaSelection, BoundedReadWaitsForTheFirstHealthCheckThatProvesAPosition) {
+  BalancerFixture fixture;
+  fixture.reportPrimary(1);
+  const RequestId id = fixture.submit(kBoundedRead);
+  ASSERT_TRUE(fixture.sends(id).empty());
+  const std::vector<Action> healthChecks = fixture.actions.of(ActionKind::HealthCheck);
+  ASSERT_EQ(healthChecks.size(), 2u);
+  fixture.reportPosition(healthChecks[0].endpoint, 100ms);
+  EXPECT_EQ(fixture.lastEndpoint(id), healthChecks[0].endpoint);
+  const RequestId second = fixture.submit(kBoundedRead);
+  EXPECT_FALSE(fixture.sends(second).empty()) << "a replica with a proven position is at hand";
 }
 
-// muscat-guides, replicas that lag: two that got no sends stayed next in turn and were the only ones asked,
-// while the positions of all others wore out.
-TEST(Asking, LaggardsThatWereAskedInVainLetTheOthersBeAsked) {
-  Bench t(settings(), 5);
-  t.teachPrimary(1);
-  std::set<EndpointId> asked;
+// Endpoint 1 is the primary; replicas 2 and 3 lag by 5 s, 4 and 5 by 10 ms. Submits a bounded read, answers
+// the health checks that it causes, and returns the endpoints that they went to.
+std::set<EndpointId> checkedForBoundedRead(BalancerFixture& fixture) {
+  std::set<EndpointId> checked;
+  const std::size_t before = fixture.actions.count(ActionKind::HealthCheck);
+  const RequestId id = fixture.submit(kBoundedRead);
+  const std::vector<Action> healthChecks = fixture.actions.of(ActionKind::HealthCheck);
+  for (std::size_t i = before; i < healthChecks.size(); ++i) {
+    const EndpointId endpoint = healthChecks[i].endpoint;
+    checked.insert(endpoint);
+    fixture.reportPosition(endpoint, endpoint <= 3 ? 5000ms : 10ms, endpoint == 1);
+  }
+  if (fixture.sends(id).empty()) return checked;
+  const Role role = fixture.lastEndpoint(id) == 1 ? Role::Primary : Role::Replica;
+  fixture.endAttempt(id, AttemptStatus::Ok, fixture.evidence(10ms, role));
+  return checked;
+}
+
+// Deployment muscat-guides, replicas that lag: two that got no sends stayed next in turn and were the only
+// ones checked, while the positions of all others grew too old.
+TEST(ReplicaSelection, LaggingReplicasLetTheOthersBeCheckedInTheirTurn) {
+  BalancerFixture fixture(defaultSettings(), 5);
+  fixture.reportPrimary(1);
+  std::set<EndpointId> checked;
   for (int k = 0; k < 4; ++k) {
-    t.pass(1000);
-    const std::size_t before = t.out.all.size();
-    const RequestId id = t.ask(kBounded);
-    const std::vector<Action> all(t.out.all.begin() + static_cast<std::ptrdiff_t>(before), t.out.all.end());
-    for (const Action& a : all)
-      if (a.what == "probe") {
-        asked.insert(a.endpoint);
-        t.report(a.endpoint, a.endpoint <= 3 ? 5000 : 10, a.endpoint == 1);
-      }
-    if (!t.sends(id).empty())
-      t.end(id, AttemptStatus::Ok, t.evidence(10, t.lastTo(id) == 1 ? Role::Primary : Role::Replica));
+    fixture.advanceTime(1000ms);
+    checked.merge(checkedForBoundedRead(fixture));
   }
-  EXPECT_GT(asked.count(4) + asked.count(5), 0u);
+  EXPECT_GT(checked.count(4) + checked.count(5), 0u);
 }
 
 }  // namespace
--- a/tests/retry_policy_test.cpp
+++ b/tests/retry_policy_test.cpp
@@ -1,138 +1,140 @@
+// Tests of attempts by idempotency, and of the budgets for retries and hedged requests.
 #include "balancer_fixture.hpp"
 
 namespace stonebay::test {
 namespace {
 
-TEST(Fit, ASendThatNeverWentOutCostsNoFurtherAttempt) {
-  Bench t;
-  for (EndpointId m = 1; m <= 3; ++m) t.report(m, 0);
-  const RequestId id = t.ask(kAny);
-  for (int k = 0; k < 3; ++k) t.end(id, AttemptStatus::NotSent);
-  EXPECT_EQ(t.sends(id).size(), 4u);
-  EXPECT_FALSE(t.finalAnswer(id));
+TEST(RetryPolicy, AttemptThatWasNeverSentIsNotCountedAgainstTheRequest) {
+  BalancerFixture fixture;
+  for (EndpointId endpoint = 1; endpoint <= 3; ++endpoint) fixture.reportPosition(endpoint, 0ms);
+  const RequestId id = fixture.submit(kEventualRead);
+  for (int k = 0; k < 3; ++k) fixture.endAttempt(id, AttemptStatus::NotSent);
+  EXPECT_EQ(fixture.sends(id).size(), 4u);
+  EXPECT_FALSE(fixture.hasFinalResponse(id));
 }
 
-struct Ending {
-  AttemptStatus result;
-  bool ran;
+struct StatusCase {
+  AttemptStatus status;
+  bool mayHaveRun;
 };
 
-class Endings : public testing::TestWithParam<Ending> {};
+class RetryPolicyByStatus : public testing::TestWithParam<StatusCase> {};
 
-TEST_P(Endings, SafeGoesOn) {
-  Bench t;
-  const RequestId id = t.ask(kAny);
-  t.pass(10);
-  t.end(id, GetParam().result, kFromReplica);
-  ASSERT_EQ(t.sends(id).size(), 2u);
-  EXPECT_NE(t.sends(id)[0].endpoint, t.sends(id)[1].endpoint);
+TEST_P(RetryPolicyByStatus, IdempotentReadIsRetriedOnAnotherEndpoint) {
+  BalancerFixture fixture;
+  const RequestId id = fixture.submit(kEventualRead);
+  fixture.advanceTime(10ms);
+  fixture.endAttempt(id, GetParam().status, kFromReplica);
+  ASSERT_EQ(fixture.sends(id).size(), 2u);
+  EXPECT_NE(fixture.sends(id)[0].endpoint, fixture.sends(id)[1].endpoint);
 }
 
-TEST_P(Endings, UnsafeThatMayHaveRunFails) {
-  Bench t;
-  t.teachPrimary(2);
-  const RequestId id = t.ask(kWrite);
-  ASSERT_EQ(t.lastTo(id), 2u);
-  t.pass(10);
-  t.end(id, GetParam().result);
-  t.run(3200);
-  EXPECT_EQ(t.out.of("fail", id).size(), GetParam().ran ? 1u : 0u);
-  if (GetParam().ran) {
-    EXPECT_EQ(t.sends(id).size(), 1u);
-    EXPECT_TRUE(t.out.of("refuse", id).empty());
-  }
+TEST_P(RetryPolicyByStatus, NonIdempotentWriteThatMayHaveRunFails) {
+  BalancerFixture fixture;
+  fixture.reportPrimary(2);
+  const RequestId id = fixture.submit(kWrite);
+  ASSERT_EQ(fixture.lastEndpoint(id), 2u);
+  fixture.advanceTime(10ms);
+  fixture.endAttempt(id, GetParam().status);
+  fixture.runTimers(3200ms);
+  EXPECT_EQ(fixture.actions.count(ActionKind::Fail, id), GetParam().mayHaveRun ? 1u : 0u);
+  if (!GetParam().mayHaveRun) return;
+  EXPECT_EQ(fixture.sends(id).size(), 1u);
+  EXPECT_EQ(fixture.actions.count(ActionKind::Reject, id), 0u);
 }
 
-TEST_P(Endings, KeyedStaysWithinItsMemory) {
-  Bench t;
-  const RequestId id = t.ask(kKeyedGroup);
-  t.pass(450);  // past the memory of those that drop repeats
-  t.end(id, GetParam().result);
-  t.run(1500);
-  if (!GetParam().ran) return;
-  EXPECT_EQ(t.sends(id).size(), 1u);
-  EXPECT_TRUE(t.out.of("refuse", id).empty());
-  EXPECT_EQ(t.out.of("fail", id).size(), 1u);
+TEST_P(RetryPolicyByStatus, KeyedReadIsNotRetriedAfterTheDeduplicationWindow) {
+  BalancerFixture fixture;
+  const RequestId id = fixture.submit(kGroupKeyedRead);
+  fixture.advanceTime(450ms);  // the window is 400 ms
+  fixture.endAttempt(id, GetParam().status);
+  fixture.runTimers(1500ms);
+  if (!GetParam().mayHaveRun) return;
+  EXPECT_EQ(fixture.sends(id).size(), 1u);
+  EXPECT_EQ(fixture.actions.count(ActionKind::Reject, id), 0u);
+  EXPECT_EQ(fixture.actions.count(ActionKind::Fail, id), 1u);
 }
 
 INSTANTIATE_TEST_SUITE_P(
-    All, Endings,
-    testing::Values(Ending{AttemptStatus::Error, true}, Ending{AttemptStatus::Timeout, true},
-                    Ending{AttemptStatus::Reset, true}, Ending{AttemptStatus::Cancelled, true},
-                    Ending{AttemptStatus::Rejected, false}, Ending{AttemptStatus::ConnectFailed, false},
-                    Ending{AttemptStatus::TooStale, false}, Ending{AttemptStatus::NotSent, false}));
+    AllStatuses, RetryPolicyByStatus,
+    testing::Values(StatusCase{AttemptStatus::Error, true}, StatusCase{AttemptStatus::Timeout, true},
+                    StatusCase{AttemptStatus::Reset, true}, StatusCase{AttemptStatus::Cancelled, true},
+                    StatusCase{AttemptStatus::Rejected, false},
+                    StatusCase{AttemptStatus::ConnectFailed, false},
+                    StatusCase{AttemptStatus::TooStale, false}, StatusCase{AttemptStatus::NotSent, false}));
+
+TEST(RetryPolicy, KeyedReadIsRetriedWithinTheDeduplicationWindow) {
+  BalancerFixture fixture;
+  const RequestId id = fixture.submit(kGroupKeyedRead);
+  fixture.advanceTime(100ms);
+  fixture.endAttempt(id, AttemptStatus::Reset);
+  EXPECT_EQ(fixture.sends(id).size(), 2u);
+}
 
-TEST(Keyed, IsSentAgainInsideTheMemory) {
-  Bench t;
-  const RequestId id = t.ask(kKeyedGroup);
-  t.pass(100);
-  t.end(id, AttemptStatus::Reset);
-  EXPECT_EQ(t.sends(id).size(), 2u);
+TEST(RetryPolicy, KeyedReadIsRejectedWhenAllEndpointsDeduplicate) {
+  BalancerFixture fixture;
+  const RequestId id = fixture.submit(kGlobalKeyedRead);
+  fixture.advanceTime(1000ms);
+  fixture.endAttempt(id, AttemptStatus::Timeout);
+  EXPECT_EQ(fixture.actions.count(ActionKind::Reject, id), 1u);
 }
 
-TEST(Keyed, MayBeRefusedWhenAllMembersDropRepeats) {
-  Bench t;
-  const RequestId id = t.ask(kKeyedAll);
-  t.pass(1000);
-  t.end(id, AttemptStatus::Timeout);
-  EXPECT_EQ(t.out.of("refuse", id).size(), 1u);
+// Ends the attempts of a set after the first one, which the balancer has cancelled by now.
+void endCancelledAttempts(BalancerFixture& fixture, RequestId id) {
+  const int sent = static_cast<int>(fixture.sends(id).size());
+  for (int attempt = 1; attempt < sent; ++attempt)
+    fixture.endAttempt(id, AttemptStatus::Cancelled, {}, attempt);
 }
 
-TEST(Selection, CopiesGoOutTogetherOnlyWhereAllowedAndEarned) {
-  Settings s = settings();
-  s.hedgingAllowed = true;
-  Bench t(s);
-  int doubled = 0;
+TEST(RetryPolicy, HedgedRequestsAreSentOnlyWhereAllowedAndWithinTheirBudget) {
+  Settings settings = defaultSettings();
+  settings.hedgingAllowed = true;
+  BalancerFixture fixture(settings);
+  int hedged = 0;
   for (int k = 0; k < 200; ++k) {
-    const RequestId id = t.ask(kAny);
-    doubled += t.sends(id).size() > 1;
-    t.pass(k % 2 ? 10 : 900);
-    t.end(id, AttemptStatus::Ok, kFromReplica, 0);
-    if (t.sends(id).size() > 1) {
-      EXPECT_EQ(t.out.of("cancel", id).size(), t.sends(id).size() - 1) << "the first answer wins";
-      for (std::size_t n = 1; n < t.sends(id).size(); ++n)
-        t.end(id, AttemptStatus::Cancelled, {}, static_cast<int>(n));
-    }
+    const RequestId id = fixture.submit(kEventualRead);
+    if (fixture.sends(id).size() > 1) ++hedged;
+    fixture.advanceTime(k % 2 != 0 ? 10ms : 900ms);
+    fixture.endAttempt(id, AttemptStatus::Ok, kFromReplica, 0);
+    if (fixture.sends(id).size() <= 1) continue;
+    EXPECT_EQ(fixture.actions.count(ActionKind::Cancel, id), fixture.sends(id).size() - 1)
+        << "the first response cancels the other attempts";
+    endCancelledAttempts(fixture, id);
   }
-  EXPECT_GT(doubled, 0);
-  EXPECT_LT(doubled, 40);
+  EXPECT_GT(hedged, 0);
+  EXPECT_LT(hedged, 40);
 }
 
-TEST(Retries, WhatEndsAtOnceDrawsOnNoPurse) {
-  Bench t(settings(), 1);
-  const RequestId first = t.ask(kAny);
-  t.pass(100);
-  t.end(first, AttemptStatus::Ok, kFromReplica);
-  const RequestId id = t.ask(kAny);
+TEST(RetryPolicy, AttemptsThatFailImmediatelyDoNotDrawOnTheRetryBudget) {
+  BalancerFixture fixture(defaultSettings(), 1);
+  fixture.serve(kEventualRead, 100ms);
+  const RequestId id = fixture.submit(kEventualRead);
   for (int k = 0; k < 4; ++k) {
-    ASSERT_EQ(t.sends(id).size(), static_cast<std::size_t>(k + 1));
-    t.end(id, AttemptStatus::Reset);
-    if (k == 2) t.report(1, 0);  // the probe that three in a row bring
+    ASSERT_EQ(fixture.sends(id).size(), static_cast<std::size_t>(k + 1));
+    fixture.endAttempt(id, AttemptStatus::Reset);
+    if (k == 2) fixture.reportPosition(1, 0ms);  // answers the health check that three failures cause
   }
 }
 
-// istanbul-main-later big-2: hundreds of routers, each with attempts saved up, fed an overload from the
-// start.
-TEST(Retries, AttemptsSavedUpFadeWithTime) {
-  Bench t;
-  for (int k = 0; k < 60; ++k) {
-    const RequestId id = t.ask(kAny);
-    t.pass(300);
-    t.end(id, AttemptStatus::Ok, kFromReplica);
-  }
-  int failed = 0, again = 0;
+// Deployment istanbul-main-later, run big-2: hundreds of proxies, each with a retry budget saved up, fed an
+// overload from the start.
+TEST(RetryPolicy, UnusedRetryBudgetDecaysWithTime) {
+  BalancerFixture fixture;
+  for (int k = 0; k < 60; ++k) fixture.serve(kEventualRead, 300ms);
+  int failed = 0;
+  int retried = 0;
   for (int k = 0; k < 20; ++k) {
-    const RequestId id = t.ask(kAny);
-    if (t.sends(id).empty()) continue;  // members were set aside
-    t.pass(160);                        // more than at once: work was done
-    t.end(id, AttemptStatus::Error, kFromReplica);
+    const RequestId id = fixture.submit(kEventualRead);
+    if (fixture.sends(id).empty()) continue;  // endpoints are ejected
+    fixture.advanceTime(160ms);               // not an immediate failure: the endpoint worked on it
+    fixture.endAttempt(id, AttemptStatus::Error, kFromReplica);
     ++failed;
-    if (t.sends(id).size() < 2) continue;
-    ++again;
-    t.end(id, AttemptStatus::Ok, kFromReplica);
+    if (fixture.sends(id).size() < 2) continue;
+    ++retried;
+    fixture.endAttempt(id, AttemptStatus::Ok, kFromReplica);
   }
-  EXPECT_GE(again, 1);
-  EXPECT_LE(again, 1 + failed / 5);
+  EXPECT_GE(retried, 1);
+  EXPECT_LE(retried, 1 + failed / 5);
 }
 
 }  // namespace
--- a/tests/slow_start_test.cpp
+++ b/tests/slow_start_test.cpp
@@ -1,70 +1,88 @@
+// Tests of the share of requests that an endpoint gets while it warms up.
 #include "balancer_fixture.hpp"
 
 namespace stonebay::test {
 namespace {
 
-// Found on the bench (izmir-glaze-later, ankara-schools-later): hundreds of routers, each of which sent one
-// request at a time to a member that had just started, pushed it over.
-TEST(Cold, ManyRoutersTogetherSendAMemberItsShare) {
-  int cold = 0, all = 0;
-  for (std::uint64_t seed = 1; seed <= 300; ++seed) {
-    Bench t(settings(), 3, seed);
-    t.next = 1000 * seed;
-    t.b.onEndpointList(t.now, EndpointListKind::Delta, {Bench::entry(1, Lifecycle::Ready, t.now)});
-    for (int k = 0; k < 3; ++k, ++all) {
-      const RequestId id = t.ask(kAny);
-      cold += t.lastTo(id) == 1;
-      t.end(id, AttemptStatus::Ok, kFromReplica);
+constexpr int kProxies = 300;
+
+// Found on the bench (izmir-glaze-later, ankara-schools-later): hundreds of proxies, each of which sent one
+// request at a time to an endpoint that had just started, overloaded it.
+TEST(SlowStart, ManyProxiesTogetherStayWithinTheCapacityOfAWarmingEndpoint) {
+  int sentToWarming = 0;
+  int submitted = 0;
+  for (std::uint64_t seed = 1; seed <= kProxies; ++seed) {
+    BalancerFixture fixture(defaultSettings(), 3, seed);
+    fixture.nextRequestId = 1000 * seed;
+    fixture.updateEndpoints({BalancerFixture::endpointUpdate(1, Lifecycle::Ready, fixture.now)});
+    for (int k = 0; k < 3; ++k) {
+      ++submitted;
+      const RequestId id = fixture.serve(kEventualRead);
+      if (fixture.lastEndpoint(id) == 1) ++sentToWarming;
     }
   }
-  // A third of the requests is a warm member's; it can do a fifth of that at least, half of which it gets.
-  EXPECT_GT(cold, 0);
-  EXPECT_LE(cold, all / 3 / 5);
+  // A warm endpoint's share is a third of the requests; a warming one has at least a fifth of that capacity
+  // and gets half of it.
+  EXPECT_GT(sentToWarming, 0);
+  EXPECT_LE(sentToWarming, submitted / 3 / 5);
 }
 
-TEST(Cold, TheShareIsOfTheWholeGroupThoughTheOthersAreGone) {
-  Bench t;
-  t.b.onEndpointList(t.now, EndpointListKind::Full, {Bench::entry(1, Lifecycle::Ready, t.now)});
+TEST(SlowStart, ShareIsTakenOfTheInitialGroupAlthoughTheOtherEndpointsAreGone) {
+  BalancerFixture fixture;
+  fixture.balancer.onEndpointList(fixture.now, EndpointListKind::Full,
+                                  {BalancerFixture::endpointUpdate(1, Lifecycle::Ready, fixture.now)});
   int sent = 0;
-  for (int k = 0; k < 300; ++k) sent += !t.sends(t.ask(kAny)).empty();
+  for (int k = 0; k < 300; ++k)
+    if (!fixture.sends(fixture.submit(kEventualRead)).empty()) ++sent;
   EXPECT_GT(sent, 0);
   EXPECT_LE(sent, 300 / 3 / 5);
 }
 
-// Incident i4914d4: routers that looked for a primary pushed cold replicas over with misplaced writes.
-TEST(Cold, MisplacedWritesCountInTheShareOfAMember) {
-  int cold = 0;
-  for (std::uint64_t seed = 1; seed <= 300; ++seed) {
-    Bench t(settings(), 3, seed);
-    t.next = 1000 * seed;
-    t.b.onEndpointList(t.now, EndpointListKind::Delta, {Bench::entry(1, Lifecycle::Ready, t.now)});
-    cold += t.lastTo(t.ask(kWrite)) == 1;  // no primary is known, 1 is first by id
+// Incident i4914d4: proxies that looked for a primary overloaded warming replicas with misrouted writes.
+TEST(SlowStart, MisroutedWritesCountTowardsTheShareOfAWarmingEndpoint) {
+  int sentToWarming = 0;
+  for (std::uint64_t seed = 1; seed <= kProxies; ++seed) {
+    BalancerFixture fixture(defaultSettings(), 3, seed);
+    fixture.nextRequestId = 1000 * seed;
+    fixture.updateEndpoints({BalancerFixture::endpointUpdate(1, Lifecycle::Ready, fixture.now)});
+    const RequestId id = fixture.submit(kWrite);
+    if (fixture.lastEndpoint(id) == 1) ++sentToWarming;  // no primary is known, 1 is the lowest id
   }
-  EXPECT_LE(cold, 300 / 3 / 5);
+  EXPECT_LE(sentToWarming, kProxies / 3 / 5);
 }
 
-// event6935: after a release two warm replicas of six drowned while four cold ones, known to be idle, got
-// next to nothing and the rest was refused.
-TEST(ColdStart, AToldLoadOpensAMemberToItsShareOfReads) {
-  Settings s = settings();
-  s.reportFields = {ReportField::Position, ReportField::Primary, ReportField::InFlight};
-  s.overloadFactor = 4;
-  const auto share = [&](bool told) {
-    int cold = 0;
-    for (std::uint64_t seed = 1; seed <= 300; ++seed) {
-      Bench t(s, 3, seed);
-      t.next = 1000 * seed;
-      t.b.onEndpointList(t.now, EndpointListKind::Delta,
-                         {Bench::entry(2, Lifecycle::Ready, t.now - seconds(5))});
-      for (EndpointId m = 1; m <= 3; ++m)
-        told ? t.reportLoad(m, m == 1, m == 2 ? 0 : 9) : t.report(m, 0, m == 1);
-      for (int k = 0; k < 4; ++k) cold += t.lastTo(t.ask(kAny)) == 2;
+// The share of reads that a warming endpoint gets of 300 proxies, with or without loads in the reports.
+double shareOfWarmingEndpoint(const Settings& settings, bool loadIsReported) {
+  constexpr int kReadsPerProxy = 4;
+  int sentToWarming = 0;
+  for (std::uint64_t seed = 1; seed <= kProxies; ++seed) {
+    BalancerFixture fixture(settings, 3, seed);
+    fixture.nextRequestId = 1000 * seed;
+    fixture.updateEndpoints({BalancerFixture::endpointUpdate(2, Lifecycle::Ready, fixture.now - 5s)});
+    for (EndpointId endpoint = 1; endpoint <= 3; ++endpoint) {
+      const bool isPrimary = endpoint == 1;
+      if (loadIsReported)
+        fixture.reportLoad(endpoint, isPrimary, endpoint == 2 ? 0 : 9);
+      else
+        fixture.reportPosition(endpoint, 0ms, isPrimary);
     }
-    return cold / 1200.0;
-  };
-  const double blind = share(false), told = share(true), capacity = 0.2 + 0.8 * 5 / 10;
-  EXPECT_GT(told, 2 * blind);
-  EXPECT_LT(told, 1.6 * capacity / 3) << "never more than half above its share, whatever it tells";
+    for (int k = 0; k < kReadsPerProxy; ++k)
+      if (fixture.lastEndpoint(fixture.submit(kEventualRead)) == 2) ++sentToWarming;
+  }
+  return sentToWarming / static_cast<double>(kProxies * kReadsPerProxy);
+}
+
+// event6935: after a release two warm replicas of six were overloaded while four warming ones, known to be
+// idle, got next to nothing and the rest was rejected.
+TEST(SlowStart, ReportedLoadAdmitsReadsUpToTheCapacityOfAWarmingEndpoint) {
+  Settings settings = defaultSettings();
+  settings.reportFields = {ReportField::Position, ReportField::Primary, ReportField::InFlight};
+  settings.overloadFactor = 4;
+  const double withoutReports = shareOfWarmingEndpoint(settings, false);
+  const double withReports = shareOfWarmingEndpoint(settings, true);
+  const double capacity = 0.2 + 0.8 * 5 / 10;
+  EXPECT_GT(withReports, 2 * withoutReports);
+  EXPECT_LT(withReports, 1.6 * capacity / 3) << "never more than half above its share, whatever it reports";
 }
 
 }  // namespace
--- a/tests/write_routing_test.cpp
+++ b/tests/write_routing_test.cpp
@@ -1,54 +1,55 @@
+// Tests of primary discovery and of where writes go.
 #include "balancer_fixture.hpp"
 
 namespace stonebay::test {
 namespace {
 
-TEST(Writes, TryMembersByIdThenWaitForAnAnswerAsPrimary) {
-  Bench t;
-  const RequestId id = t.ask(kWrite);
-  for (EndpointId m = 1; m <= 3; ++m) {
-    ASSERT_EQ(t.lastTo(id), m);
-    t.end(id, AttemptStatus::TooStale, kFromReplica);
+TEST(WriteRouting, EndpointsAreTriedByIdAndThenThePrimaryIsAwaited) {
+  BalancerFixture fixture;
+  const RequestId id = fixture.submit(kWrite);
+  for (EndpointId endpoint = 1; endpoint <= 3; ++endpoint) {
+    ASSERT_EQ(fixture.lastEndpoint(id), endpoint);
+    fixture.endAttempt(id, AttemptStatus::TooStale, kFromReplica);
   }
-  EXPECT_EQ(t.sends(id).size(), 3u);
-  const RequestId other = t.ask(kWrite);
-  EXPECT_TRUE(t.sends(other).empty()) << "one scout is enough";
-  t.run(300);
-  EXPECT_FALSE(t.out.of("probe").empty());
-  t.report(2, 0, true);
-  EXPECT_EQ(t.lastTo(id), 2u);
-  EXPECT_EQ(t.lastTo(other), 2u);
+  EXPECT_EQ(fixture.sends(id).size(), 3u);
+  const RequestId other = fixture.submit(kWrite);
+  EXPECT_TRUE(fixture.sends(other).empty()) << "one write is enough to find the primary";
+  fixture.runTimers(300ms);
+  EXPECT_GT(fixture.actions.count(ActionKind::HealthCheck), 0u);
+  fixture.reportPrimary(2);
+  EXPECT_EQ(fixture.lastEndpoint(id), 2u);
+  EXPECT_EQ(fixture.lastEndpoint(other), 2u);
 }
 
-// Found by the example: a write turned away by a replica says nothing of how that replica serves reads.
-TEST(Writes, AMisplacedWriteLeavesNoLatencySample) {
-  Bench t;
-  const RequestId id = t.ask(kWrite);
-  t.end(id, AttemptStatus::TooStale, kFromReplica);
-  t.end(id, AttemptStatus::Ok, t.evidence(0, Role::Primary));
-  ASSERT_EQ(t.lastTo(id), 2u);
-  t.b.onEndpointList(t.now, EndpointListKind::Delta, {Bench::entry(3, Lifecycle::Gone)});
-  EXPECT_EQ(t.lastTo(t.ask(kAny)), 1u);
+// Found by the example program: a write that a replica turns away says nothing of how it serves reads.
+TEST(WriteRouting, MisroutedWriteLeavesNoLatencySample) {
+  BalancerFixture fixture;
+  const RequestId id = fixture.submit(kWrite);
+  fixture.endAttempt(id, AttemptStatus::TooStale, kFromReplica);
+  fixture.endAttempt(id, AttemptStatus::Ok, fixture.evidence(0ms, Role::Primary));
+  ASSERT_EQ(fixture.lastEndpoint(id), 2u);
+  fixture.updateEndpoints({BalancerFixture::endpointUpdate(3, Lifecycle::Gone)});
+  EXPECT_EQ(fixture.lastEndpoint(fixture.submit(kEventualRead)), 1u);
 }
 
 // A release on day 4 of the full score: writes used up all their attempts on replicas while a primary was
-// elected, and were refused seconds before their time.
-TEST(Primary, AWriteKeepsItsLastAttemptForThePrimary) {
-  Bench t(settings(), 7);
-  const RequestId id = t.ask(kWrite);
-  for (int k = 0; k < 12 && !t.finalAnswer(id); ++k) {
-    const std::size_t before = t.sends(id).size();
-    if (before > 0) t.end(id, AttemptStatus::TooStale, kFromReplica);
-    t.b.onEndpointList(t.now, EndpointListKind::Delta,
-                       {Bench::entry(7)});  // any change of the list lets it look again
-    t.run(20);
-    if (t.sends(id).size() == before) break;
+// elected, and were rejected seconds before their deadline.
+TEST(WriteRouting, LastAttemptOfAWriteIsReservedForThePrimary) {
+  BalancerFixture fixture(defaultSettings(), 7);
+  const RequestId id = fixture.submit(kWrite);
+  for (int k = 0; k < 12 && !fixture.hasFinalResponse(id); ++k) {
+    const std::size_t before = fixture.sends(id).size();
+    if (before > 0) fixture.endAttempt(id, AttemptStatus::TooStale, kFromReplica);
+    fixture.updateEndpoints(
+        {BalancerFixture::endpointUpdate(7)});  // any change of the list resumes the search
+    fixture.runTimers(20ms);
+    if (fixture.sends(id).size() == before) break;
   }
-  EXPECT_FALSE(t.finalAnswer(id));
-  ASSERT_EQ(t.sends(id).size(), 5u);
-  t.report(7, 0, true);
-  ASSERT_EQ(t.sends(id).size(), 6u);
-  EXPECT_EQ(t.lastTo(id), 7u);
+  EXPECT_FALSE(fixture.hasFinalResponse(id));
+  ASSERT_EQ(fixture.sends(id).size(), 5u);
+  fixture.reportPrimary(7);
+  ASSERT_EQ(fixture.sends(id).size(), 6u);
+  EXPECT_EQ(fixture.lastEndpoint(id), 7u);
 }
 
 }  // namespace
