Example: the field's names, a short function a step

The example drove the module in one function with one-letter names. It prints the same decisions and checks the same counts; 'member' and 'refuse' in its text are now 'endpoint' and 'reject', and the signature of its scheduleTimer follows the interface.

--- a/tests/example.cpp
+++ b/tests/example.cpp
@@ -1,95 +1,149 @@
-// Drives a LoadBalancer by hand: a list, a write, a bounded read and a failure. Prints what it decides.
+// Drives a LoadBalancer by hand: an endpoint list, a write, a bounded read and a failure. Prints the
+// decisions.
+#include <chrono>
 #include <cstdio>
+#include <string>
 
 #include "stonebay/load_balancer.hpp"
 
 using namespace stonebay;
-using std::chrono::milliseconds;
-using std::chrono::seconds;
+using namespace std::chrono_literals;
 
 namespace {
-struct Printer : ActionSink {
-  int sends = 0, finals = 0;
-  EndpointId last = 0;
-  void send(RequestId id, EndpointId m, Time) override {
+
+constexpr int kBoundedRead = 0;
+constexpr int kWrite = 1;
+
+// Prints the actions that a real program would carry out.
+class PrintingSink : public ActionSink {
+ public:
+  int sends = 0;
+  int finalResponses = 0;
+  EndpointId lastEndpoint = 0;
+
+  void send(RequestId id, EndpointId endpoint, Time /*until*/) override {
     ++sends;
-    last = m;
-    std::printf("  send request %d to member %d\n", static_cast<int>(id), static_cast<int>(m));
+    lastEndpoint = endpoint;
+    std::printf("  send request %d to endpoint %d\n", static_cast<int>(id), static_cast<int>(endpoint));
+  }
+  void reject(RequestId id, Time /*retryAfter*/) override {
+    ++finalResponses;
+    std::printf("  reject %d\n", static_cast<int>(id));
   }
-  void reject(RequestId id, Time) override { ++finals, std::printf("  refuse %d\n", static_cast<int>(id)); }
-  void fail(RequestId id) override { ++finals, std::printf("  fail %d\n", static_cast<int>(id)); }
-  void cancel(RequestId id, int a) override { std::printf("  cancel %d/%d\n", static_cast<int>(id), a); }
-  void scheduleTimer(Time, std::uint64_t) override {
-  }                                         // a real program calls LoadBalancer::timer when it is due
-  void checkHealth(EndpointId) override {}  // a real program asks the member for a report
-  void broadcast(const GossipMessage&) override {}
+  void fail(RequestId id) override {
+    ++finalResponses;
+    std::printf("  fail %d\n", static_cast<int>(id));
+  }
+  void cancel(RequestId id, int attempt) override {
+    std::printf("  cancel %d/%d\n", static_cast<int>(id), attempt);
+  }
+  // A real program calls LoadBalancer::onTimer when the timer is due.
+  void scheduleTimer(Time /*in*/, TimerToken /*token*/) override {}
+  // A real program requests a load report from the endpoint.
+  void checkHealth(EndpointId /*endpoint*/) override {}
+  void broadcast(const GossipMessage& /*message*/) override {}
   void pollDiscovery() override {}
   void log(const std::string& line) override { std::printf("  log: %s\n", line.c_str()); }
 };
+
+ClassSettings boundedReads() {
+  ClassSettings reads;
+  reads.consistency = Consistency::BoundedStaleness;
+  reads.maxStaleness = 500ms;
+  reads.latencyObjective = 200ms;
+  reads.deadline = 1s;
+  return reads;
+}
+
+ClassSettings writes() {
+  ClassSettings writes;
+  writes.consistency = Consistency::Write;
+  writes.idempotency = Idempotency::NonIdempotent;
+  writes.latencyObjective = 500ms;
+  writes.deadline = 3s;
+  return writes;
+}
+
+Settings exampleSettings() {
+  Settings settings;
+  settings.classes = {boundedReads(), writes()};       // in the order of kBoundedRead and kWrite
+  settings.staleReadPolicy = StaleReadPolicy::Reject;  // endpoints reject reads that they lag too far for
+  settings.positionsInResponses = true;
+  settings.maxAttempts = 4;
+  return settings;
+}
+
+EndpointUpdate readyEndpoint(EndpointId id) {
+  EndpointUpdate update;
+  update.id = id;
+  return update;
+}
+
+Request makeRequest(RequestId id, int classIndex, Time deadline) {
+  Request request;
+  request.id = id;
+  request.classIndex = classIndex;
+  request.deadline = deadline;
+  return request;
+}
+
+AttemptOutcome makeOutcome(RequestId id, int attempt, EndpointId endpoint, AttemptStatus status) {
+  AttemptOutcome outcome;
+  outcome.request = id;
+  outcome.attempt = attempt;
+  outcome.endpoint = endpoint;
+  outcome.status = status;
+  outcome.requestClosed = status == AttemptStatus::Ok;
+  return outcome;
+}
+
+// The replica, endpoint 1, turns the write away; the primary, endpoint 2, commits it.
+void playWrite(LoadBalancer& balancer, Time& now) {
+  constexpr RequestId kId = 10;
+  std::printf("a write: no primary is known, so endpoints are tried by id\n");
+  balancer.onRequest(now, makeRequest(kId, kWrite, now + 3s));
+
+  AttemptOutcome rejected = makeOutcome(kId, 0, 1, AttemptStatus::TooStale);
+  rejected.role = Role::Replica;
+  now += 1ms;
+  balancer.onAttemptOutcome(now, rejected);
+
+  AttemptOutcome committed = makeOutcome(kId, 1, 2, AttemptStatus::Ok);
+  committed.role = Role::Primary;
+  now += 49ms;
+  committed.position = now;
+  balancer.onAttemptOutcome(now, committed);
+}
+
+// The connection to the replica breaks; the primary answers. Returns whether the endpoints were those.
+bool playRead(LoadBalancer& balancer, const PrintingSink& sink, Time& now) {
+  constexpr RequestId kId = 11;
+  std::printf("a bounded read whose replica fails it: it is retried at the primary\n");
+  balancer.onRequest(now, makeRequest(kId, kBoundedRead, now + 1s));
+  if (sink.lastEndpoint != 1) return false;
+
+  now += 5ms;
+  balancer.onAttemptOutcome(now, makeOutcome(kId, 0, 1, AttemptStatus::Reset));
+  if (sink.lastEndpoint != 2) return false;
+
+  AttemptOutcome response = makeOutcome(kId, 1, 2, AttemptStatus::Ok);
+  now += 30ms;
+  balancer.onAttemptOutcome(now, response);
+  return true;
+}
+
 }  // namespace
 
 int main() {
-  Settings s;
-  s.classes.resize(2);
-  s.classes[0].consistency = Consistency::BoundedStaleness;
-  s.classes[0].maxStaleness = milliseconds(500);
-  s.classes[0].latencyObjective = milliseconds(200);
-  s.classes[0].deadline = seconds(1);
-  s.classes[1].consistency = Consistency::Write;
-  s.classes[1].idempotency = Idempotency::NonIdempotent;
-  s.classes[1].latencyObjective = milliseconds(500);
-  s.classes[1].deadline = seconds(3);
-  s.staleReadPolicy = StaleReadPolicy::Reject;  // members turn away reads that they lag too far for
-  s.positionsInResponses = true;
-  s.maxAttempts = 4;
-  Printer out;
-  LoadBalancer b(s, 1, out);
-  Time now = seconds(100);
-
-  std::printf("a list of two members\n");
-  EndpointUpdate one, two;
-  one.id = 1;
-  two.id = 2;
-  b.onEndpointList(now, EndpointListKind::Full, {one, two});
-
-  std::printf("a write: no primary is known, so members are tried by id\n");
-  Request w;
-  w.id = 10;
-  w.classIndex = 1;
-  w.deadline = now + seconds(3);
-  b.onRequest(now, w);
-  AttemptOutcome o;
-  o.request = 10;
-  o.endpoint = 1;
-  o.status = AttemptStatus::TooStale;
-  o.role = Role::Replica;
-  b.onAttemptOutcome(now += milliseconds(1), o);
-  o.attempt = 1;
-  o.endpoint = 2;
-  o.status = AttemptStatus::Ok;
-  o.requestClosed = true;
-  o.role = Role::Primary;
-  o.position = std::chrono::milliseconds(100050);  // when it was committed
-  b.onAttemptOutcome(now += milliseconds(49), o);
-
-  std::printf("a bounded read whose replica fails it: it goes on to the primary\n");
-  Request r;
-  r.id = 11;
-  r.deadline = now + seconds(1);
-  b.onRequest(now, r);
-  if (out.last != 1) return 1;
-  o = AttemptOutcome();
-  o.request = 11;
-  o.endpoint = 1;
-  o.status = AttemptStatus::Reset;
-  b.onAttemptOutcome(now += milliseconds(5), o);
-  if (out.last != 2) return 1;
-  o.attempt = 1;
-  o.endpoint = 2;
-  o.status = AttemptStatus::Ok;
-  o.requestClosed = true;
-  b.onAttemptOutcome(now += milliseconds(30), o);
-
-  std::printf("%d sends, %d refused or failed\n", out.sends, out.finals);
-  return out.sends == 4 && out.finals == 0 ? 0 : 1;
+  PrintingSink sink;
+  LoadBalancer balancer(exampleSettings(), 1, sink);
+  Time now = 100s;
+
+  std::printf("a list of two endpoints\n");
+  balancer.onEndpointList(now, EndpointListKind::Full, {readyEndpoint(1), readyEndpoint(2)});
+  playWrite(balancer, now);
+  if (!playRead(balancer, sink, now)) return 1;
+
+  std::printf("%d sends, %d rejected or failed\n", sink.sends, sink.finalResponses);
+  return sink.sends == 4 && sink.finalResponses == 0 ? 0 : 1;
 }
