Name the cases of the retry policy's tests by their status

The names that ctest shows were dumps of the parameter's bytes, uninitialised padding included, so that they could differ from build to build. The same eight cases, with the status in the name.

--- a/tests/retry_policy_test.cpp
+++ b/tests/retry_policy_test.cpp
@@ -1,4 +1,7 @@
 // Tests of attempts by idempotency, and of the budgets for retries and hedged requests.
+#include <ostream>
+#include <string>
+
 #include "balancer_fixture.hpp"
 
 namespace stonebay::test {
@@ -16,8 +19,12 @@
 struct StatusCase {
   AttemptStatus status;
   bool mayHaveRun;
+  const char* name;
 };
 
+// Else gtest prints the bytes, padding included, into the tests' names.
+void PrintTo(const StatusCase& statusCase, std::ostream* out) { *out << statusCase.name; }
+
 class RetryPolicyByStatus : public testing::TestWithParam<StatusCase> {};
 
 TEST_P(RetryPolicyByStatus, IdempotentReadIsRetriedOnAnotherEndpoint) {
@@ -55,13 +62,18 @@
   EXPECT_EQ(fixture.actions.count(ActionKind::Fail, id), 1u);
 }
 
-INSTANTIATE_TEST_SUITE_P(
-    AllStatuses, RetryPolicyByStatus,
-    testing::Values(StatusCase{AttemptStatus::Error, true}, StatusCase{AttemptStatus::Timeout, true},
-                    StatusCase{AttemptStatus::Reset, true}, StatusCase{AttemptStatus::Cancelled, true},
-                    StatusCase{AttemptStatus::Rejected, false},
-                    StatusCase{AttemptStatus::ConnectFailed, false},
-                    StatusCase{AttemptStatus::TooStale, false}, StatusCase{AttemptStatus::NotSent, false}));
+INSTANTIATE_TEST_SUITE_P(AllStatuses, RetryPolicyByStatus,
+                         testing::Values(StatusCase{AttemptStatus::Error, true, "Error"},
+                                         StatusCase{AttemptStatus::Timeout, true, "Timeout"},
+                                         StatusCase{AttemptStatus::Reset, true, "Reset"},
+                                         StatusCase{AttemptStatus::Cancelled, true, "Cancelled"},
+                                         StatusCase{AttemptStatus::Rejected, false, "Rejected"},
+                                         StatusCase{AttemptStatus::ConnectFailed, false, "ConnectFailed"},
+                                         StatusCase{AttemptStatus::TooStale, false, "TooStale"},
+                                         StatusCase{AttemptStatus::NotSent, false, "NotSent"}),
+                         [](const testing::TestParamInfo<StatusCase>& info) {
+                           return std::string(info.param.name);
+                         });
 
 TEST(RetryPolicy, KeyedReadIsRetriedWithinTheDeduplicationWindow) {
   BalancerFixture fixture;
