--- a/tests/invariant_checker.hpp
+++ b/tests/invariant_checker.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <vector>
 
@@ -20,6 +21,7 @@
 /// A request, its attempts, and what they mean for further ones.
 struct TrackedRequest {
   int classIndex = 0;
+  std::uint64_t session = 0;
   Time deadline{};
   Time requiredPosition{-1};  ///< its data must hold all commits up to here
   bool isFinished = false;    ///< no final response is owed any more
--- a/tests/property_test.cpp
+++ b/tests/property_test.cpp
@@ -125,14 +125,22 @@
     request.classIndex = pick(kClasses);
     const Time deadline = checker_.classOf(request).deadline / (1 + pick(2));
     request.deadline = fixture_.now + deadline;
-    const std::uint64_t session = 1 + random_() % 5;
+    request.session = 1 + random_() % 5;
     const int sessionTokenAgeMs = pick(900);
     if (request.classIndex == kStrongRead) request.requiredPosition = fixture_.now;
-    if (request.classIndex == kReadYourWritesRead && fixture_.settings.sessionTokensCarried &&
-        sessionTokenAgeMs > 0)
-      request.requiredPosition = fixture_.now - milliseconds(sessionTokenAgeMs);
+    if (request.classIndex == kReadYourWritesRead)
+      request.requiredPosition = lastCommitOf(request.session, milliseconds(sessionTokenAgeMs));
     checker_.requests[fixture_.nextRequestId] = request;
-    fixture_.submit(request.classIndex, session, static_cast<float>(sessionTokenAgeMs), deadline);
+    fixture_.submit(request.classIndex, request.session, static_cast<float>(sessionTokenAgeMs), deadline);
+  }
+
+  // The latest commit of a session, by its token or by the responses to its writes; -1: it has written
+  // nothing.
+  Time lastCommitOf(std::uint64_t session, Time tokenAge) const {
+    if (fixture_.settings.sessionTokensCarried)
+      return tokenAge > Time(0) ? fixture_.now - tokenAge : Time(-1);
+    const auto it = sessionCommits_.find(session);
+    return it != sessionCommits_.end() ? it->second : Time(-1);
   }
 
   void changeEndpointList() {
@@ -171,7 +179,10 @@
                           status == AttemptStatus::ConnectFailed;
     request.endAttempt(attempt, !neverRan);
     AttemptOutcome outcome = outcomeOf(id, request, attempt, status);
-    addEvidence(outcome, checker_.classOf(request).consistency, pick(6) == 0);
+    const Consistency consistency = checker_.classOf(request).consistency;
+    addEvidence(outcome, consistency, pick(6) == 0);
+    if (status == AttemptStatus::Ok && consistency == Consistency::Write && !request.isFinished)
+      sessionCommits_[request.session] = fixture_.now;
     if (status == AttemptStatus::Ok) request.isFinished = true;
     fixture_.balancer.onAttemptOutcome(fixture_.now, outcome);
     ASSERT_NO_FATAL_FAILURE(checkNewActions());
@@ -251,6 +262,7 @@
   std::mt19937_64 random_;
   BalancerFixture fixture_;
   InvariantChecker checker_;
+  std::map<std::uint64_t, Time> sessionCommits_;
   std::multimap<Time, TimerToken> timers_;
   std::multimap<Time, EndpointId> healthChecks_;
   std::size_t checkedActions_ = 0;  // of fixture_.actions.recorded
