log: separate the rate limiter, name the parts in the field's terms

Cause: the logger mixed level, format and rate limit in one class with one-word names. Format, limits and event names are unchanged.

--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -12,143 +12,164 @@
 namespace stonebay {
 namespace {
 
-using Text = fmt::memory_buffer;
+using Fields = std::initializer_list<LogField>;
+using Line = fmt::memory_buffer;
 
-bool plain(std::string_view v) {
-  return !v.empty() && std::all_of(v.begin(), v.end(), [](unsigned char c) {
-    return c > ' ' && c < 0x7f && c != '"' && c != '=' && c != '\\';
+constexpr const char* kLogfmtPattern = "ts=%Y-%m-%dT%H:%M:%S.%eZ level=%l %v";
+constexpr const char* kJsonPattern = R"({"ts":"%Y-%m-%dT%H:%M:%S.%eZ","level":"%l",%v})";
+
+bool needsNoQuotes(std::string_view text) {
+  return !text.empty() && std::all_of(text.begin(), text.end(), [](unsigned char byte) {
+    return byte > ' ' && byte < 0x7f && byte != '"' && byte != '=' && byte != '\\';
   });
 }
 
-// One escaping for both forms, that of JSON. Bytes beyond ASCII come from anywhere and need not be UTF-8, so
-// they are written as the code points of Latin-1: the line stays valid whatever it quotes.
-void quoted(Text& to, std::string_view v) {
-  to.push_back('"');
-  for (const char c : v.substr(0, kLongestValue)) {
-    const auto byte = static_cast<unsigned char>(c);
-    if (c == '"' || c == '\\') {
-      to.push_back('\\');
-      to.push_back(c);
-    } else if (c == '\n') {
-      fmt::format_to(std::back_inserter(to), "\\n");
-    } else if (byte < ' ' || byte >= 0x7f) {
-      fmt::format_to(std::back_inserter(to), "\\u{:04x}", byte);
-    } else {
-      to.push_back(c);
-    }
+// Both formats use JSON's escapes. Bytes beyond ASCII come from anywhere and need not be UTF-8, so they are
+// written as the code points of Latin-1: the line stays valid whatever it quotes.
+void appendEscaped(Line& line, char c) {
+  const auto byte = static_cast<unsigned char>(c);
+  if (c == '"' || c == '\\') {
+    line.push_back('\\');
+    line.push_back(c);
+  } else if (c == '\n') {
+    fmt::format_to(std::back_inserter(line), "\\n");
+  } else if (byte < ' ' || byte >= 0x7f) {
+    fmt::format_to(std::back_inserter(line), "\\u{:04x}", byte);
+  } else {
+    line.push_back(c);
   }
-  if (v.size() > kLongestValue) fmt::format_to(std::back_inserter(to), "...");
-  to.push_back('"');
 }
 
-struct Value {
+void appendQuoted(Line& line, std::string_view text) {
+  line.push_back('"');
+  for (const char c : text.substr(0, kMaxLoggedValue)) appendEscaped(line, c);
+  if (text.size() > kMaxLoggedValue) fmt::format_to(std::back_inserter(line), "...");
+  line.push_back('"');
+}
+
+// Writes a field's value; a visitor of LogField::value.
+struct ValueWriter {
   LogForm form;
-  Text& to;
-  void operator()(std::int64_t v) const { fmt::format_to(std::back_inserter(to), "{}", v); }
-  void operator()(bool v) const { fmt::format_to(std::back_inserter(to), "{}", v); }
-  void operator()(double v) const {
-    if (std::isfinite(v))
-      fmt::format_to(std::back_inserter(to), "{:.6g}", v);
+  Line& line;
+
+  void operator()(std::int64_t number) const { fmt::format_to(std::back_inserter(line), "{}", number); }
+  void operator()(bool flag) const { fmt::format_to(std::back_inserter(line), "{}", flag); }
+  void operator()(double number) const {
+    if (std::isfinite(number))
+      fmt::format_to(std::back_inserter(line), "{:.6g}", number);
     else
-      quoted(to, fmt::format("{}", v));  // JSON has no number for it
+      appendQuoted(line, fmt::format("{}", number));  // JSON has no such number
   }
-  void operator()(std::string_view v) const {
-    if (form == LogForm::Logfmt && v.size() <= kLongestValue && plain(v))
-      to.append(v.data(), v.data() + v.size());
+  void operator()(std::string_view text) const {
+    if (form == LogForm::Logfmt && text.size() <= kMaxLoggedValue && needsNoQuotes(text))
+      line.append(text.data(), text.data() + text.size());
     else
-      quoted(to, v);
+      appendQuoted(line, text);
   }
 };
 
-void write(Text& to, LogForm form, std::string_view event, const LogField* first, const LogField* last) {
+void appendEvent(Line& line, LogForm form, std::string_view event, Fields fields) {
   const bool json = form == LogForm::Json;
-  fmt::format_to(std::back_inserter(to), json ? "\"event\":\"{}\"" : "event={}", event);
-  for (; first != last; ++first) {
-    fmt::format_to(std::back_inserter(to), json ? ",\"{}\":" : " {}=", first->name);
-    std::visit(Value{form, to}, first->value);
+  fmt::format_to(std::back_inserter(line), json ? "\"event\":\"{}\"" : "event={}", event);
+  for (const LogField& field : fields) {
+    fmt::format_to(std::back_inserter(line), json ? ",\"{}\":" : " {}=", field.name);
+    std::visit(ValueWriter{form, line}, field.value);
   }
 }
 
-spdlog::level::level_enum toSpdlog(LogLevel l) {
-  switch (l) {
+spdlog::level::level_enum toSpdlog(LogLevel level) {
+  switch (level) {
     case LogLevel::Debug:
       return spdlog::level::debug;
     case LogLevel::Info:
       return spdlog::level::info;
     case LogLevel::Warning:
       return spdlog::level::warn;
-    default:
-      return spdlog::level::err;
+    case LogLevel::Error:
+      break;
   }
+  return spdlog::level::err;
 }
 
-class Log {
+// A token bucket: a burst of lines, then a steady rate.
+class RateLimiter {
  public:
-  Log() : logger_("stonebay", std::make_shared<spdlog::sinks::stderr_sink_st>()) {
+  bool allow() {
+    const Clock::time_point now = Clock::now();
+    const double elapsedSeconds = std::chrono::duration<double>(now - refilledAt_).count();
+    tokens_ = std::min(kBurst, tokens_ + kLinesPerSecond * elapsedSeconds);
+    refilledAt_ = now;
+    if (tokens_ < 1) return false;
+    tokens_ -= 1;
+    return true;
+  }
+
+ private:
+  using Clock = std::chrono::steady_clock;
+  static constexpr double kBurst = 50;
+  static constexpr double kLinesPerSecond = 10;
+
+  double tokens_ = kBurst;
+  Clock::time_point refilledAt_ = Clock::now();
+};
+
+class Logger {
+ public:
+  Logger() : logger_("stonebay", std::make_shared<spdlog::sinks::stderr_sink_st>()) {
     logger_.flush_on(spdlog::level::trace);
-    set(LogForm::Logfmt, LogLevel::Info);
+    configure(LogForm::Logfmt, LogLevel::Info);
   }
-  void set(LogForm form, LogLevel least) {
+
+  void configure(LogForm form, LogLevel minLevel) {
     form_ = form;
-    logger_.set_level(toSpdlog(least));
-    const char* const pattern = form == LogForm::Json
-                                    ? "{\"ts\":\"%Y-%m-%dT%H:%M:%S.%eZ\",\"level\":\"%l\",%v}"
-                                    : "ts=%Y-%m-%dT%H:%M:%S.%eZ level=%l %v";
-    logger_.set_pattern(pattern, spdlog::pattern_time_type::utc);
+    logger_.set_level(toSpdlog(minLevel));
+    logger_.set_pattern(form == LogForm::Json ? kJsonPattern : kLogfmtPattern,
+                        spdlog::pattern_time_type::utc);
   }
-  void line(LogLevel level, std::string_view event, const LogField* first, const LogField* last) {
+
+  void log(LogLevel level, std::string_view event, Fields fields) {
     if (!logger_.should_log(toSpdlog(level))) return;
-    const Clock::time_point now = Clock::now();
-    allowance_ =
-        std::min(kBurst, allowance_ + kPerSecond * std::chrono::duration<double>(now - last_).count());
-    last_ = now;
-    if (allowance_ < 1) {
-      ++dropped_;
+    if (!rateLimiter_.allow()) {
+      ++droppedLines_;
       return;
     }
-    allowance_ -= 1;
-    if (dropped_ > 0) {
-      const LogField count("count", dropped_);
-      put(LogLevel::Warning, "lines_left_out", &count, &count + 1);
-      dropped_ = 0;
+    if (droppedLines_ > 0) {
+      write(LogLevel::Warning, "lines_left_out", {{"count", droppedLines_}});
+      droppedLines_ = 0;
     }
-    put(level, event, first, last);
+    write(level, event, fields);
   }
 
  private:
-  using Clock = std::chrono::steady_clock;
-  static constexpr double kBurst = 50, kPerSecond = 10;
-
-  void put(LogLevel level, std::string_view event, const LogField* first, const LogField* last) {
-    Text text;
-    write(text, form_, event, first, last);
-    logger_.log(toSpdlog(level), spdlog::string_view_t(text.data(), text.size()));
+  void write(LogLevel level, std::string_view event, Fields fields) {
+    Line line;
+    appendEvent(line, form_, event, fields);
+    logger_.log(toSpdlog(level), spdlog::string_view_t(line.data(), line.size()));
   }
 
   spdlog::logger logger_;
   LogForm form_ = LogForm::Logfmt;
-  double allowance_ = kBurst;
-  std::int64_t dropped_ = 0;
-  Clock::time_point last_ = Clock::now();
+  RateLimiter rateLimiter_;
+  std::int64_t droppedLines_ = 0;
 };
 
-Log& theLog() {
-  static Log log;
-  return log;
+Logger& processLogger() {
+  static Logger logger;
+  return logger;
 }
 
 }  // namespace
 
-void setLog(LogForm form, LogLevel least) { theLog().set(form, least); }
+void setLog(LogForm form, LogLevel minLevel) { processLogger().configure(form, minLevel); }
 
 void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields) {
-  theLog().line(level, event, fields.begin(), fields.end());
+  processLogger().log(level, event, fields);
 }
 
 std::string formatEvent(LogForm form, std::string_view event, std::initializer_list<LogField> fields) {
-  Text text;
-  write(text, form, event, fields.begin(), fields.end());
-  return fmt::to_string(text);
+  Line line;
+  appendEvent(line, form, event, fields);
+  return fmt::to_string(line);
 }
 
 }  // namespace stonebay
