util: parsers of values, INI and libevent's deleter by their usual names

Cause: Wrong, Read<T>, Free and readTime said little at their call sites; units and the INI reader did several steps in one function. Call sites follow. Texts of errors are unchanged.

--- a/src/config/ini_config.cpp
+++ b/src/config/ini_config.cpp
@@ -38,7 +38,7 @@
   }
 
  private:
-  void fault(int line, std::string where, Wrong w) {
+  void fault(int line, std::string where, ValueError w) {
     faults_.push_back({path_, line, std::move(where), std::move(w.problem), std::move(w.fix)});
   }
 
@@ -50,7 +50,7 @@
       const auto info = std::find_if(sectionTable().begin(), sectionTable().end(),
                                      [&](const SectionInfo& i) { return s.type == i.type; });
       if (info == sectionTable().end()) {
-        const std::string near = nearestWord(s.type, types.data(), types.data() + types.size());
+        const std::string near = closestMatch(s.type, types);
         fault(s.line, s.title(),
               {"there is no such section",
                near.empty() ? "sections are " + join(types) : "did you mean [" + near + "]?"});
@@ -97,7 +97,7 @@
         continue;
       }
       auto value = readValue(key, entry ? entry->value : key.fallback);
-      if (Wrong* w = std::get_if<Wrong>(&value))
+      if (ValueError* w = std::get_if<ValueError>(&value))
         fault(entry ? entry->line : 0, where, std::move(*w));
       else
         key.set(d, std::get<KeyValue>(value));
@@ -105,7 +105,7 @@
     if (!s) return;
     for (const IniEntry& e : s->entries) {
       if (std::find(names.begin(), names.end(), e.key) != names.end()) continue;
-      const std::string near = nearestWord(e.key, names.data(), names.data() + names.size());
+      const std::string near = closestMatch(e.key, names);
       fault(e.line, s->title() + " " + e.key,
             {"there is no such key",
              near.empty() ? "keys are " + join(names) : "did you mean '" + near + "'?"});
@@ -209,7 +209,7 @@
     const IniSection* section = nullptr;
     for (const IniSection& s : file_.sections)
       if (s.type == "dnssd") section = &s;
-    const auto wrong = [&](const char* key, Wrong w) {
+    const auto wrong = [&](const char* key, ValueError w) {
       fault(section ? lineOf(*section, key) : sectionLine("discovery"), std::string("[dnssd] ") + key,
             std::move(w));
     };
@@ -233,7 +233,7 @@
   std::optional<GroupId> groupOf(const std::string& text) const {
     for (const GroupName& g : config_.groups)
       if (g.name == text) return g.id;
-    const auto number = readCount(text);
+    const auto number = parseCount(text);
     const std::int64_t* const id = std::get_if<std::int64_t>(&number);
     if (id && *id >= 0 && *id <= 65535) return static_cast<GroupId>(*id);
     return std::nullopt;
--- a/src/config/keys.cpp
+++ b/src/config/keys.cpp
@@ -324,8 +324,8 @@
 namespace {
 
 template <typename T>
-Read<KeyValue> widen(const Read<T>& r) {
-  if (const Wrong* w = std::get_if<Wrong>(&r)) return *w;
+ParseResult<KeyValue> widen(const ParseResult<T>& r) {
+  if (const ValueError* w = std::get_if<ValueError>(&r)) return *w;
   return KeyValue(std::get<T>(r));
 }
 
@@ -340,37 +340,37 @@
   return all;
 }
 
-Read<KeyValue> readAddress(const std::string& text) {
+ParseResult<KeyValue> readAddress(const std::string& text) {
   if (const auto a = Address::parse(text)) return KeyValue(*a);
-  return Wrong{"'" + text + "' is no address with a port",
-               "write it as 10.1.0.18:5432 or [fd00::18]:5432; names are not looked up here"};
+  return ValueError{"'" + text + "' is no address with a port",
+                    "write it as 10.1.0.18:5432 or [fd00::18]:5432; names are not looked up here"};
 }
 
-Read<KeyValue> readAny(const Key& key, const std::string& text) {
+ParseResult<KeyValue> readAny(const Key& key, const std::string& text) {
   switch (key.kind) {
     case Kind::Address:
-      return text.empty() ? Read<KeyValue>(KeyValue(Address())) : readAddress(text);
+      return text.empty() ? ParseResult<KeyValue>(KeyValue(Address())) : readAddress(text);
     case Kind::Addresses: {
       std::vector<Address> all;
       for (const std::string& item : words(text, ',')) {
         const auto one = readAddress(item);
-        if (const Wrong* w = std::get_if<Wrong>(&one)) return *w;
+        if (const ValueError* w = std::get_if<ValueError>(&one)) return *w;
         all.push_back(std::get<Address>(std::get<KeyValue>(one)));
       }
       return KeyValue(all);
     }
     case Kind::Duration:
-      return widen(readTime(text));
+      return widen(parseDuration(text));
     case Kind::Size:
-      return widen(readSize(text));
+      return widen(parseSize(text));
     case Kind::Count:
-      return widen(readCount(text));
+      return widen(parseCount(text));
     case Kind::Number:
-      return widen(readNumber(text));
+      return widen(parseNumber(text));
     case Kind::Share:
-      return widen(readShare(text));
+      return widen(parseShare(text));
     case Kind::Flag:
-      return widen(readFlag(text));
+      return widen(parseFlag(text));
     case Kind::Words:
       return KeyValue(words(text, ','));
     case Kind::Hex: {
@@ -379,17 +379,17 @@
       const char* const end = text.data() + text.size();
       const auto [stop, error] = std::from_chars(text.data(), end, v, 16);
       if (error == std::errc() && stop == end) return KeyValue(v);
-      return Wrong{"'" + text + "' is no hexadecimal number",
-                   "write up to 16 of 0 to 9 and a to f, or random"};
+      return ValueError{"'" + text + "' is no hexadecimal number",
+                        "write up to 16 of 0 to 9 and a to f, or random"};
     }
     case Kind::Choice: {
       const std::vector<std::string> all = words(key.choices, ' ');
       if (std::find(all.begin(), all.end(), text) != all.end()) return KeyValue(text);
       std::string list;
       for (const std::string& w : all) list += (list.empty() ? "" : ", ") + w;
-      const std::string near = nearestWord(text, all.data(), all.data() + all.size());
-      return Wrong{"'" + text + "' is none of " + list,
-                   near.empty() ? "write one of them" : "did you mean '" + near + "'?"};
+      const std::string near = closestMatch(text, all);
+      return ValueError{"'" + text + "' is none of " + list,
+                        near.empty() ? "write one of them" : "did you mean '" + near + "'?"};
     }
     case Kind::Domain: {
       if (text.empty()) return KeyValue(text);
@@ -403,13 +403,14 @@
         good = good && label <= 63;
       }
       if (good) return KeyValue(text);
-      return Wrong{"'" + text + "' is no domain name",
-                   "write labels of letters, digits, - and _ with dots between, such as ruwi.example.org"};
+      return ValueError{
+          "'" + text + "' is no domain name",
+          "write labels of letters, digits, - and _ with dots between, such as ruwi.example.org"};
     }
     case Kind::Text:
       break;
   }
-  if (text.empty() && !key.fallback) return Wrong{"it is empty", "give it a value"};
+  if (text.empty() && !key.fallback) return ValueError{"it is empty", "give it a value"};
   return KeyValue(text);
 }
 
@@ -425,8 +426,8 @@
 };
 
 std::string writeBound(Kind kind, double v) {
-  if (kind == Kind::Duration) return writeTime(Time(static_cast<std::int64_t>(v)));
-  if (kind == Kind::Size) return writeSize(static_cast<std::uint64_t>(v));
+  if (kind == Kind::Duration) return formatDuration(Time(static_cast<std::int64_t>(v)));
+  if (kind == Kind::Size) return formatSize(static_cast<std::uint64_t>(v));
   std::ostringstream s;
   s << (kind == Kind::Share ? v * 100 : v) << (kind == Kind::Share ? "%" : "");
   return s.str();
@@ -466,13 +467,13 @@
 
 }  // namespace
 
-Read<KeyValue> readValue(const Key& key, const std::string& text) {
-  Read<KeyValue> value = readAny(key, text);
-  if (std::holds_alternative<Wrong>(value) || key.least == key.most) return value;
+ParseResult<KeyValue> readValue(const Key& key, const std::string& text) {
+  ParseResult<KeyValue> value = readAny(key, text);
+  if (std::holds_alternative<ValueError>(value) || key.least == key.most) return value;
   const double v = std::visit(InBase{}, std::get<KeyValue>(value));
   if (v >= key.least && v <= key.most) return value;
-  return Wrong{"'" + text + "' is out of range",
-               "write " + writeBound(key.kind, key.least) + " to " + writeBound(key.kind, key.most)};
+  return ValueError{"'" + text + "' is out of range",
+                    "write " + writeBound(key.kind, key.least) + " to " + writeBound(key.kind, key.most)};
 }
 
 std::string settingsPage() {
--- a/src/config/keys.hpp
+++ b/src/config/keys.hpp
@@ -62,6 +62,6 @@
 const std::vector<Key>& keyTable();
 
 // The value of a key as its kind reads it, within its bounds.
-Read<KeyValue> readValue(const Key&, const std::string& text);
+ParseResult<KeyValue> readValue(const Key&, const std::string& text);
 
 }  // namespace stonebay
--- a/src/util/clock.hpp
+++ b/src/util/clock.hpp
@@ -1,24 +1,27 @@
-// The process's one clock.
+// The clock of the process.
 #pragma once
 
 #include <chrono>
 
 namespace stonebay {
 
-// Wall time, read once at the start and advanced by the monotonic clock: it never goes back. Microseconds
-// since 1970.
+/// Wall time that never goes back: the system clock is read once, at construction, and advanced by the
+/// monotonic clock from then on.
 class Clock {
  public:
+  /// Microseconds since 1970.
   using Time = std::chrono::microseconds;
+
   Clock()
-      : wall_(std::chrono::duration_cast<Time>(std::chrono::system_clock::now().time_since_epoch())),
+      : wallAtStart_(std::chrono::duration_cast<Time>(std::chrono::system_clock::now().time_since_epoch())),
         start_(std::chrono::steady_clock::now()) {}
+
   Time now() const {
-    return wall_ + std::chrono::duration_cast<Time>(std::chrono::steady_clock::now() - start_);
+    return wallAtStart_ + std::chrono::duration_cast<Time>(std::chrono::steady_clock::now() - start_);
   }
 
  private:
-  Time wall_;
+  Time wallAtStart_;
   std::chrono::steady_clock::time_point start_;
 };
 
--- a/src/util/event.hpp
+++ b/src/util/event.hpp
@@ -1,4 +1,5 @@
-// libevent's objects, each with one owner that frees it; no callback outlives its owner.
+// Owning pointers for libevent's objects, and a few helpers. An owner frees its object when it is destroyed,
+// after which no callback of that object runs.
 #pragma once
 
 #include <event2/buffer.h>
@@ -12,27 +13,38 @@
 
 namespace stonebay {
 
-struct Free {
-  void operator()(event_base* p) const { event_base_free(p); }
-  void operator()(event* p) const { event_free(p); }
-  void operator()(evbuffer* p) const { evbuffer_free(p); }
-  void operator()(bufferevent* p) const { bufferevent_free(p); }
-  void operator()(evconnlistener* p) const { evconnlistener_free(p); }
+/// Frees any of libevent's objects by the function that belongs to its type.
+struct LibeventDeleter {
+  void operator()(event_base* base) const { event_base_free(base); }
+  void operator()(event* handler) const { event_free(handler); }
+  void operator()(evbuffer* buffer) const { evbuffer_free(buffer); }
+  void operator()(bufferevent* connection) const { bufferevent_free(connection); }
+  void operator()(evconnlistener* listener) const { evconnlistener_free(listener); }
 };
-using EventBase = std::unique_ptr<event_base, Free>;
-using Event = std::unique_ptr<event, Free>;
-using Buffer = std::unique_ptr<evbuffer, Free>;
-using BufferEvent = std::unique_ptr<bufferevent, Free>;
-using Listener = std::unique_ptr<evconnlistener, Free>;
+
+using EventBase = std::unique_ptr<event_base, LibeventDeleter>;
+using Event = std::unique_ptr<event, LibeventDeleter>;
+using Buffer = std::unique_ptr<evbuffer, LibeventDeleter>;
+using BufferEvent = std::unique_ptr<bufferevent, LibeventDeleter>;
+using Listener = std::unique_ptr<evconnlistener, LibeventDeleter>;
 
 inline Buffer newBuffer() { return Buffer(evbuffer_new()); }
+
+/// Copies the bytes to the end of the buffer.
 inline void append(evbuffer* to, std::string_view bytes) { evbuffer_add(to, bytes.data(), bytes.size()); }
 
-// (Re)starts a timer; what is due already fires in the next pass of the loop.
+/// The same interval as libevent's functions take it; a negative one is 0.
+inline timeval toTimeval(std::chrono::microseconds interval) {
+  constexpr std::chrono::microseconds::rep kMicrosecondsPerSecond = 1000000;
+  const auto us = interval.count() > 0 ? interval.count() : 0;
+  return {static_cast<time_t>(us / kMicrosecondsPerSecond),
+          static_cast<suseconds_t>(us % kMicrosecondsPerSecond)};
+}
+
+/// Starts a timer, or starts it anew. One that is already due fires in the next pass of the event loop.
 inline void startTimer(event* timer, std::chrono::microseconds in) {
-  const auto us = in.count() > 0 ? in.count() : 0;
-  const timeval tv{static_cast<time_t>(us / 1000000), static_cast<suseconds_t>(us % 1000000)};
-  event_add(timer, &tv);
+  const timeval delay = toTimeval(in);
+  event_add(timer, &delay);
 }
 
 }  // namespace stonebay
--- a/src/util/hash.hpp
+++ b/src/util/hash.hpp
@@ -1,4 +1,4 @@
-// A hash of text that is the same in every process: FNV-1a.
+// A hash of text that is the same in every process.
 #pragma once
 
 #include <cstdint>
@@ -6,10 +6,13 @@
 
 namespace stonebay {
 
+/// FNV-1a, 64 bits. Not for use against hostile keys.
 inline std::uint64_t fnv1a(std::string_view text) {
-  std::uint64_t h = 0xcbf29ce484222325ull;
-  for (const unsigned char c : text) h = (h ^ c) * 0x100000001b3ull;
-  return h;
+  constexpr std::uint64_t kOffsetBasis = 0xcbf29ce484222325ULL;
+  constexpr std::uint64_t kPrime = 0x100000001b3ULL;
+  std::uint64_t hash = kOffsetBasis;
+  for (const unsigned char byte : text) hash = (hash ^ byte) * kPrime;
+  return hash;
 }
 
 }  // namespace stonebay
--- a/src/util/ini.cpp
+++ b/src/util/ini.cpp
@@ -7,90 +7,132 @@
 namespace stonebay {
 namespace {
 
-constexpr std::string_view kBlank = " \t\r";
+constexpr std::string_view kBlanks = " \t\r";
+constexpr int kLineEnd = 2;  // the newline and the terminating NUL that inih's buffer has to hold as well
 
-struct Reading {
-  std::string_view rest;
-  IniFile file;
-  std::string path;
-  std::set<std::string> raw;
-  int line = 0;
+void removeLeadingBlanks(std::string_view& text) {
+  text.remove_prefix(std::min(text.find_first_not_of(kBlanks), text.size()));
+}
+
+void removeTrailingBlanks(std::string_view& text) {
+  while (!text.empty() && kBlanks.find(text.back()) != std::string_view::npos) text.remove_suffix(1);
+}
+
+// Feeds a text to inih line by line and collects what inih reports, together with what it does not: section
+// headers and line numbers.
+class IniParser {
+ public:
+  IniParser(std::string_view text, const std::string& path, const std::set<std::string>& rawTypes)
+      : rest_(text), path_(path), rawTypes_(rawTypes) {}
 
-  void fault(std::string problem, std::string fix) {
-    file.faults.push_back({path, line, "", std::move(problem), std::move(fix)});
+  IniFile parse() {
+    const int result = ini_parse_stream(readLine, this, handleEntry, this);
+    if (result > 0)
+      file_.faults.push_back({path_, result, "", "neither a [section] nor key = value",
+                              "mend this line, then check again for more like it"});
+    if (result < 0) file_.faults.push_back({path_, 0, "", "there is no memory to read it", ""});
+    return std::move(file_);
   }
 
-  // inih's source of lines, as fgets.
-  char* next(char* to, int room) {
-    if (rest.empty()) return nullptr;
-    ++line;
-    const std::size_t end = std::min(rest.find('\n'), rest.size());
-    std::string_view text = rest.substr(0, end);
-    rest.remove_prefix(std::min(end + 1, rest.size()));
-    // Guards against indented sections, whose lines inih would take for the continuation of a value.
-    text.remove_prefix(std::min(text.find_first_not_of(kBlank), text.size()));
-    if (text.find('\0') != std::string_view::npos) {
-      fault("a NUL byte", "this is no text file");
+ private:
+  // inih's source of lines; the contract is that of fgets.
+  static char* readLine(char* buffer, int capacity, void* parser) {
+    return static_cast<IniParser*>(parser)->nextLine(buffer, capacity);
+  }
+
+  static int handleEntry(void* parser, const char* /*section*/, const char* key, const char* value) {
+    static_cast<IniParser*>(parser)->addEntry(key, value);
+    return 1;
+  }
+
+  char* nextLine(char* buffer, int capacity) {
+    if (rest_.empty()) return nullptr;
+    std::string_view text = takeLine();
+    // inih would read an indented line as the continuation of the value before it.
+    removeLeadingBlanks(text);
+    if (!isAcceptable(text, capacity - kLineEnd)) text = {};
+    if (!text.empty() && text[0] == '[') {
+      addSection(text);
+    } else if (isInRawSection()) {
+      addRawEntry(text);
       text = {};
     }
-    if (static_cast<int>(text.size()) > room - 2) {
-      fault("longer than " + std::to_string(room - 2) + " characters", "shorten the line");
-      text = {};
+    char* const end = std::copy(text.begin(), text.end(), buffer);
+    end[0] = '\n';
+    end[1] = '\0';
+    return buffer;
+  }
+
+  std::string_view takeLine() {
+    ++line_;
+    const std::size_t end = std::min(rest_.find('\n'), rest_.size());
+    const std::string_view text = rest_.substr(0, end);
+    rest_.remove_prefix(std::min(end + 1, rest_.size()));
+    return text;
+  }
+
+  bool isAcceptable(std::string_view text, int maxLength) {
+    if (text.find('\0') != std::string_view::npos) {
+      addError("a NUL byte", "this is no text file");
+      return false;
     }
-    if (!text.empty() && text[0] == '[') {
-      header(text);
-    } else if (!file.sections.empty() && raw.count(file.sections.back().type) > 0) {
-      const std::size_t comment = std::min(text.find(" ;"), text.size());
-      std::string_view entry = text.substr(0, comment);
-      while (!entry.empty() && kBlank.find(entry.back()) != std::string_view::npos) entry.remove_suffix(1);
-      if (!entry.empty() && entry[0] != ';' && entry[0] != '#')
-        file.sections.back().entries.push_back({"", std::string(entry), line});
-      text = {};
+    if (static_cast<int>(text.size()) > maxLength) {
+      addError("longer than " + std::to_string(maxLength) + " characters", "shorten the line");
+      return false;
     }
-    std::copy(text.begin(), text.end(), to);
-    to[text.size()] = '\n';
-    to[text.size() + 1] = '\0';
-    return to;
+    return true;
   }
-  // Sections are taken down here, since inih tells of them only by their keys.
-  void header(std::string_view text) {
+
+  // inih reports a section only with its keys, so headers are recorded here.
+  void addSection(std::string_view text) {
     const std::size_t end = text.find(']');
-    if (end == std::string_view::npos) return;  // inih finds fault with the line
-    IniSection s;
+    if (end == std::string_view::npos) return;  // inih reports the line
     std::string_view title = text.substr(1, end - 1);
-    while (!title.empty() && kBlank.find(title.back()) != std::string_view::npos) title.remove_suffix(1);
-    const std::size_t blank = std::min(title.find_first_of(kBlank), title.size());
-    s.type = std::string(title.substr(0, blank));
-    title.remove_prefix(blank);
-    title.remove_prefix(std::min(title.find_first_not_of(kBlank), title.size()));
-    s.name = std::string(title);
-    s.line = line;
-    file.sections.push_back(std::move(s));
+    removeTrailingBlanks(title);
+    const std::size_t blank = std::min(title.find_first_of(kBlanks), title.size());
+    std::string_view name = title.substr(blank);
+    removeLeadingBlanks(name);
+    IniSection section;
+    section.type = std::string(title.substr(0, blank));
+    section.name = std::string(name);
+    section.line = line_;
+    file_.sections.push_back(std::move(section));
+  }
+
+  bool isInRawSection() const {
+    return !file_.sections.empty() && rawTypes_.count(file_.sections.back().type) > 0;
+  }
+
+  void addRawEntry(std::string_view text) {
+    const std::size_t comment = std::min(text.find(" ;"), text.size());
+    std::string_view entry = text.substr(0, comment);
+    removeTrailingBlanks(entry);
+    if (entry.empty() || entry[0] == ';' || entry[0] == '#') return;
+    file_.sections.back().entries.push_back({"", std::string(entry), line_});
   }
+
+  void addEntry(const char* key, const char* value) {
+    if (file_.sections.empty())
+      addError("a key before the first section", "begin with a section such as [proxy]");
+    else
+      file_.sections.back().entries.push_back({key, value, line_});
+  }
+
+  void addError(std::string problem, std::string fix) {
+    file_.faults.push_back({path_, line_, "", std::move(problem), std::move(fix)});
+  }
+
+  std::string_view rest_;  // of the text, not read yet
+  const std::string& path_;
+  const std::set<std::string>& rawTypes_;
+  int line_ = 0;
+  IniFile file_;
 };
 
 }  // namespace
 
-IniFile parseIni(std::string_view text, const std::string& path, const std::set<std::string>& raw) {
-  Reading r;
-  r.rest = text;
-  r.path = path;
-  r.raw = raw;
-  const auto reader = [](char* to, int room, void* of) { return static_cast<Reading*>(of)->next(to, room); };
-  const auto handler = [](void* of, const char*, const char* key, const char* value) {
-    Reading& reading = *static_cast<Reading*>(of);
-    if (reading.file.sections.empty())
-      reading.fault("a key before the first section", "begin with a section such as [proxy]");
-    else
-      reading.file.sections.back().entries.push_back({key, value, reading.line});
-    return 1;
-  };
-  const int bad = ini_parse_stream(reader, &r, handler, &r);
-  if (bad > 0)
-    r.file.faults.push_back({path, bad, "", "neither a [section] nor key = value",
-                             "mend this line, then check again for more like it"});
-  if (bad < 0) r.file.faults.push_back({path, 0, "", "there is no memory to read it", ""});
-  return std::move(r.file);
+IniFile parseIni(std::string_view text, const std::string& file, const std::set<std::string>& rawTypes) {
+  return IniParser(text, file, rawTypes).parse();
 }
 
 }  // namespace stonebay
--- a/src/util/ini.hpp
+++ b/src/util/ini.hpp
@@ -1,8 +1,8 @@
-// An INI file as sections and entries with their lines, read by inih. What the values mean is settled
-// elsewhere.
+// An INI file as sections and entries with their line numbers, parsed by inih. What the values mean is up to
+// the caller.
 //
-// inih keeps neither line numbers nor repeated sections apart; the reader that it takes its lines from counts
-// both. Indentation means nothing; a comment begins with ; or # at a line's start, or with ; after a blank.
+// inih reports neither line numbers nor repeated sections. The line source that it reads from records both.
+// Leading blanks mean nothing. A comment begins with ; or # at the start of a line, or with ; after a blank.
 #pragma once
 
 #include <set>
@@ -14,23 +14,33 @@
 
 namespace stonebay {
 
+/// One line "key = value".
 struct IniEntry {
-  std::string key, value;
+  std::string key;  ///< empty in raw sections, see parseIni
+  std::string value;
   int line = 0;
 };
+
+/// A section header and the entries below it. "[class tour-read]" has the type "class" and the name
+/// "tour-read".
 struct IniSection {
-  std::string type, name;  // "[class tour-read]" is type "class", name "tour-read"
-  int line = 0;
+  std::string type;
+  std::string name;  ///< may be empty
+  int line = 0;      ///< of the header
   std::vector<IniEntry> entries;
+
+  /// The header, in its normal form.
   std::string title() const { return "[" + type + (name.empty() ? "" : " " + name) + "]"; }
 };
+
+/// A parsed file.
 struct IniFile {
-  std::vector<IniSection> sections;  // as they stand; the same title may come again
-  std::vector<ConfigError> faults;   // lines that are no INI
+  std::vector<IniSection> sections;  ///< in the order of the file; a title may be repeated
+  std::vector<ConfigError> faults;   ///< lines that are no INI
 };
 
-// In the sections of the types named raw every line that is no header is an entry by itself, with the key ""
-// and the line, without a comment behind it, as its value.
-IniFile parseIni(std::string_view text, const std::string& file, const std::set<std::string>& raw = {});
+/// Parses a file's text; `file` is its name for error messages. In sections whose type is in `rawTypes` each
+/// line becomes an entry without a key, whose value is the line without a trailing comment.
+IniFile parseIni(std::string_view text, const std::string& file, const std::set<std::string>& rawTypes = {});
 
 }  // namespace stonebay
--- a/src/util/units.hpp
+++ b/src/util/units.hpp
@@ -1,5 +1,5 @@
-// Values with units, as settings write them. Pure; each reader gives the value, or the sentence that says
-// what is wrong and how to write it.
+// Values with units, as people write them in configuration files. Pure functions: each parser returns the
+// value, or an error that says what is wrong and how to write it.
 #pragma once
 
 #include <chrono>
@@ -7,26 +7,40 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 namespace stonebay {
 
-struct Wrong {
-  std::string problem, fix;
+/// Why a value could not be parsed.
+struct ValueError {
+  std::string problem;  ///< what is wrong with it
+  std::string fix;      ///< what to write instead; may be empty
 };
+
+/// The parsed value, or the reason why there is none.
 template <typename T>
-using Read = std::variant<T, Wrong>;
+using ParseResult = std::variant<T, ValueError>;
 
-Read<std::chrono::microseconds> readTime(std::string_view);  // 200us, 1.5s, 2min; "0" alone needs no unit
-Read<std::uint64_t> readSize(std::string_view);              // 512B, 64KB, 32MB, 1GB; powers of 1024
-Read<double> readShare(std::string_view);                    // 21% or 0.21
-Read<std::int64_t> readCount(std::string_view);              // whole numbers
-Read<double> readNumber(std::string_view);
-Read<bool> readFlag(std::string_view);  // yes, no, on, off, true, false
+/// "200us", "1.5s", "2min"; units are us, ms, s, min, h and d. Only 0 needs no unit. Not negative.
+ParseResult<std::chrono::microseconds> parseDuration(std::string_view text);
+/// "512B", "64KB", "32MB", "1GB", in powers of 1024. The result counts bytes.
+ParseResult<std::uint64_t> parseSize(std::string_view text);
+/// A fraction: "21%" or "0.21".
+ParseResult<double> parseShare(std::string_view text);
+/// A decimal integer.
+ParseResult<std::int64_t> parseCount(std::string_view text);
+/// A decimal number, without an exponent.
+ParseResult<double> parseNumber(std::string_view text);
+/// "yes", "on", "true", "no", "off" or "false".
+ParseResult<bool> parseFlag(std::string_view text);
 
-std::string writeTime(std::chrono::microseconds);  // the shortest text that reads back as the same
-std::string writeSize(std::uint64_t);
+/// The shortest text from which parseDuration reads the same value.
+std::string formatDuration(std::chrono::microseconds duration);
+/// The shortest text from which parseSize reads the same value.
+std::string formatSize(std::uint64_t bytes);
 
-// The word of the list that is at most two edits away, the nearest; empty where there is none.
-std::string nearestWord(std::string_view word, const std::string* first, const std::string* last);
+/// The candidate nearest to the text by edit distance, for "did you mean"; empty if all are more than two
+/// edits away. Of several at the same distance the earliest.
+std::string closestMatch(std::string_view text, const std::vector<std::string>& candidates);
 
 }  // namespace stonebay
--- a/testbed/experiment.cpp
+++ b/testbed/experiment.cpp
@@ -78,22 +78,22 @@
     faults_.push_back({path_, line, std::move(where), std::move(problem), std::move(fix)});
   }
   template <typename T, typename V>
-  Setter put(T& to, Read<V> (*read)(std::string_view)) {
+  Setter put(T& to, ParseResult<V> (*read)(std::string_view)) {
     return [this, &to, read](const IniEntry& e) {
       const auto v = read(e.value);
-      if (const Wrong* w = std::get_if<Wrong>(&v))
+      if (const ValueError* w = std::get_if<ValueError>(&v))
         fault(e.line, section_->title() + " " + e.key, w->problem, w->fix);
       else
         to = static_cast<T>(std::get<V>(v));
     };
   }
-  Setter time(Time& to) { return put(to, readTime); }
+  Setter time(Time& to) { return put(to, parseDuration); }
   template <typename T>
   Setter count(T& to) {
-    return put(to, readCount);
+    return put(to, parseCount);
   }
-  Setter number(double& to) { return put(to, readNumber); }
-  Setter share(double& to) { return put(to, readShare); }
+  Setter number(double& to) { return put(to, parseNumber); }
+  Setter share(double& to) { return put(to, parseShare); }
   static Setter text(std::string& to) {
     return [&to](const IniEntry& e) { to = e.value; };
   }
@@ -149,7 +149,7 @@
     bool loop = false;
     apply(s, {{"rate", number(c.rate)},
               {"retries", count(c.retries)},
-              {"loop", put(loop, readFlag)},
+              {"loop", put(loop, parseFlag)},
               {"value_bytes", count(c.valueBytes)},
               {"server", text(server)}});
     c.loop = loop;
@@ -200,8 +200,8 @@
   }
 
   std::optional<Time> at(const IniEntry& e, const std::string& word) {
-    const auto t = readTime(word);
-    if (const Wrong* w = std::get_if<Wrong>(&t)) {
+    const auto t = parseDuration(word);
+    if (const ValueError* w = std::get_if<ValueError>(&t)) {
       fault(e.line, "[script]", w->problem,
             "a line is TIME ACTION, or from TIME every TIME until TIME ACTION");
       return std::nullopt;
@@ -247,7 +247,7 @@
       const std::vector<std::string> w = split(e.value);
       static const std::vector<std::string> relations{"=", "<", "<=", ">", ">="};
       if (w.size() == 3 && std::find(relations.begin(), relations.end(), w[1]) != relations.end()) {
-        const auto v = readNumber(w[2]);
+        const auto v = parseNumber(w[2]);
         if (const double* d = std::get_if<double>(&v)) {
           e_.claims.push_back({e.value, w[0], w[1], *d, e.line});
           continue;
