config: one table of keys per section, parsers by kind, the INI reader split from the schema

Change: SettingsSection holds its SettingKeys, in a file by concern; setters are assign(&Settings::field), words of choices are tables; one parser a kind in a table; SchemaReader applies the schema and collects errors, IniConfigReader builds the Config; parseConfig is a list of steps; the operators' page has its own file. Fault lists are called errors. Keys, defaults, bounds, texts and the order of errors are unchanged.

--- a/src/app/cli.cpp
+++ b/src/app/cli.cpp
@@ -33,7 +33,7 @@
         c.maxServerConnections);
     return 0;
   } catch (const InvalidSettings& e) {
-    for (const ConfigError& f : e.faults) std::fprintf(stderr, "%s\n", f.text().c_str());
+    for (const ConfigError& f : e.errors) std::fprintf(stderr, "%s\n", f.text().c_str());
     return 1;
   }
 }
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -7,43 +7,48 @@
 namespace stonebay {
 namespace {
 
-// The process itself: code, the loop, the listener, discovery, standard streams, connections about to be
-// closed.
-constexpr std::size_t kOwnDescriptors = 24, kOwnMemory = std::size_t{12} << 20;
-// A client that asks nothing large: what is read ahead and an answer that it has not read yet.
-constexpr std::size_t kClientMemory = 96 << 10;
-
-std::string summary(const std::vector<ConfigError>& faults) {
-  if (faults.empty()) return "no fault";
-  const std::size_t more = faults.size() - 1;
-  return faults.front().text() + (more > 0 ? " (and " + std::to_string(more) + " more)" : "");
+// Of the process itself: code, the event loop, the listener, discovery, standard streams, connections that
+// are about to be closed.
+constexpr std::size_t kOwnDescriptors = 24;
+constexpr std::size_t kOwnMemory = std::size_t{12} << 20U;
+// Of a client without a large statement: what is read ahead, and a response that it has not read yet.
+constexpr std::size_t kMemoryPerClient = std::size_t{96} << 10U;
+constexpr std::size_t kClientPercentage = 45;  // of the descriptors beyond kOwnDescriptors
+
+std::string summarize(const std::vector<ConfigError>& errors) {
+  if (errors.empty()) return "no fault";
+  const std::size_t others = errors.size() - 1;
+  return errors.front().text() + (others > 0 ? " (and " + std::to_string(others) + " more)" : "");
 }
 
 }  // namespace
 
-// A client has one request out at most, so with fewer clients than server connections every attempt finds
-// room. Of the memory beyond the process itself a quarter is for large statements, whoever sends them, a
-// half for what each client may hold at any time, the rest for answers on their way.
-void deriveLimits(Config& c, std::size_t descriptors, std::uint64_t memory) {
-  const std::size_t free = static_cast<std::size_t>(memory) - kOwnMemory;
-  c.maxClientConnections = std::min((descriptors - kOwnDescriptors) * 45 / 100, free / 2 / kClientMemory);
-  // The side of the clients holds a third of the descriptors at most. Below that, so that room is made here
-  // before it has none left to ask on.
-  c.maxActiveClients = std::min(c.maxClientConnections, descriptors / 4);
-  c.maxLargeStatementBytes = free / 4;
-  c.maxServerConnections = descriptors - kOwnDescriptors - (descriptors - kOwnDescriptors) * 45 / 100;
+// A client has one request in flight at most, so with fewer clients than server connections every attempt
+// finds a connection. Of the memory beyond the process itself a quarter is for large statements, whoever
+// sends them, a half for what each client may hold at any time, the rest for responses on their way.
+void deriveLimits(Config& config, std::size_t descriptors, std::uint64_t memory) {
+  const std::size_t freeMemory = static_cast<std::size_t>(memory) - kOwnMemory;
+  const std::size_t freeDescriptors = descriptors - kOwnDescriptors;
+  const std::size_t clientDescriptors = freeDescriptors * kClientPercentage / 100;
+  config.maxClientConnections = std::min(clientDescriptors, freeMemory / 2 / kMemoryPerClient);
+  config.maxServerConnections = freeDescriptors - clientDescriptors;
+  // A client system holds a third of the descriptors at most. Staying below that makes room here before that
+  // system has none left for requests.
+  config.maxActiveClients = std::min(config.maxClientConnections, descriptors / 4);
+  config.maxLargeStatementBytes = freeMemory / 4;
 }
 
 bool operator==(const DnsSdSettings& a, const DnsSdSettings& b) {
-  const auto all = [](const DnsSdSettings& s) {
-    return std::tie(s.domain, s.service, s.servers, s.minRefresh, s.maxRefresh, s.jitter, s.queryTimeout,
-                    s.queriesPerSecond, s.udpPayload, s.defaultGroup, s.maxListAge, s.flapHalfLife,
-                    s.maxSuppression, s.flapSuppress, s.flapReuse);
+  const auto fields = [](const DnsSdSettings& settings) {
+    return std::tie(settings.domain, settings.service, settings.servers, settings.minRefresh,
+                    settings.maxRefresh, settings.jitter, settings.queryTimeout, settings.queriesPerSecond,
+                    settings.udpPayload, settings.defaultGroup, settings.maxListAge, settings.flapHalfLife,
+                    settings.maxSuppression, settings.flapSuppress, settings.flapReuse);
   };
-  return all(a) == all(b);
+  return fields(a) == fields(b);
 }
 
 InvalidSettings::InvalidSettings(std::vector<ConfigError> all)
-    : InvalidInput(summary(all)), faults(std::move(all)) {}
+    : InvalidInput(summarize(all)), errors(std::move(all)) {}
 
 }  // namespace stonebay
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -1,5 +1,5 @@
-// The one place where settings are read, checked and given defaults. Two forms fill the same Config: the
-// platform's JSON (json_config.cpp) and our INI (ini_config.cpp, whose table of keys is keys.cpp).
+// The configuration of a proxy: read, checked and given defaults here and nowhere else. Two forms fill the
+// same Config: the platform's JSON (json_config.cpp) and INI (ini_config.cpp, by settings_schema.hpp).
 #pragma once
 
 #include <cstddef>
@@ -15,78 +15,91 @@
 
 namespace stonebay {
 
-enum class Source { Registry, DnsSd, Fixed };  // where the list of data servers comes from
+/// Where the endpoint list comes from.
+enum class Source { Registry, DnsSd, Fixed };
 
+/// A replica group that has a name.
 struct GroupName {
   std::string name;
   GroupId id = 0;
 };
 
-// DNS-SD: what is asked, whom, how often.
+/// Discovery by DNS-SD: what is queried, of which name servers, how often.
 struct DnsSdSettings {
-  std::string domain, service;          // "ruwi.example.org", "_postgresql._tcp"
-  std::vector<Address> servers;         // name servers, the first is asked first
-  Time minRefresh{}, maxRefresh{};      // records are asked for again after their TTL, bounded by these
-  double jitter = 0;                    // and sooner by a random part of up to this
-  Time queryTimeout{};                  // of one question to one name server
-  double queriesPerSecond = 50;         // for single records, where an answer has no room for all
-  int udpPayload = 0;                   // EDNS0
-  std::optional<GroupId> defaultGroup;  // of instances that do not say
-  std::string defaultGroupName;         // as the file has it
-  Time maxListAge{};  // the last list stands so long when no name server answers; 0: for ever
-  Time flapHalfLife{}, maxSuppression{};  // see EndpointTrackerPolicy
-  double flapSuppress = 0, flapReuse = 0;
-  friend bool operator==(const DnsSdSettings&, const DnsSdSettings&);
+  std::string domain;                   ///< such as "ruwi.example.org"
+  std::string service;                  ///< such as "_postgresql._tcp"
+  std::vector<Address> servers;         ///< name servers, in the order in which they are tried
+  Time minRefresh{};                    ///< records are queried again after their TTL, but not before this
+  Time maxRefresh{};                    ///< and not after this
+  double jitter = 0;                    ///< greatest share by which an interval is shortened at random
+  Time queryTimeout{};                  ///< of one query to one name server
+  double queriesPerSecond = 50;         ///< for the records of single instances that the answer lacks
+  int udpPayload = 0;                   ///< EDNS0 payload size in bytes
+  std::optional<GroupId> defaultGroup;  ///< of instances whose TXT record names none
+  std::string defaultGroupName;         ///< the same as the file has it
+  Time maxListAge{};                    ///< the last list is used for so long without answers; 0: for ever
+  Time flapHalfLife{};                  ///< flap damping, see EndpointTrackerPolicy
+  Time maxSuppression{};
+  double flapSuppress = 0;
+  double flapReuse = 0;
+  friend bool operator==(const DnsSdSettings& a, const DnsSdSettings& b);
 };
 
+/// Everything that a proxy is configured with.
 struct Config {
-  std::string name;
-  Address listen, discovery;
-  Address gossipListen,
-      gossipBroadcast;  // datagrams between proxies: where they come in, where all are reached; or none
-  std::vector<Address> peers;  // whose datagrams are believed
-  std::uint64_t seed = 0;
-  // Bounds that follow from the limits on descriptors and memory.
-  std::size_t maxClientConnections = 0, maxServerConnections = 0;
-  std::size_t maxActiveClients = 0;  // of the clients, those that have asked something, idle ones included
-  std::size_t maxLargeStatementBytes =
-      0;  // bytes that statements too long to be read ahead may take, all together
-  InstanceList known;
+  std::string name;                      ///< of this proxy
+  Address listen;                        ///< for clients
+  Address discovery;                     ///< of the registry; Source::Registry
+  Address gossipListen;                  ///< where datagrams of other proxies arrive; none: no gossip
+  Address gossipBroadcast;               ///< where all other proxies are reached
+  std::vector<Address> gossipPeers;      ///< whose datagrams are accepted
+  std::uint64_t seed = 0;                ///< of random numbers
+  std::size_t maxClientConnections = 0;  ///< the bounds follow from limits, see deriveLimits
+  std::size_t maxServerConnections = 0;
+  std::size_t maxActiveClients = 0;        ///< clients that have sent a request, idle ones included
+  std::size_t maxLargeStatementBytes = 0;  ///< sum over statements too long to be read ahead
+  InstanceList knownEndpoints;             ///< at the start, before discovery has answered
   Settings settings;
-  std::vector<std::string> classes;  // names, in the order of settings.classes
+  std::vector<std::string> classes;  ///< names, in the order of settings.classes
   std::vector<std::string> zones;
-  std::vector<std::string> reportNames;  // in the order of settings.figures
-  Time connectTimeout{};                 // a connection that is not up by then has failed
-  Time idleTimeout{};                    // data servers close what stands idle for so long
-  bool sessions = false;                 // some class needs to know a request's session
+  std::vector<std::string> reportNames;  ///< in the order of settings.reportFields
+  Time connectTimeout{};
+  Time idleTimeout{};           ///< after which endpoints close idle connections
+  bool tracksSessions = false;  ///< some class reads its own writes
   Source source = Source::Registry;
-  DnsSdSettings dnssd;            // of Source::DnsSd
-  std::vector<GroupName> groups;  // those that have a name
+  DnsSdSettings dnssd;  ///< Source::DnsSd
+  std::vector<GroupName> groups;
   LogForm logForm = LogForm::Logfmt;
   LogLevel logLevel = LogLevel::Info;
 };
 
-// Limits that a proxy can do with; both forms keep to them.
-constexpr std::uint64_t kMinMemory = 24u << 20, kMaxMemory = std::uint64_t{1} << 40;
-constexpr std::size_t kMinDescriptors = 128, kMaxDescriptors = 1 << 20;
+/// Limits that a proxy can work with; both forms enforce them.
+constexpr std::uint64_t kMinMemory = 24U << 20U;  // bytes
+constexpr std::uint64_t kMaxMemory = std::uint64_t{1} << 40U;
+constexpr std::size_t kMinDescriptors = 128;
+constexpr std::size_t kMaxDescriptors = 1U << 20U;
 
-// Fills the bounds from limits within the above.
-void deriveLimits(Config&, std::size_t descriptors, std::uint64_t memory);
+/// Sets the bounds on connections and large statements; `memory` counts bytes. Both arguments have to be
+/// within the limits above.
+void deriveLimits(Config& config, std::size_t descriptors, std::uint64_t memory);
 
-// All that is wrong, in the order of the lines; what() is the first and how many more there are, in one line.
+/// An INI file with errors. what() is the first of them and the number of the others, in one line.
 struct InvalidSettings : InvalidInput {
-  explicit InvalidSettings(std::vector<ConfigError>);
-  std::vector<ConfigError> faults;
+  explicit InvalidSettings(std::vector<ConfigError> all);
+  std::vector<ConfigError> errors;  ///< in the order of the lines; not empty
 };
 
-// The platform's form. Throws InvalidInput naming the key.
+/// Parses the platform's JSON form. Throws InvalidInput, whose message names the key.
 Config parseConfig(const std::string& json);
-Config readConfig(const char* path);  // the same for a file
+/// The same for a file. Throws InvalidInput also if the file cannot be read.
+Config readConfig(const char* path);
 
-// Our form. Throws InvalidSettings.
+/// Parses the INI form; `file` is its name for error messages. Throws InvalidSettings.
 Config parseSettings(const std::string& ini, const std::string& file);
+/// The same for a file. Throws InvalidSettings also if the file cannot be read.
 Config readSettings(const std::string& path);
 
-std::string settingsPage();  // every key with its unit, default and meaning, in Markdown
+/// Every key of the INI form with its kind, default, bounds and meaning, in Markdown.
+std::string settingsPage();
 
 }  // namespace stonebay
--- a/src/config/json_config.cpp
+++ b/src/config/json_config.cpp
@@ -1,4 +1,4 @@
-#include <algorithm>
+// The platform's JSON form of the configuration.
 #include <charconv>
 #include <cstdio>
 #include <fstream>
@@ -11,141 +11,208 @@
 namespace stonebay {
 namespace {
 
+using simdjson::dom::array;
 using simdjson::dom::element;
 using simdjson::dom::element_type;
+using simdjson::dom::object;
 
-std::string plain(const element& e) {
-  switch (e.type()) {
+constexpr unsigned kMegabyteShift = 20;
+constexpr std::int64_t kMinConnectTimeoutUs = 1000;
+constexpr std::int64_t kMaxConnectTimeoutUs = 60000000;
+constexpr std::int64_t kMinIdleTimeoutUs = 1000000;
+constexpr std::int64_t kMaxIdleTimeoutUs = 2000000000;
+
+// A string as the simulator's settings carry it: without the characters that separate items and lines.
+std::string withoutSeparators(std::string_view value) {
+  std::string text(value);
+  for (char& c : text)
+    if (c == ' ' || c == ',' || c == '\n') c = '_';
+  return text;
+}
+
+std::string formatDouble(double number) {
+  char text[32];
+  std::snprintf(text, sizeof text, "%.17g", number);
+  return text;
+}
+
+std::string formatScalar(const element& value) {
+  switch (value.type()) {
     case element_type::BOOL:
-      return bool(e) ? "true" : "false";
-    case element_type::DOUBLE: {
-      char text[32];
-      std::snprintf(text, sizeof text, "%.17g", double(e));
-      return text;
-    }
-    case element_type::STRING: {
-      std::string text{std::string_view(e)};
-      for (char& c : text)
-        if (c == ' ' || c == ',' || c == '\n') c = '_';
-      return text;
-    }
+      return bool(value) ? "true" : "false";
+    case element_type::DOUBLE:
+      return formatDouble(double(value));
+    case element_type::STRING:
+      return withoutSeparators(std::string_view(value));
     case element_type::INT64:
     case element_type::UINT64:
-      return simdjson::minify(e);
+      return simdjson::minify(value);
     default:
       return "";
   }
 }
 
-// The settings as the simulator's wire carries them: a line path=value for each plain value, so that one
-// reader of settings serves both.
-void flatten(const element& e, const std::string& path, std::string& lines) {
-  const std::string under = path.empty() ? "" : path + ".";
-  if (e.is_object()) {
-    for (const auto [key, value] : simdjson::dom::object(e)) flatten(value, under + std::string(key), lines);
-    return;
-  }
-  if (!e.is_array()) {
-    lines += path + "=" + plain(e) + "\n";
-    return;
-  }
-  const simdjson::dom::array items(e);
+// Appends the settings as the simulator's wire carries them, so that one parser serves both: a line
+// path=value for each scalar. An array of scalars is one value, with commas between; an array of objects is a
+// path for each index, and their number at path.count.
+void appendSettings(const element& value, const std::string& path, std::string& lines);
+
+void appendArray(const element& value, const std::string& path, std::string& lines) {
+  const std::string prefix = path.empty() ? "" : path + ".";
   std::string joined;
-  std::size_t n = 0;
-  bool objects = false;
-  for (const element item : items) {
-    objects = objects || item.is_object();
-    if (objects)
-      flatten(item, under + std::to_string(n), lines);
+  std::size_t count = 0;
+  bool hasObjects = false;
+  for (const element item : array(value)) {
+    hasObjects = hasObjects || item.is_object();
+    if (hasObjects)
+      appendSettings(item, prefix + std::to_string(count), lines);
     else
-      joined += (n > 0 ? "," : "") + plain(item);
-    ++n;
+      joined += (count > 0 ? "," : "") + formatScalar(item);
+    ++count;
+  }
+  if (hasObjects)
+    lines += prefix + "count=" + std::to_string(count) + "\n";
+  else
+    lines += path + "=" + joined + "\n";
+}
+
+void appendSettings(const element& value, const std::string& path, std::string& lines) {
+  if (value.is_array()) {
+    appendArray(value, path, lines);
+  } else if (value.is_object()) {
+    const std::string prefix = path.empty() ? "" : path + ".";
+    for (const auto [key, member] : object(value)) appendSettings(member, prefix + std::string(key), lines);
+  } else {
+    lines += path + "=" + formatScalar(value) + "\n";
   }
-  lines += objects ? under + "count=" + std::to_string(n) + "\n" : path + "=" + joined + "\n";
 }
 
-std::vector<std::string> names(const element& array, const std::string& path, const char* key) {
-  std::vector<std::string> v;
-  for (const element e : jsonField<simdjson::dom::array>(array, key, path)) {
+// An array of strings.
+std::vector<std::string> readStrings(const element& parent, const std::string& path, const char* key) {
+  std::vector<std::string> strings;
+  for (const element item : jsonField<array>(parent, key, path)) {
     std::string_view text;
-    if (e.get(text)) throw InvalidInput("key " + path + key + ": not all are strings");
-    v.emplace_back(text);
+    if (item.get(text)) throw InvalidInput("key " + path + key + ": not all are strings");
+    strings.emplace_back(text);
   }
-  return v;
+  return strings;
 }
 
-int whole(const element& of, const char* key, const std::string& path, std::int64_t least,
-          std::int64_t most) {
-  const auto v = jsonField<std::int64_t>(of, key, path);
-  if (v < least || v > most)
-    throw InvalidInput("key " + path + key + ": " + std::to_string(v) + " is not in " +
-                       std::to_string(least) + " to " + std::to_string(most));
-  return static_cast<int>(v);
+std::int64_t readInteger(const element& parent, const char* key, const std::string& path, std::int64_t min,
+                         std::int64_t max) {
+  const auto number = jsonField<std::int64_t>(parent, key, path);
+  if (number < min || number > max)
+    throw InvalidInput("key " + path + key + ": " + std::to_string(number) + " is not in " +
+                       std::to_string(min) + " to " + std::to_string(max));
+  return number;
 }
 
-}  // namespace
+Address readAddress(const element& root, const char* key) {
+  return parseAddress(jsonField<std::string_view>(root, key, ""), key);
+}
 
-Config parseConfig(const std::string& json) {
-  simdjson::dom::parser parser;
-  element root;
-  if (const auto error = parser.parse(json).get(root))
-    throw InvalidInput(std::string("no JSON: ") + simdjson::error_message(error));
-  Config c;
-  c.name = std::string(jsonField<std::string_view>(root, "name", ""));
-  c.listen = parseAddress(jsonField<std::string_view>(root, "listen", ""), "listen");
-  c.discovery = parseAddress(jsonField<std::string_view>(root, "discovery", ""), "discovery");
-  std::string_view gossipListen, gossipBroadcast;
-  if (!root["peer_listen"].get(gossipListen) && !root["peers_all"].get(gossipBroadcast)) {
-    c.gossipListen = parseAddress(gossipListen, "peer_listen");
-    c.gossipBroadcast = parseAddress(gossipBroadcast, "peers_all");
-    for (const std::string& peer : names(root, "", "peers"))
-      c.gossipPeers.push_back(parseAddress(peer, "peers"));
-  }
-  const auto seed = jsonField<std::string_view>(root, "seed", "");
-  const auto [stop, error] = std::from_chars(seed.data(), seed.data() + seed.size(), c.seed, 16);
-  if (error != std::errc() || stop != seed.data() + seed.size())
-    throw InvalidInput("key seed: '" + std::string(seed) + "' is no hexadecimal number");
+// Optional: without both addresses the proxies do not gossip.
+void readGossip(const element& root, Config& config) {
+  std::string_view listen;
+  std::string_view broadcast;
+  if (root["peer_listen"].get(listen) || root["peers_all"].get(broadcast)) return;
+  config.gossipListen = parseAddress(listen, "peer_listen");
+  config.gossipBroadcast = parseAddress(broadcast, "peers_all");
+  for (const std::string& peer : readStrings(root, "", "peers"))
+    config.gossipPeers.push_back(parseAddress(peer, "peers"));
+}
+
+std::uint64_t readSeed(const element& root) {
+  const auto text = jsonField<std::string_view>(root, "seed", "");
+  const char* const end = text.data() + text.size();
+  std::uint64_t seed = 0;
+  const auto [stop, error] = std::from_chars(text.data(), end, seed, 16);
+  if (error != std::errc() || stop != end)
+    throw InvalidInput("key seed: '" + std::string(text) + "' is no hexadecimal number");
+  return seed;
+}
+
+void readLimits(const element& root, Config& config) {
+  const std::string path = "limits.";
   const auto limits = jsonField<element>(root, "limits", "");
-  const auto sockets =
-      static_cast<std::size_t>(whole(limits, "sockets", "limits.", kMinDescriptors, kMaxDescriptors));
-  const auto memory =
-      static_cast<std::uint64_t>(whole(limits, "memory_mb", "limits.", kMinMemory >> 20, kMaxMemory >> 20))
-      << 20;
-  deriveLimits(c, sockets, memory);
-  c.knownEndpoints = readInstances(jsonField<element>(root, "known", ""), "known.");
+  const auto descriptors = readInteger(limits, "sockets", path, kMinDescriptors, kMaxDescriptors);
+  const auto megabytes =
+      readInteger(limits, "memory_mb", path, kMinMemory >> kMegabyteShift, kMaxMemory >> kMegabyteShift);
+  deriveLimits(config, static_cast<std::size_t>(descriptors),
+               static_cast<std::uint64_t>(megabytes) << kMegabyteShift);
+}
 
-  const auto settings = jsonField<element>(root, "settings", "");
+void readLoadBalancerSettings(const element& settings, Config& config) {
   std::string lines;
-  flatten(settings, "", lines);
+  appendSettings(settings, "", lines);
   try {
-    c.settings = simulator::parseSettings(lines);
+    config.settings = simulator::parseSettings(lines);
   } catch (const simulator::InvalidSetting& e) {
     throw InvalidInput(std::string("key settings: ") + e.what());
   }
-  // allowed.retryAfter tells of the simulator's clients. Those on sockets may always be told when to come
-  // back.
-  c.settings.retryAfterAllowed = true;
-  c.settings.gossipAllowed = c.settings.gossipAllowed && !c.gossipListen.none();
-  std::size_t n = 0;
-  for (const element e : jsonField<simdjson::dom::array>(settings, "classes", "settings."))
-    c.classes.emplace_back(
-        jsonField<std::string_view>(e, "name", "settings.classes[" + std::to_string(n++) + "]."));
-  c.zones = names(settings, "settings.", "zones");
-  if (c.settings.reports != LoadReports::None)
-    c.reportNames = names(jsonField<element>(settings, "report", "settings."), "settings.report.", "names");
-  const auto allowed = jsonField<element>(settings, "allowed", "settings.");
+  // allowed.retryAfter is about the simulator's clients. Clients on sockets can always be told when to retry.
+  config.settings.retryAfterAllowed = true;
+  config.settings.gossipAllowed = config.settings.gossipAllowed && !config.gossipListen.none();
+}
+
+// Names that the load balancer knows by their index alone.
+void readNames(const element& settings, Config& config) {
+  for (const element item : jsonField<array>(settings, "classes", "settings.")) {
+    const std::string path = "settings.classes[" + std::to_string(config.classes.size()) + "].";
+    config.classes.emplace_back(jsonField<std::string_view>(item, "name", path));
+  }
+  config.zones = readStrings(settings, "settings.", "zones");
+  if (config.settings.reports == LoadReports::None) return;
+  const auto report = jsonField<element>(settings, "report", "settings.");
+  config.reportNames = readStrings(report, "settings.report.", "names");
+}
+
+void readTimeouts(const element& settings, Config& config) {
   const std::string path = "settings.allowed.";
-  c.connectTimeout = Time(whole(allowed, "dialTimeoutUs", path, 1000, 60000000));
-  c.idleTimeout = Time(whole(allowed, "idleCloseUs", path, 1000000, 2000000000));
-  for (std::size_t k = 0; k < c.settings.classes.size(); ++k) {
-    const auto& cls = c.settings.classes[k];
-    c.tracksSessions = c.tracksSessions || cls.consistency == Consistency::ReadYourWrites;
-    if (cls.latencyObjective <= Time(0) || cls.deadline < cls.latencyObjective)
-      throw InvalidInput("key settings.classes[" + std::to_string(k) + "].promiseUs: 0 or past deadlineUs");
+  const auto allowed = jsonField<element>(settings, "allowed", "settings.");
+  config.connectTimeout =
+      Time(readInteger(allowed, "dialTimeoutUs", path, kMinConnectTimeoutUs, kMaxConnectTimeoutUs));
+  config.idleTimeout = Time(readInteger(allowed, "idleCloseUs", path, kMinIdleTimeoutUs, kMaxIdleTimeoutUs));
+}
+
+void checkSettings(const Settings& settings) {
+  for (std::size_t i = 0; i < settings.classes.size(); ++i) {
+    const ClassSettings& requestClass = settings.classes[i];
+    if (requestClass.latencyObjective <= Time(0) || requestClass.deadline < requestClass.latencyObjective)
+      throw InvalidInput("key settings.classes[" + std::to_string(i) + "].promiseUs: 0 or past deadlineUs");
   }
-  if (c.settings.initialCapacity <= 0 || c.settings.initialCapacity > 1)
+  if (settings.initialCapacity <= 0 || settings.initialCapacity > 1)
     throw InvalidInput("key settings.obligations.startCapacity: not above 0 and at most 1");
-  return c;
+}
+
+bool hasSessionClass(const Settings& settings) {
+  for (const ClassSettings& requestClass : settings.classes)
+    if (requestClass.consistency == Consistency::ReadYourWrites) return true;
+  return false;
+}
+
+}  // namespace
+
+Config parseConfig(const std::string& json) {
+  simdjson::dom::parser parser;
+  element root;
+  if (const auto error = parser.parse(json).get(root))
+    throw InvalidInput(std::string("no JSON: ") + simdjson::error_message(error));
+  Config config;
+  config.name = std::string(jsonField<std::string_view>(root, "name", ""));
+  config.listen = readAddress(root, "listen");
+  config.discovery = readAddress(root, "discovery");
+  readGossip(root, config);
+  config.seed = readSeed(root);
+  readLimits(root, config);
+  config.knownEndpoints = readInstances(jsonField<element>(root, "known", ""), "known.");
+  const auto settings = jsonField<element>(root, "settings", "");
+  readLoadBalancerSettings(settings, config);
+  readNames(settings, config);
+  readTimeouts(settings, config);
+  checkSettings(config.settings);
+  config.tracksSessions = hasSessionClass(config.settings);
+  return config;
 }
 
 Config readConfig(const char* path) {
--- /dev/null
+++ b/src/config/setting_keys.hpp
@@ -0,0 +1,81 @@
+// The keys of each section of the settings, and what their tables are made with. For settings_schema.cpp and
+// the files *_keys.cpp.
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <iterator>
+#include <string>
+#include <type_traits>
+#include <vector>
+
+#include "config/settings_schema.hpp"
+
+namespace stonebay {
+
+std::vector<SettingKey> proxyKeys();
+std::vector<SettingKey> limitsKeys();
+std::vector<SettingKey> logKeys();
+std::vector<SettingKey> discoveryKeys();
+std::vector<SettingKey> dnssdKeys();
+std::vector<SettingKey> dataServersKeys();
+std::vector<SettingKey> clientsKeys();
+std::vector<SettingKey> rulesKeys();
+std::vector<SettingKey> goalKeys();
+std::vector<SettingKey> classKeys();
+std::vector<SettingKey> groupKeys();
+std::vector<SettingKey> memberKeys();
+
+/// SettingKey::defaultText of a key that has no default.
+constexpr const char* kRequired = nullptr;
+
+constexpr double kMillisecond = 1e3;  ///< bounds of durations count microseconds
+constexpr double kSecond = 1e6;
+constexpr double kHour = 3600e6;
+
+/// A word of the settings and what it stands for.
+template <typename T>
+struct Choice {
+  const char* word;
+  T value;
+};
+
+/// The objects that keys set, by type.
+inline SettingsDraft& target(SettingsDraft& draft, const SettingsDraft*) { return draft; }
+inline Config& target(SettingsDraft& draft, const Config*) { return draft.config; }
+inline Settings& target(SettingsDraft& draft, const Settings*) { return draft.config.settings; }
+inline DnsSdSettings& target(SettingsDraft& draft, const DnsSdSettings*) { return draft.config.dnssd; }
+inline ClassSettings& target(SettingsDraft& draft, const ClassSettings*) { return draft.requestClass; }
+inline GroupName& target(SettingsDraft& draft, const GroupName*) { return draft.group; }
+inline Instance& target(SettingsDraft& draft, const Instance*) { return draft.endpoint; }
+
+/// A setter that stores the value in a field. 32-bit integers are stored from ValueKind::Count.
+template <typename Object, typename Field>
+auto assign(Field Object::*field) {
+  constexpr bool kNarrows = std::is_same_v<Field, int> || std::is_same_v<Field, GroupId>;
+  using Value = std::conditional_t<kNarrows, std::int64_t, Field>;
+  return [field](SettingsDraft& draft, const SettingValue& value) {
+    target(draft, static_cast<const Object*>(nullptr)).*field = static_cast<Field>(std::get<Value>(value));
+  };
+}
+
+/// A setter that stores what the chosen word stands for.
+template <typename Object, typename Field, std::size_t N>
+auto assign(Field Object::*field, const Choice<Field> (&choices)[N]) {
+  return [field, &choices](SettingsDraft& draft, const SettingValue& value) {
+    const auto& word = std::get<std::string>(value);
+    const auto* const chosen = std::find_if(std::begin(choices), std::end(choices),
+                                            [&](const Choice<Field>& choice) { return word == choice.word; });
+    target(draft, static_cast<const Object*>(nullptr)).*field = chosen->value;
+  };
+}
+
+/// The format of a key whose values are the words of a table.
+template <typename T, std::size_t N>
+ValueFormat oneOf(const Choice<T> (&choices)[N]) {
+  ValueFormat format(ValueKind::Choice);
+  for (const Choice<T>& choice : choices) format.choices.emplace_back(choice.word);
+  return format;
+}
+
+}  // namespace stonebay
--- a/src/util/ini.cpp
+++ b/src/util/ini.cpp
@@ -28,9 +28,9 @@
   IniFile parse() {
     const int result = ini_parse_stream(readLine, this, handleEntry, this);
     if (result > 0)
-      file_.faults.push_back({path_, result, "", "neither a [section] nor key = value",
+      file_.errors.push_back({path_, result, "", "neither a [section] nor key = value",
                               "mend this line, then check again for more like it"});
-    if (result < 0) file_.faults.push_back({path_, 0, "", "there is no memory to read it", ""});
+    if (result < 0) file_.errors.push_back({path_, 0, "", "there is no memory to read it", ""});
     return std::move(file_);
   }
 
@@ -119,7 +119,7 @@
   }
 
   void addError(std::string problem, std::string fix) {
-    file_.faults.push_back({path_, line_, "", std::move(problem), std::move(fix)});
+    file_.errors.push_back({path_, line_, "", std::move(problem), std::move(fix)});
   }
 
   std::string_view rest_;  // of the text, not read yet
--- a/src/util/ini.hpp
+++ b/src/util/ini.hpp
@@ -36,7 +36,7 @@
 /// A parsed file.
 struct IniFile {
   std::vector<IniSection> sections;  ///< in the order of the file; a title may be repeated
-  std::vector<ConfigError> faults;   ///< lines that are no INI
+  std::vector<ConfigError> errors;   ///< lines that are no INI
 };
 
 /// Parses a file's text; `file` is its name for error messages. In sections whose type is in `rawTypes` each
--- a/testbed/experiment.cpp
+++ b/testbed/experiment.cpp
@@ -33,7 +33,7 @@
  public:
   Reader(const std::string& text, const std::string& path, std::vector<ConfigError>& faults)
       : path_(path), faults_(faults), file_(parseIni(text, path, {"script", "claims"})) {
-    faults_.insert(faults_.end(), file_.faults.begin(), file_.faults.end());
+    faults_.insert(faults_.end(), file_.errors.begin(), file_.errors.end());
   }
 
   Experiment read() {
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -61,7 +61,7 @@
     parseSettings(text, "f.ini");
   } catch (const InvalidSettings& e) {
     std::string all;
-    for (const ConfigError& f : e.faults) all += f.text() + "\n";
+    for (const ConfigError& f : e.errors) all += f.text() + "\n";
     return all;
   }
   return "";
@@ -78,7 +78,7 @@
   EXPECT_EQ(c.knownEndpoints.instances[1].address.text(), "[::1]:6002");
   const auto& write = c.settings.classes[1];
   EXPECT_EQ(write.consistency, Consistency::Write);
-  EXPECT_EQ(write.memory, microseconds(2000000));
+  EXPECT_EQ(write.deduplicationWindow, microseconds(2000000));
   EXPECT_EQ(write.latePriorityShare, 0.5);
 
   // The defaults are those that the platform's settings state today.
@@ -102,15 +102,15 @@
   EXPECT_EQ(a.overloadWindow, b.overloadWindow);
   EXPECT_EQ(a.maxPollInterval, b.maxPollInterval);
   EXPECT_EQ(a.maxRetryAfter, b.maxRetryAfter);
-  EXPECT_EQ(a.step, b.step);
+  EXPECT_EQ(a.timeStep, b.timeStep);
   EXPECT_EQ(a.initialCapacity, b.initialCapacity);
   EXPECT_EQ(a.overloadFactor, b.overloadFactor);
   EXPECT_EQ(a.totalServedGoal, b.totalServedGoal);
   EXPECT_EQ(a.worstClassGoal, b.worstClassGoal);
   EXPECT_EQ(a.positionsInResponses, b.positionsInResponses);
   EXPECT_EQ(a.sessionTokensCarried, b.sessionTokensCarried);
-  EXPECT_EQ(a.healthChecksAllowed && a.cancel && a.retryAfter,
-            b.healthChecksAllowed && b.cancel && b.retryAfter);
+  EXPECT_EQ(a.healthChecksAllowed && a.cancellationAllowed && a.retryAfterAllowed,
+            b.healthChecksAllowed && b.cancellationAllowed && b.retryAfterAllowed);
 }
 
 TEST(Settings, FaultsNameFileLineKeyAndFix) {
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -92,7 +92,7 @@
       EXPECT_EQ(w.key, words[at].key);
       EXPECT_EQ(w.positionMs, words[at].positionMs);
       EXPECT_EQ(w.primary, words[at].primary);
-      EXPECT_EQ(w.inFlight, std::min(words[at].inflight, 255));
+      EXPECT_EQ(w.inFlight, std::min(words[at].inFlight, 255));
       ++at;
     }
     for (std::size_t cut = 0; cut < bytes.size(); cut += (cut + 1) % 12 == 1 ? 2 : 1)  // not between words
