codec/pg: protocol names, the statement's comment in a file of its own

Cause: Head, Note, Comment and waitAt hid the terms of PostgreSQL's protocol and of a request; parseComment did the splitting and the mapping of wire names in one loop. Call sites in downstream, upstream, testbed and tests follow by script. Bytes and texts are unchanged.

--- a/fuzz/pg.cpp
+++ b/fuzz/pg.cpp
@@ -1,35 +1,55 @@
-// PostgreSQL messages from either side: heads, errors, parameters, rows, tags and the comment of a statement.
+// PostgreSQL messages from either side: headers, errors, parameters, rows, tags and the comment of a
+// statement.
 #include "codec/pg/pg.hpp"
 
 #include <algorithm>
 #include <cstdlib>
-#include <string>
+#include <string_view>
 
+#include "codec/pg/statement.hpp"
 #include "fuzz/target.hpp"
 
 using namespace stonebay;
 
-int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
-  const std::string_view text(reinterpret_cast<const char*>(data), size);
-  if (size >= pg::kHead) {
-    char bytes[pg::kHead];
-    std::copy_n(text.data(), pg::kHead, bytes);
-    const auto head = pg::parseHead(bytes);
-    if (head && head->body > pg::kLongestMessage) std::abort();
+namespace {
+
+void parseHeaders(std::string_view text) {
+  if (text.size() >= pg::kMessageHeaderSize) {
+    char bytes[pg::kMessageHeaderSize];
+    std::copy_n(text.data(), sizeof bytes, bytes);
+    const auto header = pg::parseMessageHeader(bytes);
+    if (header && header->bodySize > pg::kMaxMessageSize) std::abort();
   }
-  if (size >= pg::kRowHead) {
-    char bytes[pg::kRowHead];
-    std::copy_n(text.data(), pg::kRowHead, bytes);
-    pg::isRowHead(bytes, size);
+  if (text.size() >= pg::kRowHeaderSize) {
+    char bytes[pg::kRowHeaderSize];
+    std::copy_n(text.data(), sizeof bytes, bytes);
+    pg::isRowHeader(bytes, text.size());
   }
-  pg::parseError(text);
-  pg::parseParameter(text);
-  pg::parseColumn(text);
+}
+
+void parseBodies(std::string_view text) {
+  pg::parseErrorResponse(text);
+  pg::parseParameterStatus(text);
+  pg::parseSingleColumn(text);
   pg::isRowDescription(text);
-  pg::isTag(text, true);
-  pg::isTag(text, false);
-  pg::parseKey(text);
-  const pg::Comment c = pg::parseComment(text);
-  if (!c.fault && (c.id.empty() || c.waitAt + c.waitLength > text.size())) std::abort();
+  pg::isCommandTag(text, true);
+  pg::isCommandTag(text, false);
+}
+
+void parseStatement(std::string_view text) {
+  pg::parseQuotedKey(text);
+  const pg::StatementComment comment = pg::parseStatementComment(text);
+  if (comment.error) return;
+  const bool deadlineOutside = comment.deadlineOffset + comment.deadlineLength > text.size();
+  if (comment.requestId.empty() || deadlineOutside) std::abort();
+}
+
+}  // namespace
+
+int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+  const std::string_view text(reinterpret_cast<const char*>(data), size);
+  parseHeaders(text);
+  parseBodies(text);
+  parseStatement(text);
   return 0;
 }
--- a/src/codec/pg/pg.cpp
+++ b/src/codec/pg/pg.cpp
@@ -1,27 +1,23 @@
 #include "codec/pg/pg.hpp"
 
-#include <algorithm>
-#include <charconv>
-
 namespace stonebay::pg {
 namespace {
 
-// Guards against a client that fills the memory with groups that do not exist: the list knows no larger
-// number.
-constexpr std::uint32_t kLargestCluster = 65535;
+constexpr std::size_t kInt32Size = 4;
+constexpr std::size_t kColumnDescriptionTail = 18;  // table, column, type, size, modifier, format
+constexpr std::size_t kSqlStateSize = 5;
 
-void putInt32(std::string& to, std::uint32_t v) {
-  for (int shift = 24; shift >= 0; shift -= 8) to.push_back(static_cast<char>(v >> shift));
+void appendInt32(std::string& to, std::uint32_t number) {
+  for (int shift = 24; shift >= 0; shift -= 8)
+    to.push_back(static_cast<char>(number >> static_cast<unsigned>(shift)));
 }
 
-template <typename T>
-bool toNumber(std::string_view text, T& value) {
-  const char* const end = text.data() + text.size();
-  const auto [stop, error] = std::from_chars(text.data(), end, value);
-  return error == std::errc() && stop == end && !text.empty();
+void appendString(std::string& to, std::string_view text) {
+  to.append(text);
+  to.push_back('\0');
 }
 
-// Takes the text up to the next NUL; nothing where there is none.
+// Removes the text up to the next NUL, and the NUL; nothing if there is none.
 std::optional<std::string_view> takeString(std::string_view& from) {
   const std::size_t end = from.find('\0');
   if (end == std::string_view::npos) return std::nullopt;
@@ -30,79 +26,91 @@
   return text;
 }
 
+bool hasOneColumn(std::string_view body) { return body.size() >= 2 && body[0] == 0 && body[1] == 1; }
+
+std::string parameterStatus(std::string_view name, std::string_view value) {
+  std::string body;
+  appendString(body, name);
+  appendString(body, value);
+  return message('S', body);
+}
+
 }  // namespace
 
-std::uint32_t readInt32(const char* p) {
-  std::uint32_t v = 0;
-  for (int k = 0; k < 4; ++k) v = v << 8 | static_cast<unsigned char>(p[k]);
-  return v;
+std::uint32_t readInt32(const char* bytes) {
+  std::uint32_t number = 0;
+  for (std::size_t i = 0; i < kInt32Size; ++i) number = number << 8U | static_cast<unsigned char>(bytes[i]);
+  return number;
 }
 
-std::optional<Head> parseHead(const char (&bytes)[kHead]) {
-  const std::uint32_t length = readInt32(bytes + 1);
-  if (length < 4 || length > kLongestMessage) return std::nullopt;
-  return Head{bytes[0], length - 4};
+std::optional<MessageHeader> parseMessageHeader(const char (&bytes)[kMessageHeaderSize]) {
+  const std::uint32_t length = readInt32(bytes + 1);  // counts itself
+  if (length < kInt32Size || length > kMaxMessageSize) return std::nullopt;
+  return MessageHeader{bytes[0], length - kInt32Size};
 }
 
-std::string queryHead(std::size_t length) {
-  std::string head(1, 'Q');
-  putInt32(head, static_cast<std::uint32_t>(length + 4));
-  return head;
+std::string queryHeader(std::size_t length) {
+  std::string header(1, 'Q');
+  appendInt32(header, static_cast<std::uint32_t>(length + kInt32Size));
+  return header;
 }
 
 std::string message(char type, std::string_view body) {
-  std::string m(1, type);
-  putInt32(m, static_cast<std::uint32_t>(body.size() + 4));
-  m.append(body);
-  return m;
+  std::string bytes(1, type);
+  appendInt32(bytes, static_cast<std::uint32_t>(body.size() + kInt32Size));
+  bytes.append(body);
+  return bytes;
 }
 
-std::string startup(std::string_view user, std::string_view database) {
+std::string startupMessage(std::string_view user, std::string_view database) {
   std::string body;
-  putInt32(body, kVersion3);
-  for (const std::string_view text : {std::string_view("user"), user, std::string_view("database"), database})
-    body.append(text).push_back('\0');
+  appendInt32(body, kProtocolVersion3);
+  appendString(body, "user");
+  appendString(body, user);
+  appendString(body, "database");
+  appendString(body, database);
   body.push_back('\0');
-  std::string m;
-  putInt32(m, static_cast<std::uint32_t>(body.size() + 4));
-  return m + body;
+  std::string bytes;
+  appendInt32(bytes, static_cast<std::uint32_t>(body.size() + kInt32Size));
+  return bytes + body;
+}
+
+std::string query(std::string_view statement) {
+  std::string body;
+  appendString(body, statement);
+  return message('Q', body);
 }
 
-std::string query(std::string_view statement) { return message('Q', std::string(statement) + '\0'); }
 std::string readyForQuery() { return message('Z', "I"); }
 
 std::string greeting(std::uint32_t process, std::uint32_t secret) {
-  using namespace std::string_view_literals;
-  std::string m = message('R', "\0\0\0\0"sv);
-  m += message('S',
-               "server_version\0"
-               "15.0\0"sv);
-  m += message('S', "server_encoding\0UTF8\0"sv);
-  m += message('S', "client_encoding\0UTF8\0"sv);
-  m += message('S', "standard_conforming_strings\0on\0"sv);
-  std::string key;
-  putInt32(key, process);
-  putInt32(key, secret);
-  m += message('K', key);
-  return m + readyForQuery();
-}
-
-std::string error(const char* severity, const char* code, std::string_view text, std::string_view detail) {
+  std::string authenticationOk;
+  appendInt32(authenticationOk, 0);
+  std::string keyData;
+  appendInt32(keyData, process);
+  appendInt32(keyData, secret);
+  return message('R', authenticationOk) + parameterStatus("server_version", "15.0") +
+         parameterStatus("server_encoding", "UTF8") + parameterStatus("client_encoding", "UTF8") +
+         parameterStatus("standard_conforming_strings", "on") + message('K', keyData) + readyForQuery();
+}
+
+std::string errorResponse(const char* severity, const char* code, std::string_view text,
+                          std::string_view detail) {
   std::string body;
-  const auto field = [&](char type, std::string_view value) {
+  const auto appendField = [&body](char type, std::string_view value) {
     body.push_back(type);
-    body.append(value).push_back('\0');
+    appendString(body, value);
   };
-  field('S', severity);
-  field('V', severity);
-  field('C', code);
-  field('M', text);
-  if (!detail.empty()) field('D', detail);
+  appendField('S', severity);
+  appendField('V', severity);
+  appendField('C', code);
+  appendField('M', text);
+  if (!detail.empty()) appendField('D', detail);
   body.push_back('\0');
   return message('E', body);
 }
 
-ErrorFields parseError(std::string_view body) {
+ErrorFields parseErrorResponse(std::string_view body) {
   ErrorFields fields;
   while (!body.empty() && body[0] != '\0') {
     const char type = body[0];
@@ -113,80 +121,40 @@
     if (type == 'C') fields.code = *value;
     if (type == 'M') fields.text = *value;
   }
-  const bool whole = body.size() == 1 && fields.code.size() == 5;
-  return whole ? fields : ErrorFields{};
+  const bool complete = body.size() == 1 && fields.code.size() == kSqlStateSize;
+  return complete ? fields : ErrorFields{};
 }
 
 bool isRowDescription(std::string_view body) {
-  constexpr std::size_t kColumnTail = 18;  // table, column, type, size, modifier, format
-  if (body.size() < 2 || body[0] != 0 || body[1] != 1) return false;
+  if (!hasOneColumn(body)) return false;
   body.remove_prefix(2);
-  return takeString(body) && body.size() == kColumnTail;
+  return takeString(body) && body.size() == kColumnDescriptionTail;
 }
-bool isRowHead(const char (&bytes)[kRowHead], std::size_t body) {
-  return bytes[0] == 0 && bytes[1] == 1 && body >= kRowHead && body - kRowHead <= kLongestValue &&
-         readInt32(bytes + 2) == body - kRowHead;
+
+bool isRowHeader(const char (&bytes)[kRowHeaderSize], std::size_t bodySize) {
+  if (!hasOneColumn({bytes, kRowHeaderSize}) || bodySize < kRowHeaderSize) return false;
+  const std::size_t valueSize = bodySize - kRowHeaderSize;
+  return valueSize <= kMaxValueSize && readInt32(bytes + 2) == valueSize;
 }
-bool isTag(std::string_view body, bool oneRow) {
+
+bool isCommandTag(std::string_view body, bool oneRow) {
   if (body.empty() || body.find('\0') != body.size() - 1) return false;
   body.remove_suffix(1);
   return !oneRow || (body.size() > 2 && body.substr(body.size() - 2) == " 1");
 }
 
-std::pair<std::string_view, std::string_view> parseParameter(std::string_view body) {
+ParameterStatus parseParameterStatus(std::string_view body) {
   const auto name = takeString(body);
   const auto value = name ? takeString(body) : std::nullopt;
   if (!value || !body.empty()) return {};
   return {*name, *value};
 }
 
-std::optional<std::string_view> parseColumn(std::string_view body) {
-  if (body.size() < 6 || body[0] != 0 || body[1] != 1) return std::nullopt;
+std::optional<std::string_view> parseSingleColumn(std::string_view body) {
+  if (body.size() < kRowHeaderSize || !hasOneColumn(body)) return std::nullopt;
   const std::uint32_t length = readInt32(body.data() + 2);
-  if (length != body.size() - 6) return std::nullopt;  // NULL is 2^32 - 1
-  return body.substr(6);
-}
-
-Comment parseComment(std::string_view text) {
-  Comment c;
-  const std::size_t open = text.rfind("/*"), close = text.rfind("*/");
-  if (open == std::string_view::npos || close == std::string_view::npos || close < open + 2) {
-    c.fault = "no comment at the end of the statement";
-    return c;
-  }
-  bool cluster = false;
-  for (std::size_t at = open + 2; at < close;) {
-    const std::size_t end = std::min(text.find(',', at), close);
-    std::size_t from = at, to = end;
-    while (from < to && text[from] == ' ') ++from;
-    while (to > from && text[to - 1] == ' ') --to;
-    at = end + 1;
-    const std::size_t eq = text.find('=', from);
-    if (eq >= to) continue;
-    const std::string_view name = text.substr(from, eq - from), value = text.substr(eq + 1, to - eq - 1);
-    if (name == "id") {
-      c.id = value;
-    } else if (name == "c") {
-      c.cls = value;
-    } else if (name == "d") {
-      if (!toNumber(value, c.waitMs)) c.fault = "d is no number of milliseconds";
-      c.waitAt = eq + 1;
-      c.waitLength = value.size();
-    } else if (name == "cluster") {
-      cluster = toNumber(value, c.cluster) && c.cluster <= kLargestCluster;
-    } else if (name == "after") {
-      if (!toNumber(value, c.after)) c.fault = "after is no position";
-    }
-  }
-  if (c.id.empty()) c.fault = "the comment has no id";
-  if (!cluster) c.fault = "the comment has no usable cluster";
-  return c;
-}
-
-std::string_view parseKey(std::string_view text) {
-  const std::size_t from = text.find('\'');
-  const std::size_t to = from == std::string_view::npos ? from : text.find('\'', from + 1);
-  return to == std::string_view::npos ? std::string_view() : text.substr(from + 1, to - from - 1);
+  if (length != body.size() - kRowHeaderSize) return std::nullopt;  // NULL has the length 2^32 - 1
+  return body.substr(kRowHeaderSize);
 }
 
 }  // namespace stonebay::pg
--- a/src/codec/pg/pg.hpp
+++ b/src/codec/pg/pg.hpp
@@ -1,5 +1,6 @@
-// PostgreSQL's wire protocol, version 3: framing, the messages that a proxy writes and reads, and the comment
-// in a statement. Pure: no sockets, no buffers of its own.
+// PostgreSQL's frontend/backend protocol, version 3: framing, and the messages that a proxy writes and reads.
+// Pure functions: no sockets, no buffers of their own. Message formats are those of the chapter
+// "Frontend/Backend Protocol" of PostgreSQL's manual.
 #pragma once
 
 #include <cstddef>
@@ -7,63 +8,85 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <utility>
 
 namespace stonebay::pg {
 
-constexpr std::size_t kHead = 5;                    // type and length of a message
-constexpr std::size_t kLongestMessage = 160 << 10;  // a value of 64 KiB in hex, and the statement round it
-constexpr std::size_t kLongestStartup = 4096, kCancel = 16;
-constexpr std::size_t kLongestValue = 64 << 10,
-                      kRowHead = 6;         // of a DataRow: columns, the length of the first
-constexpr std::size_t kLongestNote = 4096;  // any other message of a data server
-constexpr std::uint32_t kVersion3 = 196608, kSslRequest = 80877103, kGssEncRequest = 80877104,
-                        kCancelRequest = 80877102;
+/// Type and length of a message.
+constexpr std::size_t kMessageHeaderSize = 5;
+/// Column count of a DataRow and length of its first column.
+constexpr std::size_t kRowHeaderSize = 6;
+/// A CancelRequest as a whole.
+constexpr std::size_t kCancelRequestSize = 16;
 
-std::uint32_t readInt32(const char* p);
+/// Bytes of any message: a value of kMaxValueSize in hex, with the statement around it.
+constexpr std::size_t kMaxMessageSize = std::size_t{160} << 10U;
+/// Bytes of a startup packet.
+constexpr std::size_t kMaxStartupSize = 4096;
+/// Bytes of a stored value.
+constexpr std::size_t kMaxValueSize = std::size_t{64} << 10U;
+/// Bytes of the body of a backend's message other than a DataRow.
+constexpr std::size_t kMaxServerMessageSize = 4096;
 
-struct Head {
+/// Codes in the place of the version in a startup packet.
+constexpr std::uint32_t kProtocolVersion3 = 196608;
+constexpr std::uint32_t kSslRequest = 80877103;
+constexpr std::uint32_t kGssEncRequest = 80877104;
+constexpr std::uint32_t kCancelRequest = 80877102;
+
+/// Reads four bytes in network order.
+std::uint32_t readInt32(const char* bytes);
+
+/// Type and length of a message.
+struct MessageHeader {
   char type;
-  std::size_t body;  // bytes after the head
+  std::size_t bodySize;  ///< bytes after the header
 };
-// Nothing: a length that no message of this protocol has here.
-std::optional<Head> parseHead(const char (&bytes)[kHead]);
 
-// Messages.
+/// Nothing if no message that is accepted here has such a length.
+std::optional<MessageHeader> parseMessageHeader(const char (&bytes)[kMessageHeaderSize]);
+
+/// A complete message of any type.
 std::string message(char type, std::string_view body);
-std::string startup(std::string_view user, std::string_view database);
+/// StartupMessage.
+std::string startupMessage(std::string_view user, std::string_view database);
+/// Query.
 std::string query(std::string_view statement);
-std::string queryHead(std::size_t length);  // of a Query whose statement, NUL included, is that long
+/// The header of a Query whose statement has that length, its terminating NUL included.
+std::string queryHeader(std::size_t length);
+/// ReadyForQuery, outside a transaction block.
 std::string readyForQuery();
-// What answers a startup message, ReadyForQuery included; by the two numbers its client may cancel a request.
+/// The answer to a StartupMessage: AuthenticationOk to ReadyForQuery. With the process and the secret its
+/// client may send a CancelRequest.
 std::string greeting(std::uint32_t process = 1, std::uint32_t secret = 0);
-std::string error(const char* severity, const char* code, std::string_view text,
-                  std::string_view detail = {});
+/// ErrorResponse; `code` is an SQLSTATE. An empty detail is left out.
+std::string errorResponse(const char* severity, const char* code, std::string_view text,
+                          std::string_view detail = {});
 
+/// Fields of an ErrorResponse; they refer to its body.
 struct ErrorFields {
-  std::string_view severity, code, text;
+  std::string_view severity;
+  std::string_view code;  ///< SQLSTATE
+  std::string_view text;
 };
-ErrorFields parseError(std::string_view body);  // all empty where the body is malformed
-// Whether a data server's message has the form that an answer of one row with one column has.
+/// All fields are empty if the body is malformed.
+ErrorFields parseErrorResponse(std::string_view body);
+
+/// Whether the body is a RowDescription of one column.
 bool isRowDescription(std::string_view body);
-bool isRowHead(const char (&bytes)[kRowHead], std::size_t body);  // the head of a DataRow of that length
-bool isTag(std::string_view body, bool oneRow);                   // CommandComplete
-// Name and value; empty where the body is malformed.
-std::pair<std::string_view, std::string_view> parseParameter(std::string_view body);
-// The only column of a DataRow; nothing where the row is malformed, has other columns or holds NULL.
-std::optional<std::string_view> parseColumn(std::string_view body);
+/// Whether a DataRow with that header and body size has one column, which is not NULL and not too long.
+bool isRowHeader(const char (&bytes)[kRowHeaderSize], std::size_t bodySize);
+/// Whether the body is that of a CommandComplete; with `oneRow`, of one for a single row.
+bool isCommandTag(std::string_view body, bool oneRow);
 
-// What the comment at the end of a statement says. Offsets count from the start of the text given.
-struct Comment {
-  std::string_view id, cls;
-  std::uint32_t waitMs = 0;                // d
-  std::size_t waitAt = 0, waitLength = 0;  // where its digits stand; 0 digits: it has none
-  std::uint32_t cluster = 0;
-  std::int64_t after = 0;  // Unix ms; 0: none
-  const char* fault = nullptr;
+/// The fields of a ParameterStatus; they refer to its body.
+struct ParameterStatus {
+  std::string_view name;
+  std::string_view value;
 };
-Comment parseComment(std::string_view text);
-// The quoted key of a statement, from its beginning; empty where there is none.
-std::string_view parseKey(std::string_view text);
+/// Both fields are empty if the body is malformed.
+ParameterStatus parseParameterStatus(std::string_view body);
+
+/// The only column of a DataRow; nothing if the row is malformed, has other columns or holds NULL.
+std::optional<std::string_view> parseSingleColumn(std::string_view body);
 
 }  // namespace stonebay::pg
--- a/src/downstream/pg/client_listener.cpp
+++ b/src/downstream/pg/client_listener.cpp
@@ -12,6 +12,7 @@
 #include <utility>
 
 #include "codec/pg/pg.hpp"
+#include "codec/pg/statement.hpp"
 #include "log/log.hpp"
 #include "util/hash.hpp"
 
@@ -80,13 +81,13 @@
   void onRejected(Time retryAfter) override {
     request_ = 0;
     const auto ms = (retryAfter.count() + 999) / 1000;
-    append(output(), pg::error("ERROR", "53300", "no data server can take this request now",
-                               ms > 0 ? std::to_string(ms) : std::string()));
+    append(output(), pg::errorResponse("ERROR", "53300", "no data server can take this request now",
+                                       ms > 0 ? std::to_string(ms) : std::string()));
     answered();
   }
   void onFailed() override {
     request_ = 0;
-    append(output(), pg::error("ERROR", "40003", "the request may have run; its outcome is unknown"));
+    append(output(), pg::errorResponse("ERROR", "40003", "the request may have run; its outcome is unknown"));
     answered();
   }
   // Between requests; one that has come to this machine is looked for, though it is still to be read.
@@ -119,7 +120,7 @@
     if (request_ == 0) return;
     owner_.dispatcher_.onClientLeft(request_);
     request_ = 0;
-    append(output(), pg::error("ERROR", "57014", "canceled by its client"));
+    append(output(), pg::errorResponse("ERROR", "57014", "canceled by its client"));
     answered();
   }
   // Guards against clients that hold a place and do not ask: they are owed an end within 3 s. False: this one
@@ -174,7 +175,7 @@
   // What cannot be read to its end is fatal. Otherwise nothing more is taken before the next round: guards
   // against a client that sends the same again at full speed and keeps the loop from the others.
   void reject(const char* code, const char* text, bool fatal) {
-    append(output(), pg::error(fatal ? "FATAL" : "ERROR", code, text));
+    append(output(), pg::errorResponse(fatal ? "FATAL" : "ERROR", code, text));
     paused_ = true;
     if (!fatal) return answered();
     release();
@@ -242,10 +243,10 @@
 
   bool takeStartup() {
     constexpr std::size_t kLeast = 8;
-    char head[pg::kCancel] = {};
+    char head[pg::kCancelRequestSize] = {};
     if (evbuffer_copyout(input(), head, sizeof head) < static_cast<ev_ssize_t>(kLeast)) return false;
     const std::uint32_t length = pg::readInt32(head), code = pg::readInt32(head + 4);
-    if (length < kLeast || length > pg::kLongestStartup) {
+    if (length < kLeast || length > pg::kMaxStartupSize) {
       reject("08P01", "malformed startup message", true);
       return false;
     }
@@ -258,7 +259,7 @@
     }
     if (code == pg::kCancelRequest) {
       const auto it = owner_.byKey_.find(keyOf(pg::readInt32(head + 8), pg::readInt32(head + 12)));
-      if (length == pg::kCancel && it != owner_.byKey_.end()) it->second->cancel();
+      if (length == pg::kCancelRequestSize && it != owner_.byKey_.end()) it->second->cancel();
       end();
       return false;
     }
@@ -279,9 +280,9 @@
   }
 
   bool takeMessage() {
-    char bytes[pg::kHead];
+    char bytes[pg::kMessageHeaderSize];
     if (evbuffer_copyout(input(), bytes, sizeof bytes) < static_cast<ev_ssize_t>(sizeof bytes)) return false;
-    const auto head = pg::parseHead(bytes);
+    const auto head = pg::parseMessageHeader(bytes);
     if (!head) {
       reject("08P01", "a message's length is out of range", true);
       return false;
@@ -290,13 +291,13 @@
       reject("0A000", "only simple queries are spoken here", true);
       return false;
     }
-    if (!reserve(sizeof bytes + head->body)) {
+    if (!reserve(sizeof bytes + head->bodySize)) {
       reject("53200", "too many long statements at once", true);
       return false;
     }
-    if (evbuffer_get_length(input()) < sizeof bytes + head->body) return false;
+    if (evbuffer_get_length(input()) < sizeof bytes + head->bodySize) return false;
     evbuffer_drain(input(), sizeof bytes);
-    taken_ += sizeof bytes + head->body;
+    taken_ += sizeof bytes + head->bodySize;
     if (!asked_) owner_.firstAsked(*this);
     asked_ = true;
     if (bytes[0] == 'X') {
@@ -304,7 +305,7 @@
       return false;
     }
     Buffer statement = newBuffer();
-    evbuffer_remove_buffer(input(), statement.get(), head->body);
+    evbuffer_remove_buffer(input(), statement.get(), head->bodySize);
     takeStatement(std::move(statement));
     return true;
   }
@@ -325,13 +326,13 @@
       append(output(), pg::message('I', {}));  // EmptyQueryResponse
       return answered();
     }
-    const pg::Comment comment = pg::parseComment(text);
-    if (comment.fault) return reject("42601", comment.fault, false);
+    const pg::StatementComment comment = pg::parseStatementComment(text);
+    if (comment.error) return reject("42601", comment.error, false);
     // Guards the one final answer that an id stands for: data servers know a request by it.
-    std::string id(comment.id);
+    std::string id(comment.requestId);
     if (owner_.openIds_.count(id) > 0) return reject("42710", "this id is that of an open request", false);
     const auto& classes = owner_.config_.classes;
-    const auto cls = std::find(classes.begin(), classes.end(), comment.cls);
+    const auto cls = std::find(classes.begin(), classes.end(), comment.className);
     if (cls == classes.end()) return reject("42704", "unknown class", false);
 
     // Guards against finishing for ever: whoever goes on asking on a connection that cannot end amid a
@@ -341,26 +342,26 @@
     const Time now = owner_.dispatcher_.now();
     Request q;
     q.classIndex = static_cast<int>(cls - classes.begin());
-    q.group = comment.cluster;
+    q.group = comment.group;
     const auto& settings = owner_.config_.settings.classes[static_cast<std::size_t>(q.classIndex)];
-    q.deadline =
-        arrivalOfTaken() + (comment.waitLength > 0
-                                ? Time(std::chrono::milliseconds(std::min(comment.waitMs, kLongestWaitMs)))
-                                : settings.deadline);
-    if (comment.after > 0)
+    q.deadline = arrivalOfTaken() +
+                 (comment.deadlineLength > 0
+                      ? Time(std::chrono::milliseconds(std::min(comment.deadlineMs, kLongestWaitMs)))
+                      : settings.deadline);
+    if (comment.sessionTokenMs > 0)
       q.sessionTokenAgeMs = std::max(0.001f, static_cast<float>(static_cast<double>(now.count()) / 1e3 -
-                                                                static_cast<double>(comment.after)));
+                                                                static_cast<double>(comment.sessionTokenMs)));
     if (owner_.config_.tracksSessions) {
       char start[kStart];
       const auto got = evbuffer_copyout(statement.get(), start, sizeof start);
       const std::string_view key =
-          pg::parseKey({start, static_cast<std::size_t>(std::max<ev_ssize_t>(got, 0))});
+          pg::parseQuotedKey({start, static_cast<std::size_t>(std::max<ev_ssize_t>(got, 0))});
       if (!key.empty()) q.session = std::max<std::uint64_t>(fnv1a(key), 1);
     }
     ForwardedRequest message{newBuffer(), std::move(statement), id};
-    if (comment.waitLength > 0) {
-      evbuffer_remove_buffer(message.after.get(), message.before.get(), length - n + comment.waitAt);
-      evbuffer_drain(message.after.get(), comment.waitLength);
+    if (comment.deadlineLength > 0) {
+      evbuffer_remove_buffer(message.after.get(), message.before.get(), length - n + comment.deadlineOffset);
+      evbuffer_drain(message.after.get(), comment.deadlineLength);
     }
     owner_.openIds_.insert(id);
     id_ = std::move(id);
--- a/src/upstream/pg/connection_pool.cpp
+++ b/src/upstream/pg/connection_pool.cpp
@@ -75,7 +75,7 @@
             owner.base_, -1, 0,
             [](evutil_socket_t, short, void* self) { static_cast<Connection*>(self)->late(); }, this)) {
     bev_.reset(bufferevent_socket_new(owner.base_, -1, BEV_OPT_CLOSE_ON_FREE));
-    append(output(), pg::startup("api", "ledger"));
+    append(output(), pg::startupMessage("api", "ledger"));
     bufferevent_enable(bev_.get(), EV_READ | EV_WRITE);
     const bool refused =
         bufferevent_socket_connect(bev_.get(), address.data(), static_cast<int>(address.size())) != 0;
@@ -137,30 +137,32 @@
     while (evbuffer_get_length(in) > 0) {
       if (!dialing && !(job && job->written && flushed()))
         return owner_.spoilt(*this, "what nobody asked for");
-      char bytes[pg::kHead];
+      char bytes[pg::kMessageHeaderSize];
       if (evbuffer_copyout(in, bytes, sizeof bytes) < static_cast<ev_ssize_t>(sizeof bytes)) break;
-      const auto head = pg::parseHead(bytes);
+      const auto head = pg::parseMessageHeader(bytes);
       // Judged by its head, before the rest is read: it may promise gigabytes.
       if (!head || !due(head->type) ||
-          head->body > (head->type == 'D' ? pg::kRowHead + pg::kLongestValue : pg::kLongestNote))
+          head->bodySize >
+              (head->type == 'D' ? pg::kRowHeaderSize + pg::kMaxValueSize : pg::kMaxServerMessageSize))
         return owner_.spoilt(*this, "a message that is none");
-      const std::size_t whole = sizeof bytes + head->body;
+      const std::size_t whole = sizeof bytes + head->bodySize;
       if (evbuffer_get_length(in) < whole) break;
       // Only the answer's own messages go on to the client. A row is moved, its value unread, but for a
       // probe's.
       if (head->type == 'D' && !job->probe()) {
-        char row[pg::kHead + pg::kRowHead];
-        char columns[pg::kRowHead];
+        char row[pg::kMessageHeaderSize + pg::kRowHeaderSize];
+        char columns[pg::kRowHeaderSize];
         const bool enough = evbuffer_copyout(in, row, sizeof row) == static_cast<ev_ssize_t>(sizeof row);
-        std::copy(row + pg::kHead, row + sizeof row, columns);
-        if (!enough || !pg::isRowHead(columns, head->body)) return owner_.spoilt(*this, "a malformed row");
+        std::copy(row + pg::kMessageHeaderSize, row + sizeof row, columns);
+        if (!enough || !pg::isRowHeader(columns, head->bodySize))
+          return owner_.spoilt(*this, "a malformed row");
         stage_ = Stage::Row;
         evbuffer_remove_buffer(in, answer_.get(), whole);
         continue;
       }
       const char* const at =
           reinterpret_cast<const char*>(evbuffer_pullup(in, static_cast<ev_ssize_t>(whole)));
-      const std::string_view body(at + sizeof bytes, head->body);
+      const std::string_view body(at + sizeof bytes, head->bodySize);
       if (!take(head->type, body)) return;  // this connection is no more
       if (head->type == 'T' || head->type == 'C')
         evbuffer_remove_buffer(in, answer_.get(), whole);
@@ -209,7 +211,7 @@
   bool take(char type, std::string_view body) {
     switch (type) {
       case 'E': {
-        const pg::ErrorFields e = pg::parseError(body);
+        const pg::ErrorFields e = pg::parseErrorResponse(body);
         if (e.code.empty()) return malformed("a malformed error");
         stage_ = Stage::Failed;
         // Syntax, data, protocol: the statement is at fault.
@@ -227,7 +229,7 @@
         return false;
       }
       case 'S': {
-        const auto [name, value] = pg::parseParameter(body);
+        const auto [name, value] = pg::parseParameterStatus(body);
         if (name.empty()) return malformed("a malformed parameter");
         if (name == "role")
           role_ = value == "primary" ? Role::Primary : value == "replica" ? Role::Replica : Role::Unknown;
@@ -249,11 +251,11 @@
         stage_ = Stage::Described;
         return true;
       case 'D':
-        if (const auto column = pg::parseColumn(body)) report_ = std::string(*column);
+        if (const auto column = pg::parseSingleColumn(body)) report_ = std::string(*column);
         stage_ = Stage::Row;
         return true;
       case 'C':
-        if (!pg::isTag(body, !job->probe())) return malformed("a malformed completion");
+        if (!pg::isCommandTag(body, !job->probe())) return malformed("a malformed completion");
         stage_ = Stage::Complete;
         return true;
       case 'Z':
@@ -463,7 +465,7 @@
   const std::string digits = std::to_string(left);
   const std::size_t length = evbuffer_get_length(j.message->before.get()) + digits.size() +
                              evbuffer_get_length(j.message->after.get());
-  append(out, pg::queryHead(length));
+  append(out, pg::queryHeader(length));
   evbuffer_add_buffer_reference(out, j.message->before.get());
   append(out, digits);
   evbuffer_add_buffer_reference(out, j.message->after.get());
--- a/testbed/clients.cpp
+++ b/testbed/clients.cpp
@@ -31,7 +31,7 @@
           if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) c.ended();
         },
         this);
-    put(bev_.get(), pg::startup("api", "ledger"));
+    put(bev_.get(), pg::startupMessage("api", "ledger"));
     bufferevent_enable(bev_.get(), EV_READ | EV_WRITE);
     bufferevent_socket_connect(bev_.get(), reinterpret_cast<const sockaddr*>(&o.target_), sizeof o.target_);
   }
@@ -50,15 +50,15 @@
   void read() {
     evbuffer* const in = bufferevent_get_input(bev_.get());
     for (;;) {
-      char bytes[pg::kHead];
+      char bytes[pg::kMessageHeaderSize];
       if (evbuffer_copyout(in, bytes, sizeof bytes) < static_cast<ev_ssize_t>(sizeof bytes)) return;
-      const auto head = pg::parseHead(bytes);
+      const auto head = pg::parseMessageHeader(bytes);
       if (!head) return ended();
-      const std::size_t whole = sizeof bytes + head->body;
+      const std::size_t whole = sizeof bytes + head->bodySize;
       if (evbuffer_get_length(in) < whole) return;
       const auto* const at =
           reinterpret_cast<const char*>(evbuffer_pullup(in, static_cast<ev_ssize_t>(whole)));
-      take(head->type, {at + sizeof bytes, head->body});
+      take(head->type, {at + sizeof bytes, head->bodySize});
       evbuffer_drain(in, whole);
       if (head->type == 'Z' && ready()) return;  // this object may be no more
     }
@@ -67,10 +67,10 @@
     if (type == 'D') {
       if (served_) o_.audit_.extra(o_.c_.now());
       served_ = true;
-      if (const auto v = pg::parseColumn(body)) value_ = std::string(*v);
+      if (const auto v = pg::parseSingleColumn(body)) value_ = std::string(*v);
     }
     if (type == 'E') {
-      const auto e = pg::parseError(body);
+      const auto e = pg::parseErrorResponse(body);
       refused_ = e.code == "53300" || e.code == "57P03";
       failed_ = !refused_;
       const std::size_t d = body.find(std::string("\0D", 2));
--- a/testbed/fault_injection.cpp
+++ b/testbed/fault_injection.cpp
@@ -129,7 +129,7 @@
 std::string attempt(const Server& s, const std::string& statement) {
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   std::string greeting, answer;
-  const std::string hello = pg::startup("api", "ledger"), query = pg::query(statement);
+  const std::string hello = pg::startupMessage("api", "ledger"), query = pg::query(statement);
   const bool ok = connect(fd, reinterpret_cast<const sockaddr*>(&s.address), sizeof s.address) == 0 &&
                   send(fd, hello.data(), hello.size(), MSG_NOSIGNAL) > 0 && readUntilReady(fd, greeting) &&
                   send(fd, query.data(), query.size(), MSG_NOSIGNAL) > 0 && readUntilReady(fd, answer);
@@ -150,7 +150,7 @@
 
 std::string serve(const std::string& statement) {
   const std::vector<Server> all = ofGroup(statement);
-  const std::string refused = pg::error("ERROR", "53300", "none") + pg::readyForQuery();
+  const std::string refused = pg::errorResponse("ERROR", "53300", "none") + pg::readyForQuery();
   if (all.empty()) return refused;
   const unsigned k = turn++;
   if (mode == "lose" && k % 10 == 9) return "";
--- a/testbed/fleet.cpp
+++ b/testbed/fleet.cpp
@@ -8,6 +8,7 @@
 #include <stdexcept>
 
 #include "codec/pg/pg.hpp"
+#include "codec/pg/statement.hpp"
 
 namespace stonebay::testbed {
 namespace {
@@ -97,15 +98,15 @@
         put(bev_.get(), pg::greeting());
         continue;
       }
-      char bytes[pg::kHead];
+      char bytes[pg::kMessageHeaderSize];
       if (evbuffer_copyout(in, bytes, sizeof bytes) < static_cast<ev_ssize_t>(sizeof bytes)) return;
-      const auto head = pg::parseHead(bytes);
+      const auto head = pg::parseMessageHeader(bytes);
       if (!head || head->type == 'X') return gone();
-      if (have < sizeof bytes + head->body) return;
+      if (have < sizeof bytes + head->bodySize) return;
       const auto* const at = reinterpret_cast<const char*>(
-          evbuffer_pullup(in, static_cast<ev_ssize_t>(sizeof bytes + head->body)));
-      const std::string text(at + sizeof bytes, head->body > 0 ? head->body - 1 : 0);
-      evbuffer_drain(in, sizeof bytes + head->body);
+          evbuffer_pullup(in, static_cast<ev_ssize_t>(sizeof bytes + head->bodySize)));
+      const std::string text(at + sizeof bytes, head->bodySize > 0 ? head->bodySize - 1 : 0);
+      evbuffer_drain(in, sizeof bytes + head->bodySize);
       if (head->type != 'Q') return gone();
       query(text);
     }
@@ -133,11 +134,11 @@
                     s_.fleet_.primary(s_.group_) == &s_ ? 1 : 0, s_.machine_->held(now));
       return put(bev_.get(), row(report) + pg::message('C', std::string("SHOW\0", 5)) + pg::readyForQuery());
     }
-    const pg::Comment comment = pg::parseComment(text);
-    const ClassModel* const cls = comment.fault ? nullptr : s_.fleet_.find(std::string(comment.cls));
+    const pg::StatementComment comment = pg::parseStatementComment(text);
+    const ClassModel* const cls = comment.error ? nullptr : s_.fleet_.find(std::string(comment.className));
     if (!cls) return error("08P01", "not in this form");
     const bool primary = s_.fleet_.primary(s_.group_) == &s_;
-    id_ = std::string(comment.id);
+    id_ = std::string(comment.requestId);
     key_ = std::string(field(text, "k"));
     cls_ = cls;
     const double work = static_cast<double>(cls->workLeast.count()) +
@@ -177,7 +178,7 @@
   void error(const char* code, const char* text) {
     if (busy_) s_.audit_.ended(s_.c_.now(), token_, false);
     busy_ = false;
-    put(bev_.get(), pg::error("ERROR", code, text) + pg::readyForQuery());
+    put(bev_.get(), pg::errorResponse("ERROR", code, text) + pg::readyForQuery());
   }
   void finish() {
     if (closing_) return gone();
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -6,6 +6,7 @@
 #include "codec/gossip/message.hpp"
 #include "codec/http/http.hpp"
 #include "codec/pg/pg.hpp"
+#include "codec/pg/statement.hpp"
 #include "discovery/endpoint_list.hpp"
 #include "log/log.hpp"
 
@@ -16,15 +17,15 @@
   const std::string text =
       "SELECT blob FROM rows WHERE handle = 'a/*b*/' "
       "/* id=9b1f,c=basket,d=480,cluster=2,after=1767225600123 */";
-  const pg::Comment c = pg::parseComment(text);
-  ASSERT_EQ(c.fault, nullptr);
-  EXPECT_EQ(c.id, "9b1f");
-  EXPECT_EQ(c.cls, "basket");
-  EXPECT_EQ(c.waitMs, 480u);
-  EXPECT_EQ(text.substr(c.waitAt, c.waitLength), "480");
-  EXPECT_EQ(c.cluster, 2u);
-  EXPECT_EQ(c.after, 1767225600123);
-  EXPECT_EQ(pg::parseKey(text), "a/*b*/");
+  const pg::StatementComment c = pg::parseStatementComment(text);
+  ASSERT_EQ(c.error, nullptr);
+  EXPECT_EQ(c.requestId, "9b1f");
+  EXPECT_EQ(c.className, "basket");
+  EXPECT_EQ(c.deadlineMs, 480u);
+  EXPECT_EQ(text.substr(c.deadlineOffset, c.deadlineLength), "480");
+  EXPECT_EQ(c.group, 2u);
+  EXPECT_EQ(c.sessionTokenMs, 1767225600123);
+  EXPECT_EQ(pg::parseQuotedKey(text), "a/*b*/");
 }
 TEST(Pg, CommentsThatLackOrSpoilAValueAreFaults) {
   for (const char* text :
@@ -32,50 +33,50 @@
         "/* id=1,cluster=x */", "/* id=1,cluster=-1 */", "/* id=1,cluster=65536 */",
         "/* id=1,cluster=1,d=1e3 */", "/* id=1,cluster=1,d= */", "/* id=1,cluster=1,d=99999999999 */",
         "/* id=1,cluster=1,after=soon */", "*/ id=1,cluster=2 /*", "/*/"})
-    EXPECT_NE(pg::parseComment(text).fault, nullptr) << text;
-  EXPECT_EQ(pg::parseComment("/* id=1,cluster=1 */").waitLength, 0u);
+    EXPECT_NE(pg::parseStatementComment(text).error, nullptr) << text;
+  EXPECT_EQ(pg::parseStatementComment("/* id=1,cluster=1 */").deadlineLength, 0u);
 }
 TEST(Pg, HeadsOutOfRangeAreNone) {
   const auto head = [](std::uint32_t n) {
-    const char bytes[pg::kHead] = {'Q', static_cast<char>(n >> 24), static_cast<char>(n >> 16),
-                                   static_cast<char>(n >> 8), static_cast<char>(n)};
-    return pg::parseHead(bytes);
+    const char bytes[pg::kMessageHeaderSize] = {'Q', static_cast<char>(n >> 24), static_cast<char>(n >> 16),
+                                                static_cast<char>(n >> 8), static_cast<char>(n)};
+    return pg::parseMessageHeader(bytes);
   };
   EXPECT_FALSE(head(3));
   EXPECT_FALSE(head(0xffffffff));
-  EXPECT_FALSE(head(pg::kLongestMessage + 1));
+  EXPECT_FALSE(head(pg::kMaxMessageSize + 1));
   ASSERT_TRUE(head(4));
   EXPECT_EQ(head(4)->body, 0u);
   EXPECT_TRUE(head(2 * 65536 + 512));  // the longest value in hex
 }
 TEST(Pg, ErrorsAndRowsAreReadAsWritten) {
-  const std::string e = pg::error("ERROR", "53300", "full", "25");
-  const pg::ErrorFields f = pg::parseError(std::string_view(e).substr(5));
+  const std::string e = pg::errorResponse("ERROR", "53300", "full", "25");
+  const pg::ErrorFields f = pg::parseErrorResponse(std::string_view(e).substr(5));
   EXPECT_EQ(f.severity, "ERROR");
   EXPECT_EQ(f.code, "53300");
   EXPECT_EQ(f.text, "full");
   EXPECT_NE(e.find(std::string("D25\0", 4)), std::string::npos);
-  EXPECT_EQ(pg::parseError("Sno end").code, "");
+  EXPECT_EQ(pg::parseErrorResponse("Sno end").code, "");
   using namespace std::literals;
-  EXPECT_EQ(pg::parseColumn("\0\1\0\0\0\2ab"sv), "ab");
-  EXPECT_EQ(pg::parseColumn("\0\1\0\0\0\0"sv), "");
-  EXPECT_FALSE(pg::parseColumn("\0\1\xff\xff\xff\xff"sv));
-  EXPECT_FALSE(pg::parseColumn("\0\1\0\0\0\3ab"sv));
-  EXPECT_FALSE(pg::parseColumn("\0\2\0\0\0\2ab"sv));
-  EXPECT_EQ(pg::parseParameter("role\0replica\0"sv).second, "replica");
-  EXPECT_EQ(pg::parseParameter("role\0replica"sv).first, "");
-  EXPECT_EQ(pg::parseParameter("role\0replica\0more"sv).first, "");
+  EXPECT_EQ(pg::parseSingleColumn("\0\1\0\0\0\2ab"sv), "ab");
+  EXPECT_EQ(pg::parseSingleColumn("\0\1\0\0\0\0"sv), "");
+  EXPECT_FALSE(pg::parseSingleColumn("\0\1\xff\xff\xff\xff"sv));
+  EXPECT_FALSE(pg::parseSingleColumn("\0\1\0\0\0\3ab"sv));
+  EXPECT_FALSE(pg::parseSingleColumn("\0\2\0\0\0\2ab"sv));
+  EXPECT_EQ(pg::parseParameterStatus("role\0replica\0"sv).second, "replica");
+  EXPECT_EQ(pg::parseParameterStatus("role\0replica"sv).first, "");
+  EXPECT_EQ(pg::parseParameterStatus("role\0replica\0more"sv).first, "");
   EXPECT_TRUE(pg::isRowDescription("\0\1blob\0"s + std::string(18, '\0')));
   EXPECT_FALSE(pg::isRowDescription("\0\1blob\0"s + std::string(17, '\0')));
   EXPECT_FALSE(pg::isRowDescription("\0\2blob\0"s + std::string(18, '\0')));
-  EXPECT_TRUE(pg::isTag("INSERT 0 1\0"sv, true));
-  EXPECT_TRUE(pg::isTag("SHOW\0"sv, false));
-  EXPECT_FALSE(pg::isTag("SELECT 0\0"sv, true));
-  EXPECT_FALSE(pg::isTag("SELECT 1"sv, true));
-  EXPECT_FALSE(pg::isTag("SELECT\0 1\0"sv, true));
-  EXPECT_TRUE(pg::isRowHead({0, 1, 0, 1, 0, 0}, 6 + 65536));
-  EXPECT_FALSE(pg::isRowHead({0, 1, 0, 1, 0, 1}, 6 + 65537));
-  EXPECT_FALSE(pg::isRowHead({0, 1, 0, 0, 0, 5}, 6 + 4));
+  EXPECT_TRUE(pg::isCommandTag("INSERT 0 1\0"sv, true));
+  EXPECT_TRUE(pg::isCommandTag("SHOW\0"sv, false));
+  EXPECT_FALSE(pg::isCommandTag("SELECT 0\0"sv, true));
+  EXPECT_FALSE(pg::isCommandTag("SELECT 1"sv, true));
+  EXPECT_FALSE(pg::isCommandTag("SELECT\0 1\0"sv, true));
+  EXPECT_TRUE(pg::isRowHeader({0, 1, 0, 1, 0, 0}, 6 + 65536));
+  EXPECT_FALSE(pg::isRowHeader({0, 1, 0, 1, 0, 1}, 6 + 65537));
+  EXPECT_FALSE(pg::isRowHeader({0, 1, 0, 0, 0, 5}, 6 + 4));
 }
 
 TEST(Words, ComeBackAsTheyWentAndFitTheirDatagrams) {
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -238,7 +238,7 @@
     c.fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     const sockaddr_in a = loopback(port_);
     ASSERT_EQ(connect(c.fd, reinterpret_cast<const sockaddr*>(&a), sizeof a), 0) << at_;
-    if (what != "bytes") put(c.fd, pg::startup("api", "ledger"));
+    if (what != "bytes") put(c.fd, pg::startupMessage("api", "ledger"));
     if (verb == "open") return;
     if (what != "bytes") expectMessage(c, 'Z', "");
   }
@@ -407,7 +407,7 @@
         {"behind", good + end + description + "D"}};
     put(c->fd, kinds.at(rest));
   } else if (what == "error") {
-    put(c->fd, pg::error("ERROR", rest.c_str(), "scripted") + role + pg::readyForQuery());
+    put(c->fd, pg::errorResponse("ERROR", rest.c_str(), "scripted") + role + pg::readyForQuery());
   } else {
     FAIL() << "no such step: " << at_;
   }
