tests: net_test and config_test split beside their modules, named by behaviour

Cause: net_test held codecs, lists and the log; config_test held units and the members command as well.

--- /dev/null
+++ b/tests/endpoint_list_test.cpp
@@ -0,0 +1,71 @@
+// Endpoint lists in the form of the registry.
+#include "discovery/endpoint_list.hpp"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+namespace stonebay {
+namespace {
+
+TEST(EndpointList, EveryFieldIsReadAndErrorsNameTheKey) {
+  const std::string text =
+      R"({"generation":43,"reset":false,"instances":[{"instanceId":"s-1","hostPort":"10.1.0.18:5432","zone":"a",)"
+      R"("machineType":"m2","cell":3,"lifecycle":"leaving","weight":1.5,"startedAtMs":7},)"
+      R"({"instanceId":"s-2","lifecycle":"left"}]})";
+  const InstanceList list = parseInstances(text);
+  EXPECT_EQ(list.generation, 43u);
+  EXPECT_FALSE(list.reset);
+  ASSERT_EQ(list.instances.size(), 2u);
+  EXPECT_EQ(list.instances[0].group, 3u);
+  EXPECT_EQ(list.instances[0].state, Lifecycle::Draining);
+  EXPECT_EQ(list.instances[0].startedMs, 7);
+  EXPECT_EQ(list.instances[0].address.port(), 5432);
+  EXPECT_EQ(list.instances[1].state, Lifecycle::Gone);
+  const auto errorAfterReplacing = [&](const std::string& from, const std::string& to) {
+    std::string bad = text;
+    bad.replace(bad.find(from), from.size(), to);
+    try {
+      parseInstances(bad);
+    } catch (const InvalidInput& e) {
+      return std::string(e.what());
+    }
+    return std::string("no fault");
+  };
+  EXPECT_NE(errorAfterReplacing("43", "-1").find("generation"), std::string::npos);
+  EXPECT_NE(errorAfterReplacing("10.1.0.18:5432", "host:1").find("instances[0].hostPort"), std::string::npos);
+  EXPECT_NE(errorAfterReplacing("\"cell\":3", "\"cell\":70000").find("instances[0].cell"), std::string::npos);
+  EXPECT_NE(errorAfterReplacing("leaving", "gone").find("instances[0].lifecycle"), std::string::npos);
+  EXPECT_NE(errorAfterReplacing("\"instanceId\":\"s-2\"", "\"x\":1").find("instances[1].instanceId"),
+            std::string::npos);
+  EXPECT_THROW(parseInstances("{\"generation\":"), InvalidInput);
+}
+
+TEST(EndpointList, IsReadFromAStreamInPiecesOfAnySize) {
+  const std::string one = R"({"generation":1,"reset":true,"instances":[]})";
+  const std::string two =
+      "{\n  \"generation\": 2,\n  \"reset\": false,\n  \"instances\": [\n    {\n      \"instanceId\": "
+      "\"a}]\\\"{\\\\\",\n      \"lifecycle\": \"left\"\n    }\n  ]\n}";
+  const std::string text = "\n" + one + "\r\n\n" + two + one;
+  for (std::size_t step : {std::size_t{1}, std::size_t{7}, text.size()}) {
+    EndpointListReader reader;
+    std::vector<InstanceList> lists;
+    for (std::size_t at = 0; at < text.size(); at += step)
+      reader.feed(std::string_view(text).substr(at, step),
+                  [&](InstanceList list) { lists.push_back(std::move(list)); });
+    ASSERT_EQ(lists.size(), 3u) << step;
+    ASSERT_EQ(lists[1].instances.size(), 1u);
+    EXPECT_EQ(lists[1].instances[0].name, "a}]\"{\\");
+    EXPECT_EQ(lists[2].generation, 1u);
+  }
+  const auto none = [](InstanceList) {};
+  EXPECT_THROW(EndpointListReader().feed("x", none), InvalidInput);
+  EXPECT_THROW(EndpointListReader().feed("{]", none), InvalidInput);
+  int before = 0;
+  EXPECT_THROW(EndpointListReader().feed(one + "]", [&](InstanceList) { ++before; }), InvalidInput);
+  EXPECT_EQ(before, 1);
+}
+
+}  // namespace
+}  // namespace stonebay
