--- a/src/app/cli.hpp
+++ b/src/app/cli.hpp
@@ -3,8 +3,9 @@
 
 namespace stonebay {
 
-// With no arguments it serves by NODE_CONFIG, the platform's form. Exit status: 0 done, 1 what was asked
-// failed (one line on standard error says why), 2 the command line itself is at fault.
+/// Runs the command that the arguments name; without arguments it serves by the platform's JSON file, which
+/// the variable NODE_CONFIG names. Returns the exit status: 0 success; 1 the command failed (standard error
+/// says why); 2 the command line is invalid.
 int commandLine(int argc, char** argv);
 
 }  // namespace stonebay
--- a/src/app/members.cpp
+++ b/src/app/members.cpp
@@ -4,136 +4,203 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <chrono>
 #include <cstdio>
+#include <iterator>
 #include <nlohmann/json.hpp>
+#include <utility>
+#include <vector>
 
 #include "app/discovery_source.hpp"
-#include "log/log.hpp"
 #include "util/event.hpp"
 
 namespace stonebay {
 namespace {
 
-const char* stateName(Lifecycle s) {
-  return s == Lifecycle::Ready ? "active" : s == Lifecycle::Draining ? "leaving" : "left";
+using Json = nlohmann::ordered_json;
+using TableRow = std::vector<std::string>;
+
+constexpr std::size_t kColumnGap = 2;
+constexpr int kJsonIndent = 2;
+constexpr const char* kColumns[] = {"NAME",   "ADDRESS", "GROUP",   "ZONE",    "KIND",
+                                    "WEIGHT", "STATE",   "STARTED", "LEFT OUT"};
+
+// The names of the registry's lists.
+const char* stateName(Lifecycle state) {
+  switch (state) {
+    case Lifecycle::Ready:
+      return "active";
+    case Lifecycle::Draining:
+      return "leaving";
+    case Lifecycle::Gone:
+      break;
+  }
+  return "left";
 }
-std::string groupName(const Config& c, GroupId id) {
-  for (const GroupName& g : c.groups)
-    if (g.id == id) return g.name;
+
+std::string groupName(const Config& config, GroupId id) {
+  for (const GroupName& group : config.groups)
+    if (group.id == id) return group.name;
   return std::to_string(id);
 }
-std::string started(std::int64_t ms) {
-  return ms == 0 ? "long ago" : fmt::format("{:%Y-%m-%dT%H:%M:%SZ}", fmt::gmtime(std::time_t(ms / 1000)));
+
+std::string formatStart(std::int64_t startedMs) {
+  if (startedMs == 0) return "long ago";
+  return fmt::format("{:%Y-%m-%dT%H:%M:%SZ}", fmt::gmtime(static_cast<std::time_t>(startedMs / 1000)));
 }
 
-std::string age(const MembersView& view) {
+std::string formatListAge(const MembersView& view) {
   if (!view.members.toldAt) return "discovery has told nothing";
-  return fmt::format("told {:.1f} s ago",
-                     static_cast<double>((view.now - *view.members.toldAt).count()) / 1e6);
+  const std::chrono::duration<double> age = view.now - *view.members.toldAt;
+  return fmt::format("told {:.1f} s ago", age.count());
+}
+
+TableRow tableRow(const Config& config, const EndpointTracker::Row& row) {
+  const Instance& instance = row.instance;
+  return {instance.name,
+          instance.address.text(),
+          groupName(config, instance.group),
+          instance.zone,
+          instance.kind,
+          fmt::format("{:g}", instance.weight),
+          stateName(instance.state),
+          formatStart(instance.startedMs),
+          row.leftOut};
+}
+
+std::vector<std::size_t> columnWidths(const std::vector<TableRow>& rows) {
+  std::vector<std::size_t> widths(std::size(kColumns));
+  for (const TableRow& row : rows)
+    for (std::size_t i = 0; i < row.size(); ++i) widths[i] = std::max(widths[i], row[i].size());
+  return widths;
+}
+
+std::string formatRow(const TableRow& row, const std::vector<std::size_t>& widths) {
+  std::string line;
+  for (std::size_t i = 0; i < row.size(); ++i)
+    line += fmt::format("{:<{}}", row[i].empty() ? "-" : row[i], widths[i] + kColumnGap);
+  line.erase(line.find_last_not_of(' ') + 1);
+  return line + "\n";
+}
+
+Json jsonRow(const Config& config, const EndpointTracker::Row& row) {
+  const Instance& instance = row.instance;
+  Json object{{"name", instance.name},
+              {"address", instance.address.text()},
+              {"group", instance.group},
+              {"group_name", groupName(config, instance.group)},
+              {"zone", instance.zone},
+              {"kind", instance.kind},
+              {"weight", instance.weight},
+              {"state", stateName(instance.state)},
+              {"started_ms", instance.startedMs},
+              {"withdrawals", row.withdrawals}};
+  if (!row.leftOut.empty()) object["left_out"] = row.leftOut;
+  return object;
 }
 
-// Takes the first list that comes.
-struct Taker final : EndpointListHandler {
-  event_base* base = nullptr;
-  bool told = false;
-  std::string why = "no word within the wait";
-  void onEndpointList(InstanceList) override {
-    told = true;
-    event_base_loopbreak(base);
+Json jsonListAge(const MembersView& view) {
+  if (!view.members.toldAt) return nullptr;
+  return (view.now - *view.members.toldAt).count() / 1000;
+}
+
+void print(const Config& config, const MembersOptions& options, const MembersView& view) {
+  const std::string text = options.json ? membersJson(config, view) : membersTable(config, view);
+  std::fputs(text.c_str(), stdout);
+}
+
+// Notes whether discovery has answered, and ends the event loop when it has or has failed.
+class ListRecorder final : public EndpointListHandler {
+ public:
+  explicit ListRecorder(event_base* base) : base_(base) {}
+
+  void onEndpointList(InstanceList /*list*/) override {
+    received_ = true;
+    event_base_loopbreak(base_);
   }
-  void onListFailure(const std::string& reason) override {
-    why = reason;
-    event_base_loopbreak(base);
+  void onListFailure(const std::string& why) override {
+    failure_ = why;
+    event_base_loopbreak(base_);
   }
   std::uint64_t generation() const override { return 0; }
+
+  bool received() const { return received_; }
+  const std::string& failure() const { return failure_; }
+
+ private:
+  event_base* base_;
+  bool received_ = false;
+  std::string failure_ = "no word within the wait";
 };
 
+// Runs the event loop until discovery has answered or failed, or the wait is over.
+void awaitList(event_base* base, double waitSeconds) {
+  const std::chrono::duration<double> wait(waitSeconds);
+  const timeval limit = toTimeval(std::chrono::duration_cast<std::chrono::microseconds>(wait));
+  event_base_loopexit(base, &limit);
+  event_base_dispatch(base);
+}
+
+// The endpoints of the configuration, which discovery has not confirmed.
+MembersView configuredMembers(const Config& config, const Clock& clock) {
+  EndpointTracker known;
+  known.found(clock.now(), config.knownEndpoints.instances);
+  known.take(clock.now());
+  MembersView view{known.view(clock.now()), {}, clock.now()};
+  view.members.toldAt.reset();
+  return view;
+}
+
 }  // namespace
 
 std::string membersTable(const Config& config, const MembersView& view) {
-  const std::vector<std::string> heads{"NAME",   "ADDRESS", "GROUP",   "ZONE",    "KIND",
-                                       "WEIGHT", "STATE",   "STARTED", "LEFT OUT"};
-  std::vector<std::vector<std::string>> rows{heads};
+  std::vector<TableRow> rows{TableRow(std::begin(kColumns), std::end(kColumns))};
   std::size_t used = 0;
-  for (const EndpointTracker::Row& r : view.members.rows) {
-    const Instance& i = r.instance;
-    used += r.leftOut.empty();
-    rows.push_back({i.name, i.address.text(), groupName(config, i.group), i.zone, i.kind,
-                    fmt::format("{:g}", i.weight), stateName(i.state), started(i.startedMs), r.leftOut});
+  for (const EndpointTracker::Row& row : view.members.rows) {
+    if (row.leftOut.empty()) ++used;
+    rows.push_back(tableRow(config, row));
   }
-  for (const auto& [name, why] : view.faults) rows.push_back({name, "", "", "", "", "", "", "", why});
-  std::vector<std::size_t> widths(heads.size());
-  for (const auto& row : rows)
-    for (std::size_t k = 0; k < row.size(); ++k) widths[k] = std::max(widths[k], row[k].size());
+  for (const auto& [name, reason] : view.faults) rows.push_back({name, "", "", "", "", "", "", "", reason});
+  const std::vector<std::size_t> widths = columnWidths(rows);
   std::string text;
-  for (const auto& row : rows) {
-    std::string line;
-    for (std::size_t k = 0; k < row.size(); ++k)
-      line += fmt::format("{:<{}}", row[k].empty() ? "-" : row[k], widths[k] + 2);
-    line.erase(line.find_last_not_of(' ') + 1);
-    text += line + "\n";
-  }
-  return text + fmt::format("{} data servers, {} left out; {}\n", used, rows.size() - 1 - used, age(view));
+  for (const TableRow& row : rows) text += formatRow(row, widths);
+  const std::size_t leftOut = rows.size() - 1 - used;
+  return text + fmt::format("{} data servers, {} left out; {}\n", used, leftOut, formatListAge(view));
 }
 
 std::string membersJson(const Config& config, const MembersView& view) {
-  using Json = nlohmann::ordered_json;
-  Json all = Json::array(), out = Json::array();
-  for (const EndpointTracker::Row& r : view.members.rows) {
-    const Instance& i = r.instance;
-    Json one{{"name", i.name},
-             {"address", i.address.text()},
-             {"group", i.group},
-             {"group_name", groupName(config, i.group)},
-             {"zone", i.zone},
-             {"kind", i.kind},
-             {"weight", i.weight},
-             {"state", stateName(i.state)},
-             {"started_ms", i.startedMs},
-             {"withdrawals", r.withdrawals}};
-    if (!r.leftOut.empty()) one["left_out"] = r.leftOut;
-    (r.leftOut.empty() ? all : out).push_back(std::move(one));
-  }
-  for (const auto& [name, why] : view.faults) out.push_back({{"name", name}, {"left_out", why}});
-  Json page{{"members", std::move(all)}, {"left_out", std::move(out)}};
-  if (view.members.toldAt)
-    page["list_age_ms"] = (view.now - *view.members.toldAt).count() / 1000;
-  else
-    page["list_age_ms"] = nullptr;
+  Json used = Json::array();
+  Json leftOut = Json::array();
+  for (const EndpointTracker::Row& row : view.members.rows)
+    (row.leftOut.empty() ? used : leftOut).push_back(jsonRow(config, row));
+  for (const auto& [name, reason] : view.faults) leftOut.push_back({{"name", name}, {"left_out", reason}});
+  Json page{{"members", std::move(used)}, {"left_out", std::move(leftOut)}};
+  page["list_age_ms"] = jsonListAge(view);
   if (view.members.failingSince) page["failing"] = view.members.why;
-  // Names come from the network: what is no UTF-8 is replaced, never thrown on.
-  return page.dump(2, ' ', false, Json::error_handler_t::replace) + "\n";
+  // Names come from the network: bytes that are not UTF-8 are replaced instead of being an error.
+  return page.dump(kJsonIndent, ' ', false, Json::error_handler_t::replace) + "\n";
 }
 
 int showMembers(const Config& config, const MembersOptions& options) {
   const EventBase base(event_base_new());
   const Clock clock;
-  Taker taker;
-  taker.base = base.get();
-  EndpointFeed feed(base.get(), clock, taker, trackerPolicy(config));
+  ListRecorder recorder(base.get());
+  EndpointFeed feed(base.get(), clock, recorder, trackerPolicy(config));
   const std::unique_ptr<DiscoverySource> source = openDiscoverySource(base.get(), clock, feed, config);
   if (config.source == Source::Fixed) {
     feed.found(config.knownEndpoints.instances, true);
   } else {
     source->watch(0);
-    const auto us = static_cast<std::int64_t>(options.waitSeconds * 1e6);
-    const timeval wait{static_cast<time_t>(us / 1000000), static_cast<suseconds_t>(us % 1000000)};
-    event_base_loopexit(base.get(), &wait);
-    event_base_dispatch(base.get());
+    awaitList(base.get(), options.waitSeconds);
   }
-  if (!taker.told) {  // what the settings know, and that it is not discovery's word
-    EndpointTracker known;
-    known.found(clock.now(), config.knownEndpoints.instances);
-    known.take(clock.now());
-    MembersView view{known.view(clock.now()), {}, clock.now()};
-    view.members.toldAt.reset();
-    std::fputs((options.json ? membersJson(config, view) : membersTable(config, view)).c_str(), stdout);
-    std::fprintf(stderr, "stonebay: discovery: %s; shown is what the settings know\n", taker.why.c_str());
+  if (!recorder.received()) {
+    print(config, options, configuredMembers(config, clock));
+    std::fprintf(stderr, "stonebay: discovery: %s; shown is what the settings know\n",
+                 recorder.failure().c_str());
     return 1;
   }
   std::map<std::string, std::string> faults = source->faults();
-  const MembersView view{feed.view(), std::move(faults), clock.now()};
-  std::fputs((options.json ? membersJson(config, view) : membersTable(config, view)).c_str(), stdout);
+  print(config, options, {feed.view(), std::move(faults), clock.now()});
   return 0;
 }
 
--- a/src/app/members.hpp
+++ b/src/app/members.hpp
@@ -1,4 +1,4 @@
-// `stonebay members`: what discovery finds now.
+// The command `stonebay members`: the endpoints that discovery finds now.
 #pragma once
 
 #include <map>
@@ -10,21 +10,22 @@
 namespace stonebay {
 
 struct MembersOptions {
-  bool json = false;
-  double waitSeconds = 5;
+  bool json = false;       ///< instead of a table
+  double waitSeconds = 5;  ///< for discovery's first answer
 };
 
-// Asks the configured source once and prints what it has told within the wait. 0: it told; 1: it did not
-// (what is known from the settings is printed all the same, and the reason goes to standard error).
-int showMembers(const Config&, const MembersOptions&);
+/// Queries the configured discovery source once and prints its endpoints. Returns the exit status: 0 if the
+/// source answered in time; otherwise 1, after the endpoints of the configuration have been printed and the
+/// reason on standard error.
+int showMembers(const Config& config, const MembersOptions& options);
 
-// The same as text.
+/// What is printed.
 struct MembersView {
   EndpointTracker::View members;
-  std::map<std::string, std::string> faults;  // instances that are no members, and why
+  std::map<std::string, std::string> faults;  ///< instances that cannot be used: name and reason
   Time now{};
 };
-std::string membersTable(const Config&, const MembersView&);
-std::string membersJson(const Config&, const MembersView&);
+std::string membersTable(const Config& config, const MembersView& view);
+std::string membersJson(const Config& config, const MembersView& view);
 
 }  // namespace stonebay
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -1,9 +1,9 @@
 #include "app/serve.hpp"
 
-#include <csignal>
 #include <exception>
 
 #include "app/discovery_source.hpp"
+#include "app/signals.hpp"
 #include "discovery/endpoint_feed.hpp"
 #include "dispatch/dispatcher.hpp"
 #include "downstream/pg/client_listener.hpp"
@@ -13,8 +13,22 @@
 #include "util/event.hpp"
 
 namespace stonebay {
+namespace {
+
+// Of the configuration, discovery alone can change while the proxy serves. A file with errors changes
+// nothing. Reading blocks the event loop, which is tolerable for a small local file.
+void reloadDiscovery(DiscoverySource& source, const std::function<Config()>& reloadConfig) {
+  try {
+    source.move(reloadConfig());
+    logEvent(LogLevel::Info, "settings_read_again");
+  } catch (const std::exception& e) {
+    logEvent(LogLevel::Error, "settings_unchanged", {{"why", e.what()}});
+  }
+}
 
-int serve(const Config& config, const std::function<Config()>& reread) {
+}  // namespace
+
+int serve(const Config& config, const std::function<Config()>& reloadConfig) {
   setLog(config.logForm, config.logLevel);
   const EventBase base(event_base_new());
   Dispatcher dispatcher(base.get(), config);
@@ -24,39 +38,14 @@
       openDiscoverySource(base.get(), dispatcher.clock(), feed, config);
   ClientListener clients(base.get(), dispatcher, config);
   GossipSocket gossip(base.get(), dispatcher, config);
-  bool running = true;
 
-  struct Stop {
-    ClientListener& clients;
-    bool& running;
-  } stop{clients, running};
-  const auto onSignal = [](evutil_socket_t, short, void* p) {
+  bool running = true;
+  const auto shutDown = [&] {
     logEvent(LogLevel::Info, "drain_started");
-    auto& s = *static_cast<Stop*>(p);
-    s.clients.drain([&s] { s.running = false; });
-  };
-  const Event term(evsignal_new(base.get(), SIGTERM, onSignal, &stop));
-  const Event interrupt(evsignal_new(base.get(), SIGINT, onSignal, &stop));
-  event_add(term.get(), nullptr);
-  event_add(interrupt.get(), nullptr);
-
-  // SIGHUP: the file is read anew by the same checks; what may change while the program serves is discovery.
-  // A file that does not pass changes nothing. It is read within the loop: it is small and local.
-  struct Reload {
-    DiscoverySource& source;
-    const std::function<Config()>& reread;
-  } reload{*source, reread};
-  const auto onReload = [](evutil_socket_t, short, void* p) {
-    const auto& r = *static_cast<Reload*>(p);
-    try {
-      r.source.move(r.reread());
-      logEvent(LogLevel::Info, "settings_read_again");
-    } catch (const std::exception& e) {
-      logEvent(LogLevel::Error, "settings_unchanged", {{"why", e.what()}});
-    }
+    clients.drain([&running] { running = false; });
   };
-  const Event hangup(evsignal_new(base.get(), SIGHUP, onReload, &reload));
-  event_add(hangup.get(), nullptr);
+  const auto reload = [&] { reloadDiscovery(*source, reloadConfig); };
+  const SignalHandlers signals(base.get(), shutDown, reload);
 
   dispatcher.start(upstream, *source, &gossip);
   logEvent(LogLevel::Info, "listening", {{"name", config.name}, {"port", clients.port()}});
--- a/src/app/serve.hpp
+++ b/src/app/serve.hpp
@@ -1,4 +1,4 @@
-// A running proxy: everything that serves, from checked settings to the exit.
+// A running proxy: everything that serves, from the checked configuration to the exit.
 #pragma once
 
 #include <functional>
@@ -7,9 +7,9 @@
 
 namespace stonebay {
 
-// Serves until SIGTERM or SIGINT has been carried out; gives the exit status. SIGHUP calls `reread`, which
-// reads and checks the settings anew (a fault is a InvalidInput). Throws std::runtime_error where it cannot
-// listen.
-int serve(const Config&, const std::function<Config()>& reread);
+/// Serves until SIGTERM or SIGINT has drained the clients; returns the exit status. SIGHUP calls
+/// `reloadConfig`, which reads and checks the configuration again and throws InvalidInput if it has errors.
+/// Throws std::runtime_error if the proxy cannot listen.
+int serve(const Config& config, const std::function<Config()>& reloadConfig);
 
 }  // namespace stonebay
--- /dev/null
+++ b/src/app/signals.cpp
@@ -0,0 +1,24 @@
+#include "app/signals.hpp"
+
+#include <csignal>
+#include <utility>
+
+namespace stonebay {
+
+SignalHandlers::SignalHandlers(event_base* base, std::function<void()> shutDown, std::function<void()> reload)
+    : shutDown_(std::move(shutDown)),
+      reload_(std::move(reload)),
+      terminate_(addHandler(base, SIGTERM, shutDown_)),
+      interrupt_(addHandler(base, SIGINT, shutDown_)),
+      hangUp_(addHandler(base, SIGHUP, reload_)) {}
+
+Event SignalHandlers::addHandler(event_base* base, int signal, std::function<void()>& action) {
+  const auto callback = [](evutil_socket_t /*signal*/, short /*events*/, void* argument) {
+    (*static_cast<std::function<void()>*>(argument))();
+  };
+  Event handler(evsignal_new(base, signal, callback, &action));
+  event_add(handler.get(), nullptr);
+  return handler;
+}
+
+}  // namespace stonebay
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,10 +1,12 @@
-// stonebay: the program's entry; src/app does the rest.
+// The entry point of stonebay; src/app does the rest.
 #include <csignal>
 
 #include "app/cli.hpp"
 
 int main(int argc, char** argv) {
+  // A lost connection is reported by the call that writes to it.
   std::signal(SIGPIPE, SIG_IGN);
-  std::signal(SIGHUP, SIG_IGN);  // until the loop handles it: by default it ends the process
+  // The default action would end the process if SIGHUP came before the event loop handles it.
+  std::signal(SIGHUP, SIG_IGN);
   return stonebay::commandLine(argc, argv);
 }
