--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -38,14 +38,14 @@
   config.maxLargeStatementBytes = freeMemory / 4;
 }
 
-bool operator==(const DnsSdSettings& a, const DnsSdSettings& b) {
+bool operator==(const DnsSdSettings& left, const DnsSdSettings& right) {
   const auto fields = [](const DnsSdSettings& settings) {
     return std::tie(settings.domain, settings.service, settings.servers, settings.minRefresh,
                     settings.maxRefresh, settings.jitter, settings.queryTimeout, settings.queriesPerSecond,
                     settings.udpPayload, settings.defaultGroup, settings.maxListAge, settings.flapHalfLife,
                     settings.maxSuppression, settings.flapSuppress, settings.flapReuse);
   };
-  return fields(a) == fields(b);
+  return fields(left) == fields(right);
 }
 
 InvalidSettings::InvalidSettings(std::vector<ConfigError> all)
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -42,7 +42,7 @@
   Time maxSuppression{};
   double flapSuppress = 0;
   double flapReuse = 0;
-  friend bool operator==(const DnsSdSettings& a, const DnsSdSettings& b);
+  friend bool operator==(const DnsSdSettings& left, const DnsSdSettings& right);
 };
 
 /// Everything that a proxy is configured with.
--- a/src/config/json_config.cpp
+++ b/src/config/json_config.cpp
@@ -25,8 +25,8 @@
 // A string as the simulator's settings carry it: without the characters that separate items and lines.
 std::string withoutSeparators(std::string_view value) {
   std::string text(value);
-  for (char& c : text)
-    if (c == ' ' || c == ',' || c == '\n') c = '_';
+  for (char& byte : text)
+    if (byte == ' ' || byte == ',' || byte == '\n') byte = '_';
   return text;
 }
 
--- a/src/config/schema_reader.cpp
+++ b/src/config/schema_reader.cpp
@@ -56,7 +56,7 @@
 void SchemaReader::throwErrors() {
   if (errors_.empty()) return;
   std::stable_sort(errors_.begin(), errors_.end(),
-                   [](const ConfigError& a, const ConfigError& b) { return a.line < b.line; });
+                   [](const ConfigError& left, const ConfigError& right) { return left.line < right.line; });
   throw InvalidSettings(std::move(errors_));
 }
 
--- a/src/config/setting_values.cpp
+++ b/src/config/setting_values.cpp
@@ -90,23 +90,23 @@
 }
 
 // Not std::isalnum, which follows the locale.
-bool isLabelCharacter(char c) {
-  const bool letter = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
-  const bool digit = c >= '0' && c <= '9';
-  return letter || digit || c == '-' || c == '_';
+bool isLabelCharacter(char byte) {
+  const bool letter = (byte >= 'a' && byte <= 'z') || (byte >= 'A' && byte <= 'Z');
+  const bool digit = byte >= '0' && byte <= '9';
+  return letter || digit || byte == '-' || byte == '_';
 }
 
 bool isDomainName(const std::string& text) {
   if (text.size() > kMaxDomainLength) return false;
   std::size_t labelLength = 0;
-  for (const char c : text) {
-    if (c == '.') {
+  for (const char byte : text) {
+    if (byte == '.') {
       if (labelLength == 0) return false;
       labelLength = 0;
       continue;
     }
     ++labelLength;
-    if (!isLabelCharacter(c) || labelLength > kMaxLabelLength) return false;
+    if (!isLabelCharacter(byte) || labelLength > kMaxLabelLength) return false;
   }
   return true;
 }
--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -26,23 +26,23 @@
 
 // Both formats use JSON's escapes. Bytes beyond ASCII come from anywhere and need not be UTF-8, so they are
 // written as the code points of Latin-1: the line stays valid whatever it quotes.
-void appendEscaped(Line& line, char c) {
-  const auto byte = static_cast<unsigned char>(c);
-  if (c == '"' || c == '\\') {
+void appendEscaped(Line& line, char character) {
+  const auto byte = static_cast<unsigned char>(character);
+  if (character == '"' || character == '\\') {
     line.push_back('\\');
-    line.push_back(c);
-  } else if (c == '\n') {
+    line.push_back(character);
+  } else if (character == '\n') {
     fmt::format_to(std::back_inserter(line), "\\n");
   } else if (byte < ' ' || byte >= 0x7f) {
     fmt::format_to(std::back_inserter(line), "\\u{:04x}", byte);
   } else {
-    line.push_back(c);
+    line.push_back(character);
   }
 }
 
 void appendQuoted(Line& line, std::string_view text) {
   line.push_back('"');
-  for (const char c : text.substr(0, kMaxLoggedValue)) appendEscaped(line, c);
+  for (const char character : text.substr(0, kMaxLoggedValue)) appendEscaped(line, character);
   if (text.size() > kMaxLoggedValue) fmt::format_to(std::back_inserter(line), "...");
   line.push_back('"');
 }
