--- a/src/config/json_config.cpp
+++ b/src/config/json_config.cpp
@@ -1,4 +1,5 @@
 // The platform's JSON form of the configuration.
+#include <algorithm>
 #include <charconv>
 #include <cstdio>
 #include <fstream>
@@ -115,7 +116,9 @@
 void readGossip(const element& root, Config& config) {
   std::string_view listen;
   std::string_view broadcast;
-  if (root["peer_listen"].get(listen) || root["peers_all"].get(broadcast)) return;
+  const bool hasListen = root["peer_listen"].get(listen) == simdjson::SUCCESS;
+  const bool hasBroadcast = root["peers_all"].get(broadcast) == simdjson::SUCCESS;
+  if (!hasListen || !hasBroadcast) return;
   config.gossipListen = parseAddress(listen, "peer_listen");
   config.gossipBroadcast = parseAddress(broadcast, "peers_all");
   for (const std::string& peer : readStrings(root, "", "peers"))
@@ -186,9 +189,9 @@
 }
 
 bool hasSessionClass(const Settings& settings) {
-  for (const ClassSettings& requestClass : settings.classes)
-    if (requestClass.consistency == Consistency::ReadYourWrites) return true;
-  return false;
+  return std::any_of(settings.classes.begin(), settings.classes.end(), [](const ClassSettings& each) {
+    return each.consistency == Consistency::ReadYourWrites;
+  });
 }
 
 }  // namespace
--- a/src/config/setting_keys.hpp
+++ b/src/config/setting_keys.hpp
@@ -40,14 +40,18 @@
   T value;
 };
 
-/// The objects that keys set, by type.
-inline SettingsDraft& target(SettingsDraft& draft, const SettingsDraft*) { return draft; }
-inline Config& target(SettingsDraft& draft, const Config*) { return draft.config; }
-inline Settings& target(SettingsDraft& draft, const Settings*) { return draft.config.settings; }
-inline DnsSdSettings& target(SettingsDraft& draft, const DnsSdSettings*) { return draft.config.dnssd; }
-inline ClassSettings& target(SettingsDraft& draft, const ClassSettings*) { return draft.requestClass; }
-inline GroupName& target(SettingsDraft& draft, const GroupName*) { return draft.group; }
-inline Instance& target(SettingsDraft& draft, const Instance*) { return draft.endpoint; }
+/// The object of a type that keys of that type set.
+inline SettingsDraft& target(SettingsDraft& draft, const SettingsDraft* /*type*/) { return draft; }
+inline Config& target(SettingsDraft& draft, const Config* /*type*/) { return draft.config; }
+inline Settings& target(SettingsDraft& draft, const Settings* /*type*/) { return draft.config.settings; }
+inline DnsSdSettings& target(SettingsDraft& draft, const DnsSdSettings* /*type*/) {
+  return draft.config.dnssd;
+}
+inline ClassSettings& target(SettingsDraft& draft, const ClassSettings* /*type*/) {
+  return draft.requestClass;
+}
+inline GroupName& target(SettingsDraft& draft, const GroupName* /*type*/) { return draft.group; }
+inline Instance& target(SettingsDraft& draft, const Instance* /*type*/) { return draft.endpoint; }
 
 /// A setter that stores the value in a field. 32-bit integers are stored from ValueKind::Count.
 template <typename Object, typename Field>
--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -70,9 +70,9 @@
 
 void appendEvent(Line& line, LogForm form, std::string_view event, Fields fields) {
   const bool json = form == LogForm::Json;
-  fmt::format_to(std::back_inserter(line), json ? "\"event\":\"{}\"" : "event={}", event);
+  fmt::format_to(std::back_inserter(line), json ? R"("event":"{}")" : "event={}", event);
   for (const LogField& field : fields) {
-    fmt::format_to(std::back_inserter(line), json ? ",\"{}\":" : " {}=", field.name);
+    fmt::format_to(std::back_inserter(line), json ? R"(,"{}":)" : " {}=", field.name);
     std::visit(ValueWriter{form, line}, field.value);
   }
 }
--- a/src/util/units.cpp
+++ b/src/util/units.cpp
@@ -125,10 +125,8 @@
 }
 
 ParseResult<bool> parseFlag(std::string_view text) {
-  for (const char* const yes : {"yes", "on", "true"})
-    if (text == yes) return true;
-  for (const char* const no : {"no", "off", "false"})
-    if (text == no) return false;
+  if (text == "yes" || text == "on" || text == "true") return true;
+  if (text == "no" || text == "off" || text == "false") return false;
   return valueError(text, "is neither yes nor no", "write yes or no");
 }
 
