--- a/tests/pg_codec_test.cpp
+++ b/tests/pg_codec_test.cpp
@@ -63,9 +63,9 @@
   EXPECT_FALSE(pg::parseSingleColumn("\0\1\xff\xff\xff\xff"sv));
   EXPECT_FALSE(pg::parseSingleColumn("\0\1\0\0\0\3ab"sv));
   EXPECT_FALSE(pg::parseSingleColumn("\0\2\0\0\0\2ab"sv));
-  EXPECT_EQ(pg::parseParameterStatus("role\0replica\0"sv).second, "replica");
-  EXPECT_EQ(pg::parseParameterStatus("role\0replica"sv).first, "");
-  EXPECT_EQ(pg::parseParameterStatus("role\0replica\0more"sv).first, "");
+  EXPECT_EQ(pg::parseParameterStatus("role\0replica\0"sv).value, "replica");
+  EXPECT_EQ(pg::parseParameterStatus("role\0replica"sv).name, "");
+  EXPECT_EQ(pg::parseParameterStatus("role\0replica\0more"sv).name, "");
   EXPECT_TRUE(pg::isRowDescription("\0\1blob\0"s + std::string(18, '\0')));
   EXPECT_FALSE(pg::isRowDescription("\0\1blob\0"s + std::string(17, '\0')));
   EXPECT_FALSE(pg::isRowDescription("\0\2blob\0"s + std::string(18, '\0')));
