--- a/src/codec/http/http.cpp
+++ b/src/codec/http/http.cpp
@@ -7,11 +7,25 @@
 namespace stonebay::http {
 namespace {
 
-constexpr std::size_t kLongestLine = 8192;
+constexpr std::size_t kMaxLineBytes = 8192;
+constexpr std::string_view kVersionPrefix = "HTTP/1.";
+constexpr std::size_t kStatusAt = 9;  // in "HTTP/1.1 200 OK"
+constexpr std::size_t kStatusEnd = 12;
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
 
-bool sameName(std::string_view a, std::string_view b) {
-  return std::equal(a.begin(), a.end(), b.begin(), b.end(),
-                    [](unsigned char x, unsigned char y) { return std::tolower(x) == std::tolower(y); });
+bool equalsIgnoringCase(std::string_view left, std::string_view right) {
+  return std::equal(
+      left.begin(), left.end(), right.begin(), right.end(),
+      [](unsigned char one, unsigned char other) { return std::tolower(one) == std::tolower(other); });
+}
+
+bool isBlank(char text) { return text == ' ' || text == '\t'; }
+
+std::string_view trimmed(std::string_view text) {
+  while (!text.empty() && isBlank(text.front())) text.remove_prefix(1);
+  while (!text.empty() && isBlank(text.back())) text.remove_suffix(1);
+  return text;
 }
 
 }  // namespace
@@ -25,82 +39,111 @@
   return text;
 }
 
-bool Response::headEnds() {
-  if (status_ >= 100 && status_ < 200) {  // an interim response; the real one follows
-    at_ = At::Status;
+bool Response::onStatusLine(std::string_view line) {
+  if (line.size() < kStatusEnd || line.substr(0, kVersionPrefix.size()) != kVersionPrefix) return false;
+  const char* const end = line.data() + kStatusEnd;
+  if (std::from_chars(line.data() + kStatusAt, end, status_).ptr != end) return false;
+  chunked_ = false;
+  hasLength_ = false;
+  state_ = State::Headers;
+  return true;
+}
+
+bool Response::onHeader(std::string_view line) {
+  if (line.empty()) {
+    onHeadersComplete();
     return true;
   }
-  if (status_ == 204 || status_ == 304 || (!chunked_ && counted_ && left_ == 0))
-    at_ = At::End;
+  const std::size_t colon = line.find(':');
+  if (colon == std::string_view::npos) return false;
+  const std::string_view name = line.substr(0, colon);
+  const std::string_view value = trimmed(line.substr(colon + 1));
+  if (equalsIgnoringCase(name, "Transfer-Encoding")) {
+    if (!equalsIgnoringCase(value, "chunked")) return false;
+    chunked_ = true;
+  } else if (equalsIgnoringCase(name, "Content-Length")) {
+    hasLength_ = true;
+    const char* const end = value.data() + value.size();
+    const auto [stop, error] = std::from_chars(value.data(), end, remaining_);
+    return error == std::errc() && stop == end;
+  }
+  return true;
+}
+
+void Response::onHeadersComplete() {
+  const bool interim = status_ >= 100 && status_ < 200;
+  const bool empty = !chunked_ && hasLength_ && remaining_ == 0;
+  if (interim)
+    state_ = State::StatusLine;  // the final response follows
+  else if (status_ == kNoContent || status_ == kNotModified || empty)
+    state_ = State::Complete;
+  else if (chunked_)
+    state_ = State::ChunkSize;
   else
-    at_ = chunked_ ? At::Size : counted_ ? At::Counted : At::Rest;
+    state_ = hasLength_ ? State::BodyWithLength : State::BodyUntilClose;
+}
+
+bool Response::onChunkSize(std::string_view line) {
+  const char* const end = line.data() + line.size();
+  const auto [stop, error] = std::from_chars(line.data(), end, remaining_, 16);
+  if (error != std::errc()) return false;
+  if (stop != end && *stop != ';' && *stop != ' ') return false;
+  state_ = remaining_ > 0 ? State::ChunkData : State::Trailers;
   return true;
 }
 
-bool Response::line(std::string_view text) {
-  const char* const end = text.data() + text.size();
-  switch (at_) {
-    case At::Status:
-      if (text.size() < 12 || text.substr(0, 7) != "HTTP/1.") return false;
-      if (std::from_chars(text.data() + 9, text.data() + 12, status_).ptr != text.data() + 12) return false;
-      chunked_ = counted_ = false;
-      at_ = At::Header;
-      return true;
-    case At::Header: {
-      if (text.empty()) return headEnds();
-      const std::size_t colon = text.find(':');
-      if (colon == std::string_view::npos) return false;
-      std::string_view value = text.substr(colon + 1);
-      while (!value.empty() && (value.front() == ' ' || value.front() == '\t')) value.remove_prefix(1);
-      while (!value.empty() && (value.back() == ' ' || value.back() == '\t')) value.remove_suffix(1);
-      const std::string_view name = text.substr(0, colon);
-      if (sameName(name, "Transfer-Encoding")) {
-        if (!sameName(value, "chunked")) return false;
-        chunked_ = true;
-      } else if (sameName(name, "Content-Length")) {
-        counted_ = true;
-        const auto [stop, error] = std::from_chars(value.data(), value.data() + value.size(), left_);
-        return error == std::errc() && stop == value.data() + value.size();
-      }
-      return true;
-    }
-    case At::Size: {
-      const auto [stop, error] = std::from_chars(text.data(), end, left_, 16);
-      if (error != std::errc() || (stop != end && *stop != ';' && *stop != ' ')) return false;
-      at_ = left_ > 0 ? At::Chunk : At::Trailer;
-      return true;
-    }
-    case At::ChunkEnd:
-      at_ = At::Size;
-      return text.empty();
-    case At::Trailer:
-      if (text.empty()) at_ = At::End;
+bool Response::onLine(std::string_view line) {
+  switch (state_) {
+    case State::StatusLine:
+      return onStatusLine(line);
+    case State::Headers:
+      return onHeader(line);
+    case State::ChunkSize:
+      return onChunkSize(line);
+    case State::ChunkEnd:
+      state_ = State::ChunkSize;
+      return line.empty();
+    case State::Trailers:
+      if (line.empty()) state_ = State::Complete;
       return true;
     default:
       return false;
   }
 }
 
+bool Response::isInBody() const {
+  return state_ == State::ChunkData || state_ == State::BodyWithLength || state_ == State::BodyUntilClose;
+}
+
+std::size_t Response::consumeBody(std::string_view bytes, std::string& body) {
+  if (state_ == State::BodyUntilClose) {
+    body.append(bytes);
+    return bytes.size();
+  }
+  const std::size_t count = std::min(remaining_, bytes.size());
+  body.append(bytes.substr(0, count));
+  remaining_ -= count;
+  if (remaining_ == 0) state_ = state_ == State::ChunkData ? State::ChunkEnd : State::Complete;
+  return count;
+}
+
 bool Response::feed(std::string_view bytes, std::string& body) {
   while (!bytes.empty()) {
-    if (at_ == At::End) return false;  // nothing more was asked for
-    if (at_ == At::Chunk || at_ == At::Counted || at_ == At::Rest) {
-      const std::size_t n = at_ == At::Rest ? bytes.size() : std::min(left_, bytes.size());
-      body.append(bytes.substr(0, n));
-      bytes.remove_prefix(n);
-      if (at_ != At::Rest && (left_ -= n) == 0) at_ = at_ == At::Chunk ? At::ChunkEnd : At::End;
+    if (state_ == State::Complete) return false;  // only one response is expected
+    if (isInBody()) {
+      bytes.remove_prefix(consumeBody(bytes, body));
       continue;
     }
-    const std::size_t end = bytes.find('\n');
-    const std::string_view part = bytes.substr(0, end);
-    if (line_.size() + part.size() > kLongestLine) return false;
+    const std::size_t lineEnd = bytes.find('\n');
+    const std::string_view part = bytes.substr(0, lineEnd);
+    if (line_.size() + part.size() > kMaxLineBytes) return false;
     line_.append(part);
-    if (end == std::string_view::npos) return true;
-    bytes.remove_prefix(end + 1);
+    if (lineEnd == std::string_view::npos) return true;
+    bytes.remove_prefix(lineEnd + 1);
     if (!line_.empty() && line_.back() == '\r') line_.pop_back();
-    std::string text;
-    text.swap(line_);
-    if (!line(text)) return false;
+    std::string line;
+    line.swap(line_);
+    if (!onLine(line)) return false;
   }
   return true;
 }
