--- a/fuzz/dns.cpp
+++ b/fuzz/dns.cpp
@@ -14,7 +14,7 @@
     for (const dns::Record& r : *section) {
       if (r.name.empty() || r.ttl > 0x7fffffff) std::abort();
       dns::firstLabel(r.name);
-      dns::within(r.name, "example.org.");
+      dns::isWithin(r.name, "example.org.");
       if (const auto* name = std::get_if<dns::Name>(&r.data);
           name && !name->empty() && !dns::parseName(*name))
         std::abort();  // a name that was read is a name
--- a/src/discovery/dnssd/directory.cpp
+++ b/src/discovery/dnssd/directory.cpp
@@ -176,7 +176,7 @@
   for (const Record& r : records) {
     const Question q{r.name, r.type};
     if (q == ptr_ || r.type == Type::Soa || sets_.count(q) == 0) continue;
-    if (additional && !dns::within(r.name, domain_)) continue;
+    if (additional && !dns::isWithin(r.name, domain_)) continue;
     const auto [it, fresh] = found.try_emplace(q, std::vector<Data>(), r.ttl);
     it->second.first.push_back(r.data);
     it->second.second = std::min(it->second.second, r.ttl);
@@ -190,7 +190,7 @@
   // alone, it has no older one.
   std::map<Name, std::pair<std::vector<Data>, std::uint32_t>> newer;
   for (const Record& r : records) {
-    if (r.type != Type::Aaaa || !dns::within(r.name, domain_)) continue;
+    if (r.type != Type::Aaaa || !dns::isWithin(r.name, domain_)) continue;
     if (sets_.count({r.name, Type::A}) == 0 || found.count({r.name, Type::A}) > 0) continue;
     auto& entry = newer.try_emplace(r.name, std::vector<Data>(), r.ttl).first->second;
     entry.first.push_back(r.data);
@@ -245,7 +245,7 @@
         r.type == Type::Ptr && r.name == ptr_.name ? std::get_if<Name>(&r.data) : nullptr;
     if (!name) continue;
     ttl = names.empty() ? r.ttl : std::min(ttl, r.ttl);
-    if (!dns::within(*name, ptr_.name) || *name == ptr_.name)
+    if (!dns::isWithin(*name, ptr_.name) || *name == ptr_.name)
       faults_[*name] = "named by PTR, and no instance of the service";
     else if (names.size() < kMostInstances && seen.insert(*name).second)
       names.push_back(*name);
--- a/tests/dnssd_test.cpp
+++ b/tests/dnssd_test.cpp
@@ -85,16 +85,17 @@
   for (const std::string& label : {std::string("a.b"), std::string("\\"), std::string("\"x;@$()"),
                                    std::string("caf\xc3\xa9"), std::string("a\0b", 3), std::string("007")})
     EXPECT_EQ(dns::firstLabel(dns::instanceName(label, kPtr).value()), label);
-  EXPECT_TRUE(dns::within("a.ruwi.example.org.", "ruwi.example.org."));
-  EXPECT_FALSE(dns::within("xruwi.example.org.", "ruwi.example.org."));
-  EXPECT_FALSE(dns::within("a\\.ruwi.example.org.", "ruwi.example.org."));
-  EXPECT_TRUE(dns::within("a\\\\.ruwi.example.org.", "ruwi.example.org."));
+  EXPECT_TRUE(dns::isWithin("a.ruwi.example.org.", "ruwi.example.org."));
+  EXPECT_FALSE(dns::isWithin("xruwi.example.org.", "ruwi.example.org."));
+  EXPECT_FALSE(dns::isWithin("a\\.ruwi.example.org.", "ruwi.example.org."));
+  EXPECT_TRUE(dns::isWithin("a\\\\.ruwi.example.org.", "ruwi.example.org."));
 }
 TEST(Dns, WhatIsNoMessageIsNone) {
-  std::string why;
-  EXPECT_FALSE(dns::parse("", &why));
-  EXPECT_FALSE(dns::parse("short", &why));
-  EXPECT_FALSE(why.empty());
+  dns::ParseError error;
+  EXPECT_FALSE(dns::parse("", &error));
+  EXPECT_FALSE(dns::parse("short", &error));
+  EXPECT_EQ(error.code, dns::ParseError::Code::TooShort);
+  EXPECT_FALSE(error.detail.empty());
   // Every cut of a good one, and a name that points at itself.
   const std::string good = dns::encode(sample());
   for (std::size_t n = 0; n < good.size(); ++n) EXPECT_FALSE(dns::parse(good.substr(0, n))) << n;
