--- a/src/app/discovery_source.cpp
+++ b/src/app/discovery_source.cpp
@@ -9,75 +9,77 @@
 namespace stonebay {
 namespace {
 
-// What cannot change while the program serves.
-bool sameSource(const Config& was, Source is) {
-  if (was.source == is) return true;
+// The kind of source is fixed while the program runs.
+bool keepsSource(const Config& config, Source current) {
+  if (config.source == current) return true;
   logEvent(LogLevel::Warning, "settings_need_restart", {{"key", "[discovery] source"}});
   return false;
 }
 
 class RegistrySource final : public DiscoverySource {
  public:
-  RegistrySource(event_base* base, EndpointFeed& feed, const Config& c) : watch_(base, feed, c.discovery) {}
+  RegistrySource(event_base* base, EndpointFeed& feed, const Config& config)
+      : watch_(base, feed, config.discovery) {}
   void watch(std::uint64_t after) override { watch_.watch(after); }
-  void move(const Config& c) override {
-    if (sameSource(c, Source::Registry)) watch_.move(c.discovery);
+  void reconfigure(const Config& config) override {
+    if (keepsSource(config, Source::Registry)) watch_.setAddress(config.discovery);
   }
 
  private:
   RegistryWatch watch_;
 };
 
+// The endpoints of the configuration itself.
 class FixedSource final : public DiscoverySource {
  public:
   void watch(std::uint64_t) override {}
-  void move(const Config& c) override { sameSource(c, Source::Fixed); }
+  void reconfigure(const Config& config) override { keepsSource(config, Source::Fixed); }
 };
 
 #ifdef STONEBAY_DNSSD
 class DnsSdSource final : public DiscoverySource {
  public:
-  DnsSdSource(event_base* base, const Clock& clock, EndpointFeed& feed, const Config& c)
-      : feed_(feed), dnssd_(base, clock, feed, c) {}
-  void watch(std::uint64_t) override {}  // it tells by itself
-  void move(const Config& c) override {
-    if (!sameSource(c, Source::DnsSd)) return;
-    feed_.policy(trackerPolicy(c));
-    dnssd_.move(c);
+  DnsSdSource(event_base* base, const Clock& clock, EndpointFeed& feed, const Config& config)
+      : feed_(feed), client_(base, clock, feed, config) {}
+  void watch(std::uint64_t) override {}  // the client queries on its own schedule
+  void reconfigure(const Config& config) override {
+    if (!keepsSource(config, Source::DnsSd)) return;
+    feed_.setPolicy(trackerPolicy(config));
+    client_.move(config);
   }
-  std::map<std::string, std::string> faults() const override { return dnssd_.faults(); }
+  std::map<std::string, std::string> faults() const override { return client_.faults(); }
 
  private:
   EndpointFeed& feed_;
-  DnsSd dnssd_;
+  DnsSd client_;
 };
 #endif
 
 }  // namespace
 
-EndpointTrackerPolicy trackerPolicy(const Config& c) {
-  EndpointTrackerPolicy p;
-  if (c.source != Source::DnsSd) {
-    p.dampens = false;
-    return p;
+EndpointTrackerPolicy trackerPolicy(const Config& config) {
+  EndpointTrackerPolicy policy;
+  if (config.source != Source::DnsSd) {
+    policy.dampingEnabled = false;
+    return policy;
   }
-  const DnsSdSettings& s = c.dnssd;
-  p.suppressAt = s.flapSuppress;
-  p.reuseAt = s.flapReuse;
-  p.halfLife = s.flapHalfLife;
-  p.maxSuppression = s.maxSuppression;
-  p.maxListAge = s.maxListAge;
-  return p;
+  const DnsSdSettings& settings = config.dnssd;
+  policy.suppressThreshold = settings.flapSuppress;
+  policy.reuseThreshold = settings.flapReuse;
+  policy.halfLife = settings.flapHalfLife;
+  policy.maxSuppression = settings.maxSuppression;
+  policy.maxListAge = settings.maxListAge;
+  return policy;
 }
 
 std::unique_ptr<DiscoverySource> openDiscoverySource(event_base* base, const Clock& clock, EndpointFeed& feed,
-                                                     const Config& c) {
-  switch (c.source) {
+                                                     const Config& config) {
+  switch (config.source) {
     case Source::Fixed:
       return std::make_unique<FixedSource>();
     case Source::DnsSd:
 #ifdef STONEBAY_DNSSD
-      return std::make_unique<DnsSdSource>(base, clock, feed, c);
+      return std::make_unique<DnsSdSource>(base, clock, feed, config);
 #else
       (void)clock;
       throw InvalidInput(
@@ -86,7 +88,7 @@
     case Source::Registry:
       break;
   }
-  return std::make_unique<RegistrySource>(base, feed, c);
+  return std::make_unique<RegistrySource>(base, feed, config);
 }
 
 }  // namespace stonebay
--- a/src/app/discovery_source.hpp
+++ b/src/app/discovery_source.hpp
@@ -1,22 +1,29 @@
-// The source of the list that the settings name.
+// The configured source of the endpoint list.
 #pragma once
 
+#include <map>
 #include <memory>
+#include <string>
 
 #include "discovery/endpoint_feed.hpp"
 #include "dispatch/dispatcher.hpp"
 
 namespace stonebay {
 
+/// A source that delivers endpoint lists to an EndpointFeed.
 class DiscoverySource : public EndpointWatcher {
  public:
-  virtual void move(const Config&) = 0;  // new settings of discovery, while it runs
-  // Instances that are left out, by name, and why.
+  /// Applies new discovery settings while the program runs. A change of the kind of source needs a restart:
+  /// it is logged and ignored.
+  virtual void reconfigure(const Config&) = 0;
+  /// Instances that are invalid and therefore not in the list: the reason by instance name.
   virtual std::map<std::string, std::string> faults() const { return {}; }
 };
 
+/// How the source's list is damped and when it expires.
 EndpointTrackerPolicy trackerPolicy(const Config&);
-// Throws InvalidInput where this build lacks the source.
+
+/// The source that the configuration names. Throws InvalidInput when this build lacks it.
 std::unique_ptr<DiscoverySource> openDiscoverySource(event_base*, const Clock&, EndpointFeed&, const Config&);
 
 }  // namespace stonebay
--- a/src/app/members.cpp
+++ b/src/app/members.cpp
@@ -27,9 +27,9 @@
 }
 
 std::string age(const MembersView& view) {
-  if (!view.members.toldAt) return "discovery has told nothing";
+  if (!view.members.lastUpdateAt) return "discovery has told nothing";
   return fmt::format("told {:.1f} s ago",
-                     static_cast<double>((view.now - *view.members.toldAt).count()) / 1e6);
+                     static_cast<double>((view.now - *view.members.lastUpdateAt).count()) / 1e6);
 }
 
 // Takes the first list that comes.
@@ -57,9 +57,10 @@
   std::size_t used = 0;
   for (const EndpointTracker::Row& r : view.members.rows) {
     const Instance& i = r.instance;
-    used += r.leftOut.empty();
+    used += r.exclusion == ExclusionReason::None;
     rows.push_back({i.name, i.address.text(), groupName(config, i.group), i.zone, i.kind,
-                    fmt::format("{:g}", i.weight), stateName(i.state), started(i.startedMs), r.leftOut});
+                    fmt::format("{:g}", i.weight), stateName(i.state), started(i.startedMs),
+                    describe(r.exclusion)});
   }
   for (const auto& [name, why] : view.faults) rows.push_back({name, "", "", "", "", "", "", "", why});
   std::vector<std::size_t> widths(heads.size());
@@ -91,16 +92,17 @@
              {"state", stateName(i.state)},
              {"started_ms", i.startedMs},
              {"withdrawals", r.withdrawals}};
-    if (!r.leftOut.empty()) one["left_out"] = r.leftOut;
-    (r.leftOut.empty() ? all : out).push_back(std::move(one));
+    const bool excluded = r.exclusion != ExclusionReason::None;
+    if (excluded) one["left_out"] = describe(r.exclusion);
+    (excluded ? out : all).push_back(std::move(one));
   }
   for (const auto& [name, why] : view.faults) out.push_back({{"name", name}, {"left_out", why}});
   Json page{{"members", std::move(all)}, {"left_out", std::move(out)}};
-  if (view.members.toldAt)
-    page["list_age_ms"] = (view.now - *view.members.toldAt).count() / 1000;
+  if (view.members.lastUpdateAt)
+    page["list_age_ms"] = (view.now - *view.members.lastUpdateAt).count() / 1000;
   else
     page["list_age_ms"] = nullptr;
-  if (view.members.failingSince) page["failing"] = view.members.why;
+  if (view.members.failingSince) page["failing"] = view.members.failureReason;
   // Names come from the network: what is no UTF-8 is replaced, never thrown on.
   return page.dump(2, ' ', false, Json::error_handler_t::replace) + "\n";
 }
@@ -113,7 +115,7 @@
   EndpointFeed feed(base.get(), clock, taker, trackerPolicy(config));
   const std::unique_ptr<DiscoverySource> source = openDiscoverySource(base.get(), clock, feed, config);
   if (config.source == Source::Fixed) {
-    feed.found(config.knownEndpoints.instances, true);
+    feed.onSnapshot(config.knownEndpoints.instances, true);
   } else {
     source->watch(0);
     const auto us = static_cast<std::int64_t>(options.waitSeconds * 1e6);
@@ -123,10 +125,10 @@
   }
   if (!taker.told) {  // what the settings know, and that it is not discovery's word
     EndpointTracker known;
-    known.found(clock.now(), config.knownEndpoints.instances);
-    known.take(clock.now());
+    known.onSnapshot(clock.now(), config.knownEndpoints.instances);
+    known.takeUpdate(clock.now());
     MembersView view{known.view(clock.now()), {}, clock.now()};
-    view.members.toldAt.reset();
+    view.members.lastUpdateAt.reset();
     std::fputs((options.json ? membersJson(config, view) : membersTable(config, view)).c_str(), stdout);
     std::fprintf(stderr, "stonebay: discovery: %s; shown is what the settings know\n", taker.why.c_str());
     return 1;
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -49,7 +49,7 @@
   const auto onReload = [](evutil_socket_t, short, void* p) {
     const auto& r = *static_cast<Reload*>(p);
     try {
-      r.source.move(r.reread());
+      r.source.reconfigure(r.reread());
       logEvent(LogLevel::Info, "settings_read_again");
     } catch (const std::exception& e) {
       logEvent(LogLevel::Error, "settings_unchanged", {{"why", e.what()}});
--- a/src/discovery/address.cpp
+++ b/src/discovery/address.cpp
@@ -15,58 +15,59 @@
   const auto [stop, error] = std::from_chars(text.data() + colon + 1, end, port);
   if (error != std::errc() || stop != end) return std::nullopt;
   std::string host(text.substr(0, colon));
-  Address a;
+  Address address;
   if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
     host = host.substr(1, host.size() - 2);
-    if (inet_pton(AF_INET6, host.c_str(), &a.v6_.sin6_addr) != 1) return std::nullopt;
-    a.v6_.sin6_family = AF_INET6;
-    a.v6_.sin6_port = htons(port);
-    return a;
+    if (inet_pton(AF_INET6, host.c_str(), &address.v6_.sin6_addr) != 1) return std::nullopt;
+    address.v6_.sin6_family = AF_INET6;
+    address.v6_.sin6_port = htons(port);
+    return address;
   }
-  if (inet_pton(AF_INET, host.c_str(), &a.v4_.sin_addr) != 1) return std::nullopt;
-  a.v4_.sin_family = AF_INET;
-  a.v4_.sin_port = htons(port);
-  return a;
+  if (inet_pton(AF_INET, host.c_str(), &address.v4_.sin_addr) != 1) return std::nullopt;
+  address.v4_.sin_family = AF_INET;
+  address.v4_.sin_port = htons(port);
+  return address;
 }
 
 Address Address::fromBytes(std::string_view bytes, std::uint16_t port) {
-  Address a;
-  if (bytes.size() == sizeof a.v4_.sin_addr) {
-    std::memcpy(&a.v4_.sin_addr, bytes.data(), bytes.size());
-    a.v4_.sin_family = AF_INET;
-    a.v4_.sin_port = htons(port);
-  } else if (bytes.size() == sizeof a.v6_.sin6_addr) {
-    std::memcpy(&a.v6_.sin6_addr, bytes.data(), bytes.size());
-    a.v6_.sin6_family = AF_INET6;
-    a.v6_.sin6_port = htons(port);
+  Address address;
+  if (bytes.size() == sizeof address.v4_.sin_addr) {
+    std::memcpy(&address.v4_.sin_addr, bytes.data(), bytes.size());
+    address.v4_.sin_family = AF_INET;
+    address.v4_.sin_port = htons(port);
+  } else if (bytes.size() == sizeof address.v6_.sin6_addr) {
+    std::memcpy(&address.v6_.sin6_addr, bytes.data(), bytes.size());
+    address.v6_.sin6_family = AF_INET6;
+    address.v6_.sin6_port = htons(port);
   }
-  return a;
+  return address;
 }
 
 Address Address::fromSocket(const sockaddr* from) {
-  Address a;
-  if (from->sa_family == AF_INET) std::memcpy(&a.v4_, from, sizeof a.v4_);
-  if (from->sa_family == AF_INET6) std::memcpy(&a.v6_, from, sizeof a.v6_);
-  return a;
+  Address address;
+  if (from->sa_family == AF_INET) std::memcpy(&address.v4_, from, sizeof address.v4_);
+  if (from->sa_family == AF_INET6) std::memcpy(&address.v6_, from, sizeof address.v6_);
+  return address;
 }
 
 std::uint16_t Address::port() const { return ntohs(v6() ? v6_.sin6_port : v4_.sin_port); }
 
 std::string Address::text() const {
   if (none()) return {};
-  char host[INET6_ADDRSTRLEN];
+  char buffer[INET6_ADDRSTRLEN];
   const void* const bytes =
       v6() ? static_cast<const void*>(&v6_.sin6_addr) : static_cast<const void*>(&v4_.sin_addr);
-  inet_ntop(any_.sa_family, bytes, host, sizeof host);
-  return (v6() ? "[" + std::string(host) + "]" : std::string(host)) + ":" + std::to_string(port());
+  inet_ntop(any_.sa_family, bytes, buffer, sizeof buffer);
+  const std::string host(buffer);
+  return (v6() ? "[" + host + "]" : host) + ":" + std::to_string(port());
 }
 
-bool operator==(const Address& a, const Address& b) {
-  if (a.any_.sa_family != b.any_.sa_family) return false;
-  if (a.none()) return true;
-  if (a.port() != b.port()) return false;
-  return a.v6() ? std::memcmp(&a.v6_.sin6_addr, &b.v6_.sin6_addr, sizeof a.v6_.sin6_addr) == 0
-                : a.v4_.sin_addr.s_addr == b.v4_.sin_addr.s_addr;
+bool operator==(const Address& left, const Address& right) {
+  if (left.any_.sa_family != right.any_.sa_family) return false;
+  if (left.none()) return true;
+  if (left.port() != right.port()) return false;
+  if (!left.v6()) return left.v4_.sin_addr.s_addr == right.v4_.sin_addr.s_addr;
+  return std::memcmp(&left.v6_.sin6_addr, &right.v6_.sin6_addr, sizeof left.v6_.sin6_addr) == 0;
 }
 
 }  // namespace stonebay
--- a/src/discovery/dnssd/source.cpp
+++ b/src/discovery/dnssd/source.cpp
@@ -65,7 +65,7 @@
   logged_ = directory_->faults();
   const bool first = !told_;
   told_ = true;
-  feed_.found(directory_->instances(), first);
+  feed_.onSnapshot(directory_->instances(), first);
 }
 
 }  // namespace stonebay
--- a/src/discovery/endpoint_feed.cpp
+++ b/src/discovery/endpoint_feed.cpp
@@ -5,63 +5,81 @@
 namespace stonebay {
 namespace {
 
-constexpr std::chrono::microseconds kLogAgain = std::chrono::seconds(30);
+constexpr std::chrono::microseconds kFailureLogInterval = std::chrono::seconds(30);
+constexpr double kMicrosecondsPerSecond = 1e6;
 
-const char* stateName(Lifecycle s) {
-  return s == Lifecycle::Ready ? "active" : s == Lifecycle::Draining ? "leaving" : "gone";
+const char* stateName(Lifecycle state) {
+  switch (state) {
+    case Lifecycle::Ready:
+      return "active";
+    case Lifecycle::Draining:
+      return "leaving";
+    case Lifecycle::Gone:
+      break;
+  }
+  return "gone";
+}
+
+void logInstance(const Instance& instance) {
+  logEvent(LogLevel::Info, "member",
+           {{"name", instance.name},
+            {"state", stateName(instance.state)},
+            {"address", instance.address.text()},
+            {"group", instance.group},
+            {"started_ms", instance.startedMs}});
 }
 
 }  // namespace
 
-EndpointFeed::EndpointFeed(event_base* base, const Clock& clock, EndpointListHandler& to,
+EndpointFeed::EndpointFeed(event_base* base, const Clock& clock, EndpointListHandler& handler,
                            const EndpointTrackerPolicy& policy)
     : clock_(clock),
-      to_(to),
-      members_(policy),
+      handler_(handler),
+      tracker_(policy),
       timer_(event_new(
-          base, -1, 0, [](evutil_socket_t, short, void* self) { static_cast<EndpointFeed*>(self)->pass(); },
+          base, -1, 0,
+          [](evutil_socket_t, short, void* self) { static_cast<EndpointFeed*>(self)->publishUpdates(); },
           this)) {}
 
-void EndpointFeed::found(std::vector<Instance> all, bool first) {
-  members_.found(clock_.now(), std::move(all), first);
-  pass();
+void EndpointFeed::onSnapshot(std::vector<Instance> instances, bool initial) {
+  tracker_.onSnapshot(clock_.now(), std::move(instances), initial);
+  publishUpdates();
 }
 
-void EndpointFeed::listed(InstanceList list) {
-  members_.changed(clock_.now(), std::move(list));
-  pass();
+void EndpointFeed::onEndpointList(InstanceList list) {
+  tracker_.onChange(clock_.now(), std::move(list));
+  publishUpdates();
 }
 
-void EndpointFeed::listFailed(const std::string& why) {
+void EndpointFeed::onListFailure(const std::string& why) {
   const auto now = clock_.now();
-  members_.failed(now, why);
-  const auto view = members_.view(now);
-  if (logged_ == std::chrono::microseconds(0) || now - logged_ >= kLogAgain) {
-    logged_ = now;
-    if (view.toldAt)
-      logEvent(LogLevel::Warning, "discovery_failed",
-               {{"why", why}, {"list_age_s", static_cast<double>((now - *view.toldAt).count()) / 1e6}});
-    else
-      logEvent(LogLevel::Warning, "discovery_failed", {{"why", why}, {"list", "none yet"}});
+  tracker_.onFailure(now, why);
+  logFailure(now, why);
+  handler_.onListFailure(why);
+  publishUpdates();
+}
+
+void EndpointFeed::logFailure(std::chrono::microseconds now, const std::string& why) {
+  const bool loggedBefore = failureLoggedAt_ != std::chrono::microseconds(0);
+  if (loggedBefore && now - failureLoggedAt_ < kFailureLogInterval) return;
+  failureLoggedAt_ = now;
+  const auto updatedAt = tracker_.lastUpdateAt();
+  if (!updatedAt) {
+    logEvent(LogLevel::Warning, "discovery_failed", {{"why", why}, {"list", "none yet"}});
+    return;
   }
-  to_.onListFailure(why);
-  pass();
+  const double ageSeconds = static_cast<double>((now - *updatedAt).count()) / kMicrosecondsPerSecond;
+  logEvent(LogLevel::Warning, "discovery_failed", {{"why", why}, {"list_age_s", ageSeconds}});
 }
 
-void EndpointFeed::pass() {
+void EndpointFeed::publishUpdates() {
   const auto now = clock_.now();
-  while (auto list = members_.take(now)) {
-    for (const Instance& i : list->instances)
-      logEvent(LogLevel::Info, "member",
-               {{"name", i.name},
-                {"state", stateName(i.state)},
-                {"address", i.address.text()},
-                {"group", i.group},
-                {"started_ms", i.startedMs}});
-    to_.onEndpointList(std::move(*list));
+  while (auto update = tracker_.takeUpdate(now)) {
+    for (const Instance& instance : update->instances) logInstance(instance);
+    handler_.onEndpointList(std::move(*update));
   }
-  if (const auto at = members_.next())
-    startTimer(timer_.get(), *at - now);
+  if (const auto deadline = tracker_.nextDeadline())
+    startTimer(timer_.get(), *deadline - now);
   else
     event_del(timer_.get());
 }
--- a/src/discovery/endpoint_feed.hpp
+++ b/src/discovery/endpoint_feed.hpp
@@ -1,6 +1,4 @@
-// Between a source of the list and whoever takes it (the engine): what a member is since when is
-// EndpointTracker's; this gives it the time, wakes it when something changes by itself, and logs what the
-// taker is told.
+// Connects a source of the endpoint list to its handler through an EndpointTracker.
 #pragma once
 
 #include "discovery/endpoint_tracker.hpp"
@@ -9,28 +7,31 @@
 
 namespace stonebay {
 
+/// Gives an EndpointTracker the time, wakes it for its deadlines, passes its updates on and logs them.
 class EndpointFeed final : public EndpointListHandler {
  public:
-  EndpointFeed(event_base*, const Clock&, EndpointListHandler& to, const EndpointTrackerPolicy&);
+  /// `handler` must outlive the feed.
+  EndpointFeed(event_base*, const Clock&, EndpointListHandler& handler, const EndpointTrackerPolicy&);
 
-  // From a source that tells everything each time; see EndpointTracker::found.
-  void found(std::vector<Instance>, bool first);
-  // From a source with generations.
+  /// From a source that delivers complete lists only; see EndpointTracker::onSnapshot.
+  void onSnapshot(std::vector<Instance>, bool initial);
+  /// From a source with generations; see EndpointTracker::onChange.
   void onEndpointList(InstanceList) override;
   void onListFailure(const std::string& why) override;
-  std::uint64_t generation() const override { return members_.generation(); }
+  std::uint64_t generation() const override { return tracker_.generation(); }
 
-  void policy(const EndpointTrackerPolicy& p) { members_.policy(p); }
-  EndpointTracker::View view() const { return members_.view(clock_.now()); }
+  void setPolicy(const EndpointTrackerPolicy& policy) { tracker_.setPolicy(policy); }
+  EndpointTracker::View view() const { return tracker_.view(clock_.now()); }
 
  private:
-  void pass();
+  void publishUpdates();
+  void logFailure(std::chrono::microseconds now, const std::string& why);
 
   const Clock& clock_;
-  EndpointListHandler& to_;
-  EndpointTracker members_;
+  EndpointListHandler& handler_;
+  EndpointTracker tracker_;
   Event timer_;
-  std::chrono::microseconds logged_{};  // when the age of the list was last logged
+  std::chrono::microseconds failureLoggedAt_{};
 };
 
 }  // namespace stonebay
--- a/src/discovery/endpoint_list.cpp
+++ b/src/discovery/endpoint_list.cpp
@@ -6,86 +6,70 @@
 
 using simdjson::dom::element;
 
-bool operator==(const Instance& a, const Instance& b) {
-  return a.name == b.name && a.address == b.address && a.zone == b.zone && a.kind == b.kind &&
-         a.group == b.group && a.state == b.state && a.weight == b.weight && a.startedMs == b.startedMs;
-}
+namespace {
 
-Address parseAddress(std::string_view text, const std::string& key) {
-  const auto address = Address::parse(text);
-  if (!address) throw InvalidInput("key " + key + ": '" + std::string(text) + "' is no address with a port");
-  return *address;
+constexpr std::size_t kMaxListBytes = 4 << 20;
+constexpr std::int64_t kMaxCell = 65535;
+constexpr std::string_view kWhiteSpace = " \t\r\n";
+
+Lifecycle parseLifecycle(std::string_view text, const std::string& path) {
+  if (text == "active") return Lifecycle::Ready;
+  if (text == "leaving") return Lifecycle::Draining;
+  if (text == "left") return Lifecycle::Gone;
+  throw InvalidInput("key " + path + "lifecycle: unknown value '" + std::string(text) + "'");
 }
 
-namespace {
+GroupId readGroup(const element& object, const std::string& path) {
+  const auto cell = jsonField<std::int64_t>(object, "cell", path);
+  if (cell < 0 || cell > kMaxCell) throw InvalidInput("key " + path + "cell: out of range");
+  return static_cast<GroupId>(cell);
+}
 
-constexpr std::size_t kLongestList = 4 << 20;
-
-Instance readInstance(const element& e, const std::string& path) {
-  Instance i;
-  i.name = std::string(jsonField<std::string_view>(e, "instanceId", path));
-  const auto state = jsonField<std::string_view>(e, "lifecycle", path);
-  if (state == "active")
-    i.state = Lifecycle::Ready;
-  else if (state == "leaving")
-    i.state = Lifecycle::Draining;
-  else if (state == "left")
-    i.state = Lifecycle::Gone;
-  else
-    throw InvalidInput("key " + path + "lifecycle: unknown value '" + std::string(state) + "'");
-  // Of one that has left, the rest may be missing.
-  const bool gone = i.state == Lifecycle::Gone;
-  const auto has = [&](const char* key) { return !gone || e[key].error() == simdjson::SUCCESS; };
-  if (has("hostPort"))
-    i.address = parseAddress(jsonField<std::string_view>(e, "hostPort", path), path + "hostPort");
-  if (has("zone")) i.zone = std::string(jsonField<std::string_view>(e, "zone", path));
+Instance readInstance(const element& object, const std::string& path) {
+  Instance instance;
+  instance.name = std::string(jsonField<std::string_view>(object, "instanceId", path));
+  instance.state = parseLifecycle(jsonField<std::string_view>(object, "lifecycle", path), path);
+  // An instance that is gone may come with its name alone.
+  const bool optional = instance.state == Lifecycle::Gone;
+  const auto expects = [&](const char* key) { return !optional || object[key].error() == simdjson::SUCCESS; };
+  if (expects("hostPort"))
+    instance.address = parseAddress(jsonField<std::string_view>(object, "hostPort", path), path + "hostPort");
+  if (expects("zone")) instance.zone = std::string(jsonField<std::string_view>(object, "zone", path));
   std::string_view kind;
-  if (e["machineType"].get(kind) == simdjson::SUCCESS) i.kind = std::string(kind);
-  if (has("cell")) {
-    const auto cell = jsonField<std::int64_t>(e, "cell", path);
-    if (cell < 0 || cell > 65535) throw InvalidInput("key " + path + "cell: out of range");
-    i.group = static_cast<GroupId>(cell);
-  }
-  if (has("weight")) i.weight = jsonField<double>(e, "weight", path);
-  if (has("startedAtMs")) i.startedMs = jsonField<std::int64_t>(e, "startedAtMs", path);
-  if (i.startedMs < 0) throw InvalidInput("key " + path + "startedAtMs: negative");
-  return i;
+  if (object["machineType"].get(kind) == simdjson::SUCCESS) instance.kind = std::string(kind);
+  if (expects("cell")) instance.group = readGroup(object, path);
+  if (expects("weight")) instance.weight = jsonField<double>(object, "weight", path);
+  if (expects("startedAtMs")) instance.startedMs = jsonField<std::int64_t>(object, "startedAtMs", path);
+  if (instance.startedMs < 0) throw InvalidInput("key " + path + "startedAtMs: negative");
+  return instance;
 }
 
 }  // namespace
 
+bool operator==(const Instance& left, const Instance& right) {
+  return left.name == right.name && left.address == right.address && left.zone == right.zone &&
+         left.kind == right.kind && left.group == right.group && left.state == right.state &&
+         left.weight == right.weight && left.startedMs == right.startedMs;
+}
+
+Address parseAddress(std::string_view text, const std::string& key) {
+  const auto address = Address::parse(text);
+  if (!address) throw InvalidInput("key " + key + ": '" + std::string(text) + "' is no address with a port");
+  return *address;
+}
+
 InstanceList readInstances(const element& object, const std::string& path) {
-  InstanceList list;
   const auto generation = jsonField<std::int64_t>(object, "generation", path);
   if (generation < 0) throw InvalidInput("key " + path + "generation: negative");
+  InstanceList list;
   list.generation = static_cast<std::uint64_t>(generation);
   list.reset = jsonField<bool>(object, "reset", path);
-  std::size_t n = 0;
-  for (const element e : jsonField<simdjson::dom::array>(object, "instances", path))
-    list.instances.push_back(readInstance(e, path + "instances[" + std::to_string(n++) + "]."));
-  return list;
-}
-
-void EndpointListReader::feed(std::string_view bytes, const std::function<void(InstanceList)>& take) {
-  for (const char c : bytes) {
-    if (depth_ == 0) {
-      if (std::string_view(" \t\r\n").find(c) != std::string_view::npos) continue;
-      if (c != '{') throw InvalidInput("list: no object");
-    }
-    if (object_.size() >= kLongestList) throw InvalidInput("list: too long");
-    object_.push_back(c);
-    if (quoted_) {
-      quoted_ = escaped_ || c != '"';
-      escaped_ = !escaped_ && c == '\\';
-      continue;
-    }
-    quoted_ = c == '"';
-    depth_ += (c == '{' || c == '[') - (c == '}' || c == ']');
-    if (depth_ > 0) continue;
-    std::string whole;
-    whole.swap(object_);
-    take(parseInstances(whole));
+  std::size_t index = 0;
+  for (const element instance : jsonField<simdjson::dom::array>(object, "instances", path)) {
+    list.instances.push_back(readInstance(instance, path + "instances[" + std::to_string(index) + "]."));
+    ++index;
   }
+  return list;
 }
 
 InstanceList parseInstances(std::string_view json) {
@@ -96,4 +80,31 @@
   return readInstances(object, "");
 }
 
+void EndpointListReader::feed(std::string_view bytes, const std::function<void(InstanceList)>& onList) {
+  for (const char next : bytes) {
+    if (depth_ == 0) {
+      if (kWhiteSpace.find(next) != std::string_view::npos) continue;
+      if (next != '{') throw InvalidInput("list: no object");
+    }
+    append(next);
+    if (insideString_ || depth_ > 0) continue;
+    std::string complete;
+    complete.swap(object_);
+    onList(parseInstances(complete));
+  }
+}
+
+void EndpointListReader::append(char next) {
+  if (object_.size() >= kMaxListBytes) throw InvalidInput("list: too long");
+  object_.push_back(next);
+  if (insideString_) {
+    insideString_ = escaped_ || next != '"';
+    escaped_ = !escaped_ && next == '\\';
+    return;
+  }
+  insideString_ = next == '"';
+  if (next == '{' || next == '[') ++depth_;
+  if (next == '}' || next == ']') --depth_;
+}
+
 }  // namespace stonebay
--- a/src/discovery/endpoint_list.hpp
+++ b/src/discovery/endpoint_list.hpp
@@ -1,4 +1,4 @@
-// The list of data servers in discovery's form.
+// The endpoint list as service discovery delivers it, and the parser of the registry's JSON form.
 #pragma once
 
 #include <cstdint>
@@ -13,53 +13,63 @@
 
 namespace stonebay {
 
+/// One service instance as discovery describes it.
 struct Instance {
   std::string name;
-  Address address;  // none: not told, as it may be for one that has left
+  Address address;  ///< none when not given, as is allowed for an instance that is gone
   std::string zone;
-  std::string kind;  // of machine; empty: not told
+  std::string kind;  ///< machine type; empty when not given
   GroupId group = 0;
   Lifecycle state = Lifecycle::Ready;
   double weight = 1;
-  std::int64_t startedMs = 0;  // Unix time; 0: long ago
+  std::int64_t startedMs = 0;  ///< Unix time in milliseconds; 0: long ago
 };
 bool operator==(const Instance&, const Instance&);
-inline bool operator!=(const Instance& a, const Instance& b) { return !(a == b); }
+inline bool operator!=(const Instance& left, const Instance& right) { return !(left == right); }
+
+/// A complete list or a change of one.
 struct InstanceList {
   std::uint64_t generation = 0;
-  bool reset = false;  // the whole list: what is absent is gone
+  bool reset = false;  ///< the list is complete: an instance that it lacks is gone
   std::vector<Instance> instances;
 };
 
-// Whoever takes the list from its source: the whole list first, then changes, or the source's failure.
+/// Receives the endpoint list from its source: a complete list first, then changes, or the source's failures.
 class EndpointListHandler {
  public:
   virtual ~EndpointListHandler() = default;
   virtual void onEndpointList(InstanceList) = 0;
   virtual void onListFailure(const std::string& why) = 0;
-  virtual std::uint64_t generation() const = 0;  // of the list as it is known
+  /// Generation of the last list that was received; 0 before the first.
+  virtual std::uint64_t generation() const = 0;
 };
 
-// What cannot be read; the message names the key.
+/// Input that cannot be parsed; the message names the offending key.
 struct InvalidInput : std::runtime_error {
   using std::runtime_error::runtime_error;
 };
 
-Address parseAddress(std::string_view text, const std::string& key);  // Address::parse, or InvalidInput
+/// Address::parse. Throws InvalidInput, which names `key`, when the text is not an address with a port.
+Address parseAddress(std::string_view text, const std::string& key);
+
+/// Parses one list in the registry's JSON form. Throws InvalidInput.
 InstanceList parseInstances(std::string_view json);
 
-// Cuts a stream of lists into lists: JSON objects, each on a line of its own or indented over several,
-// wherever the stream happens to be split. What has come of an object that has not ended is kept.
+/// Splits a byte stream into endpoint lists: consecutive JSON objects, separated by white space or by
+/// nothing. The stream may be cut anywhere; the part of an object that has arrived is buffered.
 class EndpointListReader {
  public:
-  // Hands on each list that is whole, in order. Throws InvalidInput; those before the fault have been handed
-  // on.
-  void feed(std::string_view bytes, const std::function<void(InstanceList)>& take);
+  /// Calls `onList` for each list that is complete, in order. Throws InvalidInput; the lists before the fault
+  /// have been delivered by then.
+  void feed(std::string_view bytes, const std::function<void(InstanceList)>& onList);
 
  private:
-  std::string object_;
-  int depth_ = 0;  // brackets open
-  bool quoted_ = false, escaped_ = false;
+  void append(char next);
+
+  std::string object_;  // the part that has arrived
+  int depth_ = 0;       // open brackets
+  bool insideString_ = false;
+  bool escaped_ = false;  // the previous character was a backslash within a string
 };
 
 }  // namespace stonebay
--- a/src/discovery/endpoint_tracker.cpp
+++ b/src/discovery/endpoint_tracker.cpp
@@ -6,213 +6,276 @@
 #include <utility>
 
 namespace stonebay {
-
 namespace {
 
-// What is left of a name that has gone for good: its penalty has all but worn off.
-constexpr double kNoPenalty = 0.02;
+// An entry that is gone is kept until its penalty has decayed below this.
+constexpr double kNegligiblePenalty = 0.02;
+constexpr double kPenaltyPerWithdrawal = 1;
 
-std::int64_t unixMs(EndpointTracker::Time t) { return t.count() / 1000; }
+std::int64_t unixMs(EndpointTracker::Time time) { return time.count() / 1000; }
 
-Instance gone(Instance i) {
-  i.state = Lifecycle::Gone;
-  return i;
+Instance withState(Instance instance, Lifecycle state) {
+  instance.state = state;
+  return instance;
 }
 
-}  // namespace
+// A name stands for one server: with another address or in another group it is another server.
+bool isSameServer(const Instance& left, const Instance& right) {
+  return left.address == right.address && left.group == right.group;
+}
 
-double EndpointTracker::penalty(const Entry& e, Time now) const {
-  if (e.penalty == 0) return 0;
-  const double halves = static_cast<double>((now - e.penaltyAt).count()) /
-                        static_cast<double>(std::max<std::int64_t>(policy_.halfLife.count(), 1));
-  return e.penalty * std::exp2(-halves);
-}
-
-void EndpointTracker::appear(Entry& e, Time now, bool first) {
-  e.present = true;
-  e.since = now;
-  e.startedMs = first && e.withdrawals == 0 ? 0 : unixMs(now);
-  const double p = penalty(e, now);
-  e.held = policy_.dampens && p >= policy_.suppressAt;
-  if (!e.held) return;
-  const double halves = std::log2(p / policy_.reuseAt);
-  const Time wait(static_cast<std::int64_t>(static_cast<double>(policy_.halfLife.count()) * halves));
-  e.heldUntil = now + std::clamp(wait, Time(0), policy_.maxSuppression);
-}
-
-void EndpointTracker::withdraw(Entry& e, Time now) {
-  // No higher than what lets it back after mostHeld: guards against a flap of hours that shuts a server out
-  // for hours.
-  const double most =
-      policy_.reuseAt * std::exp2(static_cast<double>(policy_.maxSuppression.count()) /
-                                  static_cast<double>(std::max<std::int64_t>(policy_.halfLife.count(), 1)));
-  e.penalty = std::min(penalty(e, now) + 1, std::max(most, 1.0));
-  e.penaltyAt = now;
-  e.present = false;
-  e.held = false;
-  e.since = now;
-  ++e.withdrawals;
-}
-
-void EndpointTracker::found(Time now, std::vector<Instance> all, bool first) {
-  first = first || !listed_;
-  whole_ = whole_ || !listed_;
-  listed_ = dirty_ = true;
-  registry_ = expired_ = false;
-  toldAt_ = now;
-  failingSince_.reset();
+double halfLives(EndpointTracker::Time time, EndpointTracker::Time halfLife) {
+  return static_cast<double>(time.count()) / static_cast<double>(std::max<std::int64_t>(halfLife.count(), 1));
+}
 
-  std::set<std::string> names;
-  for (const Instance& i : all) names.insert(i.name);
-  std::vector<Instance> leaving;
-  std::vector<std::int64_t> leavingStarts;
-  for (auto& [name, e] : entries_)
-    if (e.present && names.count(name) == 0) {
-      leaving.push_back(e.instance);
-      leavingStarts.push_back(e.startedMs);
-      withdraw(e, now);
-    }
-  for (Instance& i : all) {
-    Entry& e = entries_[i.name];
-    if (!e.present) {
-      appear(e, now, first);
-      // Renamed: guards against a fleet that all counts as cold since its zone was published anew.
-      for (std::size_t k = 0; k < leaving.size(); ++k)
-        if (leaving[k].address == i.address && leaving[k].group == i.group) e.startedMs = leavingStarts[k];
-    } else if (e.instance.address != i.address || e.instance.group != i.group) {
-      e.since = now;  // another server under the old name
-      e.startedMs = first ? 0 : unixMs(now);
-    }
-    e.instance = std::move(i);
+}  // namespace
+
+const char* describe(ExclusionReason reason) {
+  switch (reason) {
+    case ExclusionReason::None:
+      break;
+    case ExclusionReason::ListExpired:
+      return "the list is too old";
+    case ExclusionReason::Flapping:
+      return "it flaps";
+    case ExclusionReason::DuplicateAddress:
+      return "another has its address";
+    case ExclusionReason::Withdrawn:
+      return "withdrawn";
   }
-  forget(now);
+  return "";
+}
+
+double EndpointTracker::decayedPenalty(const Entry& entry, Time now) const {
+  if (entry.penalty == 0) return 0;
+  return entry.penalty * std::exp2(-halfLives(now - entry.penaltyUpdatedAt, policy_.halfLife));
 }
 
-void EndpointTracker::changed(Time now, InstanceList list) {
-  registry_ = listed_ = true;
+// A penalty that decays to the reuse threshold within the maximum suppression time (RFC 2439 section 4.2): an
+// instance that has flapped for hours is not suppressed for hours.
+double EndpointTracker::maxPenalty() const {
+  const double ceiling =
+      policy_.reuseThreshold * std::exp2(halfLives(policy_.maxSuppression, policy_.halfLife));
+  return std::max(ceiling, kPenaltyPerWithdrawal);
+}
+
+void EndpointTracker::appear(Entry& entry, Time now, bool initial) {
+  entry.present = true;
+  entry.presenceChangedAt = now;
+  entry.inferredStartMs = initial && entry.withdrawals == 0 ? 0 : unixMs(now);
+  const double penalty = decayedPenalty(entry, now);
+  entry.suppressed = policy_.dampingEnabled && penalty >= policy_.suppressThreshold;
+  if (!entry.suppressed) return;
+  const double halfLivesToReuse = std::log2(penalty / policy_.reuseThreshold);
+  const auto wait = static_cast<double>(policy_.halfLife.count()) * halfLivesToReuse;
+  entry.suppressedUntil =
+      now + std::clamp(Time(static_cast<std::int64_t>(wait)), Time(0), policy_.maxSuppression);
+}
+
+void EndpointTracker::withdraw(Entry& entry, Time now) {
+  entry.penalty = std::min(decayedPenalty(entry, now) + kPenaltyPerWithdrawal, maxPenalty());
+  entry.penaltyUpdatedAt = now;
+  entry.present = false;
+  entry.suppressed = false;
+  entry.presenceChangedAt = now;
+  ++entry.withdrawals;
+}
+
+void EndpointTracker::onSourceDelivered(Time now) {
+  hasList_ = true;
   expired_ = false;
-  toldAt_ = now;
+  lastUpdateAt_ = now;
   failingSince_.reset();
+}
+
+void EndpointTracker::onSnapshot(Time now, std::vector<Instance> instances, bool initial) {
+  const bool isFirstList = !hasList_;
+  completeUpdateDue_ = completeUpdateDue_ || isFirstList;
+  changed_ = true;
+  sourceHasGenerations_ = false;
+  onSourceDelivered(now);
+
+  const std::vector<WithdrawnServer> withdrawn = withdrawMissing(now, instances);
+  for (Instance& instance : instances)
+    updateEntry(now, std::move(instance), withdrawn, initial || isFirstList);
+  forgetOldEntries(now);
+}
+
+std::vector<EndpointTracker::WithdrawnServer> EndpointTracker::withdrawMissing(
+    Time now, const std::vector<Instance>& instances) {
+  std::set<std::string> listed;
+  for (const Instance& instance : instances) listed.insert(instance.name);
+  std::vector<WithdrawnServer> withdrawn;
+  for (auto& [name, entry] : entries_) {
+    if (!entry.present || listed.count(name) > 0) continue;
+    withdrawn.push_back({entry.instance.address, entry.instance.group, entry.inferredStartMs});
+    withdraw(entry, now);
+  }
+  return withdrawn;
+}
+
+void EndpointTracker::updateEntry(Time now, Instance instance, const std::vector<WithdrawnServer>& withdrawn,
+                                  bool initial) {
+  Entry& entry = entries_[instance.name];
+  if (!entry.present) {
+    appear(entry, now, initial);
+    // Renamed servers keep their start time: a zone that is published under new names is not a cold fleet.
+    for (const WithdrawnServer& server : withdrawn)
+      if (server.address == instance.address && server.group == instance.group)
+        entry.inferredStartMs = server.inferredStartMs;
+  } else if (!isSameServer(entry.instance, instance)) {
+    entry.presenceChangedAt = now;
+    entry.inferredStartMs = initial ? 0 : unixMs(now);
+  }
+  entry.instance = std::move(instance);
+}
+
+void EndpointTracker::onChange(Time now, InstanceList list) {
+  sourceHasGenerations_ = true;
+  onSourceDelivered(now);
   generation_ = list.generation;
-  if (list.reset)
+  if (list.reset) {
     for (auto it = entries_.begin(); it != entries_.end();) {
-      const bool stays = std::any_of(list.instances.begin(), list.instances.end(),
-                                     [&](const Instance& i) { return i.name == it->first; });
-      it = stays ? std::next(it) : entries_.erase(it);
+      const bool listed = std::any_of(list.instances.begin(), list.instances.end(),
+                                      [&](const Instance& instance) { return instance.name == it->first; });
+      it = listed ? std::next(it) : entries_.erase(it);
     }
-  for (const Instance& i : list.instances) {
-    if (i.state == Lifecycle::Gone) {
-      entries_.erase(i.name);
+  }
+  for (const Instance& instance : list.instances) {
+    if (instance.state == Lifecycle::Gone) {
+      entries_.erase(instance.name);
       continue;
     }
-    Entry& e = entries_[i.name];
-    if (!e.present) e.since = now;
-    e.present = e.toldEngine = true;
-    e.instance = e.told = i;
+    Entry& entry = entries_[instance.name];
+    if (!entry.present) entry.presenceChangedAt = now;
+    entry.present = true;
+    entry.isPublished = true;
+    entry.instance = instance;
+    entry.published = instance;
   }
-  raw_.push_back(std::move(list));
+  unpublishedLists_.push_back(std::move(list));
 }
 
-void EndpointTracker::failed(Time now, std::string why) {
+void EndpointTracker::onFailure(Time now, std::string reason) {
   if (!failingSince_) failingSince_ = now;
-  why_ = std::move(why);
+  failureReason_ = std::move(reason);
+}
+
+std::optional<EndpointTracker::Time> EndpointTracker::listExpiresAt() const {
+  if (!failingSince_ || !lastUpdateAt_ || policy_.maxListAge <= Time(0)) return std::nullopt;
+  return *lastUpdateAt_ + policy_.maxListAge;
 }
 
-std::optional<EndpointTracker::Time> EndpointTracker::next() const {
-  std::optional<Time> at;
-  const auto sooner = [&](Time t) { at = at ? std::min(*at, t) : t; };
-  for (const auto& [name, e] : entries_)
-    if (e.present && e.held) sooner(e.heldUntil);
-  if (failingSince_ && toldAt_ && policy_.maxListAge > Time(0) && !expired_)
-    sooner(*toldAt_ + policy_.maxListAge);
-  return at;
+std::optional<EndpointTracker::Time> EndpointTracker::nextDeadline() const {
+  std::optional<Time> deadline;
+  const auto consider = [&](Time at) { deadline = deadline ? std::min(*deadline, at) : at; };
+  for (const auto& [name, entry] : entries_)
+    if (entry.present && entry.suppressed) consider(entry.suppressedUntil);
+  if (const auto expiresAt = listExpiresAt(); expiresAt && !expired_) consider(*expiresAt);
+  return deadline;
 }
 
-std::optional<InstanceList> EndpointTracker::take(Time now) {
-  if (!raw_.empty()) {
-    InstanceList list = std::move(raw_.front());
-    raw_.pop_front();
+std::optional<InstanceList> EndpointTracker::takeUpdate(Time now) {
+  if (!unpublishedLists_.empty()) {
+    InstanceList list = std::move(unpublishedLists_.front());
+    unpublishedLists_.pop_front();
     return list;
   }
-  if (registry_) return std::nullopt;
-  const auto due = next();
-  if (!dirty_ && !(due && *due <= now)) return std::nullopt;
-  if (failingSince_ && toldAt_ && policy_.maxListAge > Time(0) && now >= *toldAt_ + policy_.maxListAge)
-    expired_ = true;
-  dirty_ = false;
-
-  // Who comes first at an address: the one that is there longest, by name among equals.
-  std::vector<std::pair<const std::string*, Entry*>> order;
-  for (auto& [name, e] : entries_) order.emplace_back(&name, &e);
-  std::stable_sort(order.begin(), order.end(), [](const auto& a, const auto& b) {
-    if (a.second->toldEngine != b.second->toldEngine) return a.second->toldEngine;
-    return a.second->since < b.second->since;
+  if (sourceHasGenerations_) return std::nullopt;
+  const auto deadline = nextDeadline();
+  const bool isDue = deadline && *deadline <= now;
+  if (!changed_ && !isDue) return std::nullopt;
+  changed_ = false;
+  if (const auto expiresAt = listExpiresAt(); expiresAt && now >= *expiresAt) expired_ = true;
+
+  const std::vector<NamedEntry> entries = entriesByPrecedence();
+  updateExclusions(entries, now);
+  InstanceList update;
+  for (const auto& [name, entry] : entries) publish(*name, *entry, now, update.instances);
+  if (update.instances.empty() && !completeUpdateDue_) return std::nullopt;
+  update.reset = completeUpdateDue_;
+  completeUpdateDue_ = false;
+  update.generation = ++generation_;
+  return update;
+}
+
+// Who keeps an address that several names claim: published entries first, then the one that has been there
+// longest, then by name.
+std::vector<EndpointTracker::NamedEntry> EndpointTracker::entriesByPrecedence() {
+  std::vector<NamedEntry> entries;
+  entries.reserve(entries_.size());
+  for (auto& [name, entry] : entries_) entries.emplace_back(&name, &entry);
+  std::stable_sort(entries.begin(), entries.end(), [](const NamedEntry& left, const NamedEntry& right) {
+    if (left.second->isPublished != right.second->isPublished) return left.second->isPublished;
+    return left.second->presenceChangedAt < right.second->presenceChangedAt;
   });
-  std::vector<Address> taken;
-  InstanceList list;
-  for (auto& [name, e] : order) {
-    e->leftOut = nullptr;
-    if (e->held && now >= e->heldUntil) e->held = false;
-    if (!e->present) continue;
+  return entries;
+}
+
+void EndpointTracker::updateExclusions(const std::vector<NamedEntry>& entries, Time now) {
+  std::vector<Address> claimed;
+  for (const auto& [name, entry] : entries) {
+    entry->exclusion = ExclusionReason::None;
+    if (entry->suppressed && now >= entry->suppressedUntil) entry->suppressed = false;
+    if (!entry->present) continue;
+    const Address& address = entry->instance.address;
     if (expired_)
-      e->leftOut = "the list is too old";
-    else if (e->held)
-      e->leftOut = "it flaps";
-    else if (std::find(taken.begin(), taken.end(), e->instance.address) != taken.end())
-      e->leftOut = "another has its address";
+      entry->exclusion = ExclusionReason::ListExpired;
+    else if (entry->suppressed)
+      entry->exclusion = ExclusionReason::Flapping;
+    else if (std::find(claimed.begin(), claimed.end(), address) != claimed.end())
+      entry->exclusion = ExclusionReason::DuplicateAddress;
     else
-      taken.push_back(e->instance.address);
+      claimed.push_back(address);
   }
-  for (auto& [name, e] : order) {
-    const bool wanted = e->present && !e->leftOut;
-    Instance next = e->instance;
-    next.startedMs = next.startedMs > 0 ? std::min(next.startedMs, unixMs(now)) : e->startedMs;
-    // An id stands for one server: with another address or group it is another server, under a name of its
-    // own.
-    const bool other =
-        !e->told.name.empty() && (next.address != e->told.address || next.group != e->told.group);
-    if (e->toldEngine && (!wanted || other)) {
-      list.instances.push_back(gone(e->told));
-      e->toldEngine = false;
-    }
-    if (!wanted) continue;
-    if (other) ++e->incarnation;
-    next.name = e->incarnation > 1 ? *name + "#" + std::to_string(e->incarnation) : *name;
-    if (e->toldEngine && next == e->told) continue;
-    e->told = next;
-    e->toldEngine = true;
-    list.instances.push_back(std::move(next));
-  }
-  list.reset = whole_;
-  if (list.instances.empty() && !whole_) return std::nullopt;
-  whole_ = false;
-  list.generation = ++generation_;
-  return list;
-}
-
-// Guards against growth where instances come under names that are always new.
-void EndpointTracker::forget(Time now) {
-  for (auto it = entries_.begin(); it != entries_.end();) {
-    const Entry& e = it->second;
-    const bool old = !e.present && !e.toldEngine && penalty(e, now) < kNoPenalty;
-    it = old ? entries_.erase(it) : std::next(it);
+}
+
+// Adds what the handler does not know of the entry yet. Another server under a published name goes by a name
+// of its own ("s-1#2"), since the handler's id stands for one server.
+void EndpointTracker::publish(const std::string& name, Entry& entry, Time now,
+                              std::vector<Instance>& changes) {
+  const bool wanted = entry.present && entry.exclusion == ExclusionReason::None;
+  const bool publishedBefore = !entry.published.name.empty();
+  const bool isOtherServer = publishedBefore && !isSameServer(entry.instance, entry.published);
+  if (entry.isPublished && (!wanted || isOtherServer)) {
+    changes.push_back(withState(entry.published, Lifecycle::Gone));
+    entry.isPublished = false;
   }
+  if (!wanted) return;
+  if (isOtherServer) ++entry.incarnation;
+  Instance next = entry.instance;
+  next.name = entry.incarnation > 1 ? name + "#" + std::to_string(entry.incarnation) : name;
+  next.startedMs = next.startedMs > 0 ? std::min(next.startedMs, unixMs(now)) : entry.inferredStartMs;
+  if (entry.isPublished && next == entry.published) return;
+  entry.published = next;
+  entry.isPublished = true;
+  changes.push_back(std::move(next));
+}
+
+bool EndpointTracker::isForgettable(const Entry& entry, Time now) const {
+  return !entry.present && !entry.isPublished && decayedPenalty(entry, now) < kNegligiblePenalty;
+}
+
+// Bounds the memory where instances come under names that are always new.
+void EndpointTracker::forgetOldEntries(Time now) {
+  for (auto it = entries_.begin(); it != entries_.end();)
+    it = isForgettable(it->second, now) ? entries_.erase(it) : std::next(it);
 }
 
 EndpointTracker::View EndpointTracker::view(Time now) const {
-  View v{{}, toldAt_, failingSince_, failingSince_ ? why_ : std::string()};
-  for (const auto& [name, e] : entries_) {
-    if (!e.present && !e.toldEngine && penalty(e, now) < kNoPenalty) continue;
-    Row row{e.instance, e.leftOut ? e.leftOut : "", penalty(e, now), e.withdrawals};
-    if (!e.present) {
+  View view{{}, lastUpdateAt_, failingSince_, failingSince_ ? failureReason_ : std::string()};
+  for (const auto& [name, entry] : entries_) {
+    if (isForgettable(entry, now)) continue;
+    Row row{entry.instance, entry.exclusion, decayedPenalty(entry, now), entry.withdrawals};
+    if (!entry.present) {
       row.instance.state = Lifecycle::Gone;
-      row.leftOut = "withdrawn";
+      row.exclusion = ExclusionReason::Withdrawn;
     } else if (row.instance.startedMs == 0) {
-      row.instance.startedMs = e.startedMs;
+      row.instance.startedMs = entry.inferredStartMs;
     }
-    v.rows.push_back(std::move(row));
+    view.rows.push_back(std::move(row));
   }
-  return v;
+  return view;
 }
 
 }  // namespace stonebay
--- a/src/discovery/endpoint_tracker.hpp
+++ b/src/discovery/endpoint_tracker.hpp
@@ -1,20 +1,24 @@
-// What is a member since when. Every source of the list goes through here: the HTTP registry tells a whole
-// list or changes, with generations; DNS-SD tells all that it finds, each time. What comes out is what the
-// engine is told. Pure: no I/O, no clock.
+// Turns what a source of the endpoint list reports into the updates that its handler receives. Pure: no I/O,
+// no clock.
 //
-// - Told: a withdrawal goes on in the same call that brings it, never later. What holds back is only a
-// return.
-// - Flap damping after RFC 2439: each withdrawal of a name adds a penalty of 1, which halves every
-// `halfLife`. A
-//   name that comes back while its penalty is at `suppressAt` or above is left out until it has fallen to
-//   `reuseAt`, and no longer than `mostHeld`.
-// - A return: an instance that appears after the first whole list, and whose source tells no start, has
-// started
-//   when it appeared; the balancer then takes it for cold. Those of the first list started long ago.
-// - The same address under a new name, old name gone in the same list: it is the same server, and keeps its
-// start.
-// - Two names at one address: the one that was there first stays, the other is left out until that one goes.
-// - Failures withdraw nothing until the list is older than `keepFor`.
+// - Withdrawals are never delayed: an instance that a source no longer lists is withdrawn in the next update.
+//   Only a return is held back.
+// - Flap damping after RFC 2439: each withdrawal of a name adds a penalty of 1, which decays with the
+// half-life
+//   of the policy. A name that returns while its penalty is at or above the suppress threshold is left out
+//   until the penalty has decayed to the reuse threshold, and for no longer than the maximum suppression
+//   time.
+// - Start times: an instance that appears after the initial list, and whose source gives no start time, is
+// taken
+//   to have started when it appeared, so that the balancer warms it up. Instances of the initial list are
+//   taken to have started long ago.
+// - Renames: an address that changes its name from one list to the next is the same server and keeps its
+// start
+//   time.
+// - Duplicate addresses: of two names at one address the one that was published first stays; the other is
+// left
+//   out until that one is gone.
+// - Failures of the source withdraw nothing until the list exceeds the maximum age of the policy.
 #pragma once
 
 #include <chrono>
@@ -28,80 +32,114 @@
 
 namespace stonebay {
 
+/// Flap damping (RFC 2439 section 4.2) and expiry of the list.
 struct EndpointTrackerPolicy {
   using Time = std::chrono::microseconds;
-  double suppressAt = 1.5, reuseAt = 0.75;
-  Time halfLife = std::chrono::seconds(15), maxSuppression = std::chrono::seconds(60);
-  Time maxListAge{};  // 0: the last list stands for ever
-  bool dampens = true;
+  bool dampingEnabled = true;
+  double suppressThreshold = 1.5;            ///< penalty from which on a name that returns is suppressed
+  double reuseThreshold = 0.75;              ///< penalty at which a suppressed name is published again
+  Time halfLife = std::chrono::seconds(15);  ///< of a penalty
+  Time maxSuppression = std::chrono::seconds(60);
+  Time maxListAge{};  ///< while the source fails, the list expires at this age; 0: never
 };
 
+/// Why an instance is not published.
+enum class ExclusionReason { None, ListExpired, Flapping, DuplicateAddress, Withdrawn };
+/// For operators; empty for None.
+const char* describe(ExclusionReason);
+
+/// Tracks the instances of one source. Feed it with the on... functions, and after each of them, and when
+/// nextDeadline is due, call takeUpdate until it returns nothing.
 class EndpointTracker {
  public:
   using Time = std::chrono::microseconds;
   explicit EndpointTracker(const EndpointTrackerPolicy& policy = {}) : policy_(policy) {}
 
-  // A source that tells everything each time. `first`: what was not there before has not just come, as after
-  // a change of domain; the very first list is always so.
-  void found(Time now, std::vector<Instance> all, bool first = false);
-  // A source with generations. It counts returns and starts itself: no damping, no starts given here.
-  void changed(Time now, InstanceList);
-  void failed(Time now, std::string why);
+  /// A complete list from a source that delivers nothing else. `initial`: instances that are new to the list
+  /// did not start just now, as after a change of the domain; always so for the very first list.
+  void onSnapshot(Time now, std::vector<Instance> instances, bool initial = false);
+  /// A list or a change of one from a source with generations. Such a source reports start times and
+  /// withdrawals itself: its lists are passed on as they are.
+  void onChange(Time now, InstanceList);
+  /// The source could not be reached or gave no usable answer.
+  void onFailure(Time now, std::string reason);
 
-  // What the engine has to be told now, one list a call until there is none. To be called after each of the
-  // above and when next() is due.
-  std::optional<InstanceList> take(Time now);
-  std::optional<Time> next() const;  // when something changes though nothing comes
+  /// The next update for the handler; nothing when it is up to date.
+  std::optional<InstanceList> takeUpdate(Time now);
+  /// When takeUpdate may have something without any further event.
+  std::optional<Time> nextDeadline() const;
 
+  /// Generation of the last update, or of the source's last list where it has generations.
   std::uint64_t generation() const { return generation_; }
-  void policy(const EndpointTrackerPolicy& p) { policy_ = p; }
+  /// When the source last delivered a list or a change.
+  std::optional<Time> lastUpdateAt() const { return lastUpdateAt_; }
+  void setPolicy(const EndpointTrackerPolicy& policy) { policy_ = policy; }
 
-  // For staff.
+  /// An instance as operators see it.
   struct Row {
     Instance instance;
-    std::string leftOut;  // why the engine is not told of it; empty: it is
+    ExclusionReason exclusion = ExclusionReason::None;
     double penalty = 0;
     unsigned withdrawals = 0;
   };
+  /// The state of the tracker for operators.
   struct View {
-    std::vector<Row> rows;             // by name
-    std::optional<Time> toldAt;        // when a source last told anything
-    std::optional<Time> failingSince;  // no word since then
-    std::string why;                   // of the last failure
+    std::vector<Row> rows;  ///< by name
+    std::optional<Time> lastUpdateAt;
+    std::optional<Time> failingSince;  ///< nothing has been delivered since then
+    std::string failureReason;         ///< of the last failure, while the source is failing
   };
   View view(Time now) const;
 
  private:
   struct Entry {
-    Instance instance;  // as the source has it
+    Instance instance;  // as the source lists it
     bool present = false;
-    bool toldEngine = false;
-    Instance told;               // as the engine has it
-    Time since{};                // of the present presence, or of the absence
-    std::int64_t startedMs = 0;  // where the source tells none
-    double penalty = 0;
-    Time penaltyAt{};
-    unsigned withdrawals = 0, incarnation = 1;
-    bool held = false;
-    Time heldUntil{};
-    const char* leftOut = nullptr;
+    bool isPublished = false;
+    Instance published;                // as the handler knows it
+    Time presenceChangedAt{};          // of the last appearance or withdrawal
+    std::int64_t inferredStartMs = 0;  // where the source gives no start time
+    double penalty = 0;                // at penaltyUpdatedAt
+    Time penaltyUpdatedAt{};
+    unsigned withdrawals = 0;
+    unsigned incarnation = 1;  // counts the servers that the name has stood for
+    bool suppressed = false;
+    Time suppressedUntil{};
+    ExclusionReason exclusion = ExclusionReason::None;
   };
-  double penalty(const Entry&, Time now) const;
-  void appear(Entry&, Time now, bool first);
+  struct WithdrawnServer {
+    Address address;
+    GroupId group = 0;
+    std::int64_t inferredStartMs = 0;
+  };
+  using NamedEntry = std::pair<const std::string*, Entry*>;
+
+  double decayedPenalty(const Entry&, Time now) const;
+  double maxPenalty() const;
+  bool isForgettable(const Entry&, Time now) const;
+  void onSourceDelivered(Time now);
+  std::vector<WithdrawnServer> withdrawMissing(Time now, const std::vector<Instance>& instances);
+  void updateEntry(Time now, Instance, const std::vector<WithdrawnServer>&, bool initial);
+  void appear(Entry&, Time now, bool initial);
   void withdraw(Entry&, Time now);
-  void forget(Time now);
+  void forgetOldEntries(Time now);
+  std::optional<Time> listExpiresAt() const;
+  std::vector<NamedEntry> entriesByPrecedence();
+  void updateExclusions(const std::vector<NamedEntry>&, Time now);
+  static void publish(const std::string& name, Entry&, Time now, std::vector<Instance>& changes);
 
   EndpointTrackerPolicy policy_;
   std::map<std::string, Entry> entries_;
   std::uint64_t generation_ = 0;
-  bool listed_ = false;  // a first whole list has come
-  bool whole_ = false;   // the next one told is whole
-  bool registry_ = false;
-  std::deque<InstanceList> raw_;  // of the registry, waiting for take
-  bool dirty_ = false;
-  std::optional<Time> toldAt_, failingSince_;
-  std::string why_;
+  bool hasList_ = false;
+  bool sourceHasGenerations_ = false;
+  std::deque<InstanceList> unpublishedLists_;  // of a source with generations
+  bool completeUpdateDue_ = false;             // the next update is a complete list
+  bool changed_ = false;                       // since the last update
   bool expired_ = false;
+  std::optional<Time> lastUpdateAt_;
+  std::optional<Time> failingSince_;
+  std::string failureReason_;
 };
 
 }  // namespace stonebay
--- a/src/discovery/registry/registry_watch.hpp
+++ b/src/discovery/registry/registry_watch.hpp
@@ -1,4 +1,4 @@
-// Discovery's watch: one connection at a time, from the call to its end.
+// The client of the HTTP registry's watch.
 #pragma once
 
 #include "codec/http/http.hpp"
@@ -8,23 +8,30 @@
 
 namespace stonebay {
 
+/// Watches the registry over one connection at a time. Each list that arrives goes to the handler; the end of
+/// the connection, for whatever reason, is one EndpointListHandler::onListFailure.
 class RegistryWatch final : public EndpointWatcher {
  public:
-  RegistryWatch(event_base*, EndpointListHandler&, const Address&);
-  void watch(std::uint64_t after) override;  // nothing, while one is on
-  void move(const Address&);                 // goes on with the watch at another address
+  /// `handler` must outlive the watch.
+  RegistryWatch(event_base*, EndpointListHandler& handler, const Address&);
+
+  /// Connects and requests the changes after generation `after`. Does nothing while a watch is active.
+  void watch(std::uint64_t after) override;
+  /// Moves the watch to another address and resumes after the last known generation. The old connection is
+  /// closed without a failure.
+  void setAddress(const Address&);
 
  private:
-  void read();
+  void onReadable();
   void fail(const char* why);
 
   event_base* const base_;
-  EndpointListHandler& taker_;
+  EndpointListHandler& handler_;
   Address address_;
   BufferEvent connection_;
-  Event silence_;
+  Event silenceTimer_;
   http::Response response_;
-  EndpointListReader lists_;
+  EndpointListReader reader_;
 };
 
 }  // namespace stonebay
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -220,8 +220,8 @@
   all.push_back(all[0]);
   all.back().name = "s-3";
   const Time now = std::chrono::hours(24 * 365 * 60);
-  known.found(now, all);
-  known.take(now);
+  known.onSnapshot(now, all);
+  known.takeUpdate(now);
   const MembersView view{known.view(now), {{"s-4", "TXT: bad"}}, now + std::chrono::milliseconds(1500)};
   const std::string table = membersTable(c, view);
   EXPECT_NE(table.find("s-1   127.0.0.1:6001  rentals  ruwi"), std::string::npos) << table;
--- /dev/null
+++ b/tests/endpoint_tracker_test.cpp
@@ -0,0 +1,254 @@
+// The endpoint tracker: immediate withdrawals, inferred starts, flap damping, one instance per address.
+#include "discovery/endpoint_tracker.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <pcg_random.hpp>
+
+namespace stonebay {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Time = EndpointTracker::Time;
+
+Instance makeInstance(const std::string& name, int port, std::int64_t startedMs = 0) {
+  Instance instance;
+  instance.name = name;
+  instance.address = *Address::parse("127.0.0.1:" + std::to_string(port));
+  instance.group = 3;
+  instance.startedMs = startedMs;
+  return instance;
+}
+
+// The updates that are due, as "s-1 s-2! s-3~": ! gone, ~ draining.
+std::string takeAll(EndpointTracker& tracker, Time now) {
+  std::string all;
+  while (const auto list = tracker.takeUpdate(now))
+    for (const Instance& instance : list->instances)
+      all += (all.empty() ? "" : " ") + instance.name +
+             (instance.state == Lifecycle::Gone       ? "!"
+              : instance.state == Lifecycle::Draining ? "~"
+                                                      : "");
+  return all;
+}
+
+const Time kStart = seconds(1000000);
+
+TEST(EndpointTracker, PublishesTheCompleteListThenChanges) {
+  EndpointTracker tracker;
+  tracker.onSnapshot(kStart, {makeInstance("s-1", 1), makeInstance("s-2", 2)});
+  const auto complete = tracker.takeUpdate(kStart);
+  ASSERT_TRUE(complete);
+  EXPECT_TRUE(complete->reset);
+  EXPECT_EQ(complete->instances.size(), 2u);
+  EXPECT_EQ(complete->instances[0].startedMs, 0);  // long ago: the instances of the initial list may be warm
+  EXPECT_FALSE(tracker.takeUpdate(kStart));
+  tracker.onSnapshot(kStart + seconds(1), {makeInstance("s-1", 1), makeInstance("s-2", 2)});
+  EXPECT_FALSE(tracker.takeUpdate(kStart + seconds(1)));  // nothing new
+  Instance leaving = makeInstance("s-2", 2);
+  leaving.state = Lifecycle::Draining;
+  tracker.onSnapshot(kStart + seconds(2), {leaving, makeInstance("s-3", 3)});
+  const auto change = tracker.takeUpdate(kStart + seconds(2));
+  ASSERT_TRUE(change);
+  EXPECT_FALSE(change->reset);
+  EXPECT_GT(change->generation, complete->generation);
+  EXPECT_EQ(change->instances.size(), 3u);
+}
+
+TEST(EndpointTracker, WithdrawsAllOfAnEmptiedZoneAndPublishesThemAgain) {
+  EndpointTracker tracker;
+  tracker.onSnapshot(kStart, {makeInstance("s-1", 1), makeInstance("s-2", 2)});
+  takeAll(tracker, kStart);
+  tracker.onSnapshot(kStart + seconds(1), {});
+  EXPECT_EQ(takeAll(tracker, kStart + seconds(1)), "s-1! s-2!");
+  tracker.onSnapshot(kStart + seconds(9), {makeInstance("s-1", 1), makeInstance("s-2", 2)});
+  EXPECT_EQ(takeAll(tracker, kStart + seconds(9)), "s-1 s-2");
+}
+
+// An instance that returns or is new started at that moment, unless the source says otherwise.
+TEST(EndpointTracker, AReturnCountsAsAStart) {
+  EndpointTracker tracker;
+  tracker.onSnapshot(kStart, {makeInstance("s-1", 1), makeInstance("s-2", 2, 77)});
+  takeAll(tracker, kStart);
+  tracker.onSnapshot(kStart + seconds(1), {});
+  takeAll(tracker, kStart + seconds(1));
+  const Time back = kStart + seconds(5);
+  tracker.onSnapshot(back, {makeInstance("s-1", 1), makeInstance("s-2", 2, 77), makeInstance("s-3", 3)});
+  const auto list = tracker.takeUpdate(back);
+  ASSERT_TRUE(list);
+  for (const Instance& instance : list->instances)
+    EXPECT_EQ(instance.startedMs, instance.name == "s-2" ? 77 : back.count() / 1000) << instance.name;
+  // A start in the future counts as a start now.
+  tracker.onSnapshot(back + seconds(1), {makeInstance("s-1", 1, (back + seconds(900)).count() / 1000)});
+  const auto ahead = tracker.takeUpdate(back + seconds(1));
+  ASSERT_TRUE(ahead);
+  for (const Instance& instance : ahead->instances)
+    if (instance.name == "s-1") {
+      EXPECT_EQ(instance.startedMs, (back + seconds(1)).count() / 1000);
+    }
+}
+
+TEST(EndpointTracker, SuppressesAFlappingInstanceButNeverDelaysItsWithdrawal) {
+  EndpointTracker tracker;
+  tracker.onSnapshot(kStart, {makeInstance("s-1", 1), makeInstance("s-2", 2)});
+  takeAll(tracker, kStart);
+  Time now = kStart;
+  int published = 0;
+  int withdrawn = 0;
+  for (int k = 0; k < 100; ++k) {
+    now += milliseconds(200);
+    tracker.onSnapshot(now, {makeInstance("s-2", 2)});
+    withdrawn += takeAll(tracker, now) == "s-1!";
+    now += milliseconds(200);
+    tracker.onSnapshot(now, {makeInstance("s-1", 1), makeInstance("s-2", 2)});
+    published += takeAll(tracker, now) == "s-1";
+  }
+  EXPECT_EQ(published, 1);  // one return is no flap
+  EXPECT_EQ(withdrawn, 2);  // each time it was published
+  // Once it stays, it is published within the maximum suppression time, by the deadline alone.
+  ASSERT_TRUE(tracker.nextDeadline());
+  EXPECT_LE(*tracker.nextDeadline(), now + seconds(60));
+  EXPECT_GT(*tracker.nextDeadline(), now + seconds(10));
+  EXPECT_EQ(takeAll(tracker, *tracker.nextDeadline() - milliseconds(1)), "");
+  EXPECT_EQ(takeAll(tracker, *tracker.nextDeadline()), "s-1");
+}
+
+TEST(EndpointTracker, ARenamedServerKeepsItsStart) {
+  EndpointTracker tracker;
+  tracker.onSnapshot(kStart, {makeInstance("s-1", 1), makeInstance("s-2", 2)});
+  takeAll(tracker, kStart);
+  tracker.onSnapshot(kStart + seconds(1), {makeInstance("new-1", 1), makeInstance("s-2", 2)});
+  const auto list = tracker.takeUpdate(kStart + seconds(1));
+  ASSERT_TRUE(list);
+  ASSERT_EQ(list->instances.size(), 2u);
+  for (const Instance& instance : list->instances)
+    EXPECT_TRUE(instance.name == "new-1" ? instance.startedMs == 0
+                                         : instance.name == "s-1" && instance.state == Lifecycle::Gone)
+        << instance.name;
+}
+
+TEST(EndpointTracker, OfTwoInstancesAtOneAddressThePublishedOneStays) {
+  EndpointTracker tracker;
+  tracker.onSnapshot(kStart, {makeInstance("s-5", 1)});
+  takeAll(tracker, kStart);
+  tracker.onSnapshot(kStart + seconds(1), {makeInstance("s-1", 1), makeInstance("s-5", 1)});
+  EXPECT_EQ(takeAll(tracker, kStart + seconds(1)), "");
+  EXPECT_EQ(tracker.view(kStart + seconds(1)).rows[0].exclusion, ExclusionReason::DuplicateAddress);
+  EXPECT_STREQ(describe(ExclusionReason::DuplicateAddress), "another has its address");
+  tracker.onSnapshot(kStart + seconds(2), {makeInstance("s-1", 1)});
+  EXPECT_EQ(takeAll(tracker, kStart + seconds(2)), "s-5! s-1");
+}
+
+// An id stands for one server: requests in flight to the old one must not count for the new one.
+TEST(EndpointTracker, ANameAtANewAddressIsAnotherServer) {
+  EndpointTracker tracker;
+  tracker.onSnapshot(kStart, {makeInstance("s-1", 1)});
+  takeAll(tracker, kStart);
+  tracker.onSnapshot(kStart + seconds(1), {makeInstance("s-1", 2)});
+  const auto list = tracker.takeUpdate(kStart + seconds(1));
+  ASSERT_TRUE(list);
+  ASSERT_EQ(list->instances.size(), 2u);
+  EXPECT_EQ(list->instances[0].state, Lifecycle::Gone);
+  EXPECT_EQ(list->instances[0].name, "s-1");
+  EXPECT_EQ(list->instances[1].name, "s-1#2");
+  EXPECT_EQ(list->instances[1].startedMs, (kStart + seconds(1)).count() / 1000);
+  tracker.onSnapshot(kStart + seconds(2), {});
+  EXPECT_EQ(takeAll(tracker, kStart + seconds(2)), "s-1#2!");
+}
+
+TEST(EndpointTracker, FailuresWithdrawNothingUntilTheListExpires) {
+  EndpointTrackerPolicy policy;
+  policy.maxListAge = seconds(30);
+  EndpointTracker tracker(policy);
+  tracker.onSnapshot(kStart, {makeInstance("s-1", 1)});
+  takeAll(tracker, kStart);
+  tracker.onFailure(kStart + seconds(1), "silence");
+  tracker.onFailure(kStart + seconds(20), "SERVFAIL");
+  EXPECT_EQ(takeAll(tracker, kStart + seconds(29)), "");
+  const auto view = tracker.view(kStart + seconds(29));
+  EXPECT_EQ(view.failureReason, "SERVFAIL");
+  EXPECT_EQ(view.failingSince, kStart + seconds(1));
+  EXPECT_EQ(view.lastUpdateAt, kStart);
+  EXPECT_EQ(tracker.nextDeadline(), kStart + seconds(30));
+  EXPECT_EQ(takeAll(tracker, kStart + seconds(30)), "s-1!");
+  EXPECT_EQ(tracker.nextDeadline(), std::nullopt);  // once
+  tracker.onSnapshot(kStart + seconds(90), {makeInstance("s-1", 1)});
+  EXPECT_EQ(takeAll(tracker, kStart + seconds(90)), "s-1");
+}
+
+TEST(EndpointTracker, ForgetsNamesThatHaveLongBeenGone) {
+  EndpointTracker tracker;
+  Time now = kStart;
+  for (int k = 0; k < 5000; ++k) {
+    now += seconds(1);
+    tracker.onSnapshot(now, {makeInstance("s-" + std::to_string(k), 1 + k % 60000)});
+    takeAll(tracker, now);
+  }
+  EXPECT_LT(tracker.view(now).rows.size(), 200u);
+}
+
+TEST(EndpointTracker, PassesOnTheListsOfASourceWithGenerations) {
+  EndpointTracker tracker;
+  InstanceList complete{41, true, {makeInstance("s-1", 1), makeInstance("s-2", 2)}};
+  tracker.onChange(kStart, complete);
+  InstanceList change{42, false, {makeInstance("s-3", 3)}};
+  change.instances.push_back(makeInstance("s-1", 1));
+  change.instances.back().state = Lifecycle::Gone;
+  tracker.onChange(kStart, change);
+  tracker.onChange(kStart, {43, false, {}});  // no change, which confirms the list all the same
+  EXPECT_EQ(tracker.generation(), 43u);
+  EXPECT_EQ(tracker.takeUpdate(kStart)->generation, 41u);
+  EXPECT_EQ(tracker.takeUpdate(kStart)->instances.size(), 2u);
+  EXPECT_EQ(tracker.takeUpdate(kStart)->generation, 43u);
+  EXPECT_FALSE(tracker.takeUpdate(kStart));
+  EXPECT_EQ(tracker.view(kStart).rows.size(), 2u);
+}
+
+// Whatever a source delivers in whatever order: the updates add up to a list in which every name is present,
+// no address stands twice, and nothing that was withdrawn is left.
+TEST(EndpointTracker, UpdatesAddUpToTheListOnAnyHistory) {
+  for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+    pcg32 random(seed);
+    EndpointTracker tracker;
+    std::map<std::string, Instance> published;
+    Time now = kStart;
+    for (int step = 0; step < 120; ++step) {
+      now += milliseconds(random(5000));
+      std::vector<Instance> snapshot;
+      for (int k = 0; k < 8; ++k)
+        if (random(3) > 0)
+          snapshot.push_back(makeInstance("s-" + std::to_string(k), 1 + static_cast<int>(random(10))));
+      const bool fails = random(10) == 0;
+      if (fails)
+        tracker.onFailure(now, "x");
+      else
+        tracker.onSnapshot(now, snapshot, random(20) == 0);
+      while (const auto list = tracker.takeUpdate(now)) {
+        if (list->reset) published.clear();
+        for (const Instance& instance : list->instances) {
+          if (instance.state == Lifecycle::Gone)
+            ASSERT_EQ(published.erase(instance.name), 1u) << "seed " << seed;
+          else
+            published[instance.name] = instance;
+        }
+      }
+      if (fails) continue;
+      for (const auto& [name, instance] : published) {
+        const std::string plain = name.substr(0, name.find('#'));
+        const bool listed =
+            std::any_of(snapshot.begin(), snapshot.end(), [&, &server = instance](const Instance& candidate) {
+              return candidate.name == plain && candidate.address == server.address;
+            });
+        ASSERT_TRUE(listed) << "seed " << seed << " step " << step << ": " << name;
+        for (const auto& [other, otherInstance] : published)
+          ASSERT_TRUE(name == other || instance.address != otherInstance.address)
+              << "seed " << seed << ": " << name << ", " << other;
+      }
+    }
+  }
+}
+
+}  // namespace
+}  // namespace stonebay
