discovery/dnssd: the directory split into record cache, assembly of instances and queries

Now: response (what a response is worth), record_cache, query_budget, instance_assembler, and directory, which joins them. Not built at this commit.

--- a/src/app/discovery_source.cpp
+++ b/src/app/discovery_source.cpp
@@ -3,7 +3,7 @@
 #include "discovery/registry/registry_watch.hpp"
 #include "log/log.hpp"
 #ifdef STONEBAY_DNSSD
-#include "discovery/dnssd/source.hpp"
+#include "discovery/dnssd/dnssd_client.hpp"
 #endif
 
 namespace stonebay {
@@ -45,13 +45,13 @@
   void reconfigure(const Config& config) override {
     if (!keepsSource(config, Source::DnsSd)) return;
     feed_.setPolicy(trackerPolicy(config));
-    client_.move(config);
+    client_.reconfigure(config);
   }
   std::map<std::string, std::string> faults() const override { return client_.faults(); }
 
  private:
   EndpointFeed& feed_;
-  DnsSd client_;
+  DnsSdClient client_;
 };
 #endif
 
--- a/src/discovery/dnssd/directory.hpp
+++ b/src/discovery/dnssd/directory.hpp
@@ -1,107 +1,85 @@
-// What DNS-SD has told of one service in one domain, and what has to be asked next. Pure: no sockets, no
-// clock.
-//
-// PTR names the instances, SRV and TXT describe each, A or AAAA give the target's address (RFC 6763 sections
-// 4 to 6). Records come as answers or as additionals; where the PTR answer brings all of them along, it is
-// the only question of a refresh. Where it does not for want of room in a datagram, it is asked over TCP;
-// where it does not at all, each record is asked for by itself.
-//
-// A set of records is asked for again after its TTL, bounded on both sides and shortened by a random part of
-// up to `jitter`, so that proxies started together drift apart. What cannot be asked stands as it was; only
-// an answer that says "it is not there" (RFC 2308) takes it away.
-//
-// PTR is asked on time, whatever else there is. Questions for single records have a budget a second: where a
-// zone has more instances than an answer has room for, what a record says may be older than its TTL, but a
-// withdrawal is told on time. The cost of an answer grows with what it holds, not with the number of
-// instances.
+// The instances of one service in one domain, as DNS-SD describes them.
 #pragma once
 
-#include <chrono>
+#include <cstdint>
 #include <map>
 #include <optional>
-#include <pcg_random.hpp>
 #include <set>
 #include <string>
 #include <vector>
 
 #include "codec/dns/message.hpp"
 #include "config/config.hpp"
+#include "discovery/dnssd/instance_assembler.hpp"
+#include "discovery/dnssd/query_budget.hpp"
+#include "discovery/dnssd/record_cache.hpp"
 
 namespace stonebay {
 
-// What an answer is good for.
-enum class Verdict {
-  Records,   // it holds what was asked for
-  NotThere,  // it says with authority that there is none
-  Useless    // an error, or an empty answer from one that knows nothing of the name: ask another
-};
-Verdict judge(const dns::Question&, const dns::Message&);
-
+/// Decides what to query when, and makes instances out of the responses. Pure: no sockets, no clock.
+///
+/// A PTR record names the instances, SRV and TXT records describe each, A or AAAA records give the address of
+/// its target (RFC 6763 sections 4 to 6). Where the PTR response has all other records as additionals, its
+/// query is the only one of a refresh. Where they do not fit into a datagram, it is sent over TCP. Where they
+/// do not come at all, each record set is queried by itself.
+///
+/// The PTR query has no limit on its rate, those for single record sets have a budget: where a zone has more
+/// instances than a response has room for, a record may get older than its TTL, but a withdrawal is seen in
+/// time. The cost of a response grows with what it holds, not with the number of instances.
 class Directory {
  public:
+  /// Throws InvalidInput when the service or the domain is not a name.
   Directory(const DnsSdSettings&, const std::vector<GroupName>&, std::uint64_t seed);
+  Directory(const Directory&) = delete;
+  Directory& operator=(const Directory&) = delete;
 
-  struct Ask {
+  struct Query {
     dns::Question question;
-    bool tcp = false;
+    bool overTcp = false;
   };
-  std::vector<Ask> due(Time now);  // each then ends in one of the next two
-  void answered(Time now, const dns::Question&, const dns::Message&, bool tcp);
-  void failed(Time now, const dns::Question&);
-  std::optional<Time> next() const;  // when due has something, if nothing is out
+  /// The queries to send now. Each must end in one onResponse or onFailure.
+  std::vector<Query> dueQueries(Time now);
+  void onResponse(Time now, const dns::Question&, const dns::Message&, bool overTcp);
+  /// No server gave a usable response.
+  void onFailure(Time now, const dns::Question&);
+  /// When dueQueries has something without any further event; nothing while the PTR query is in flight.
+  std::optional<Time> nextDeadline() const;
 
-  bool settled();                                     // everything has been asked for at least once
-  std::uint64_t version() const { return version_; }  // another one where instances() or faults() may differ
-  std::vector<Instance> instances() const;            // those that are whole
-  // Those that are not, by name, and why; for the log and for staff.
-  const std::map<std::string, std::string>& faults() const { return faults_; }
-  bool failing() const { return ptrFailures_ > 0; }
+  /// Whether each record set has been queried at least once.
+  bool isInitialized();
+  /// Whether the last PTR query has failed.
+  bool isFailing() const { return ptrFailures_ > 0; }
+  /// Changes whenever instances() or faults() may have changed.
+  std::uint64_t version() const { return assembler_.version(); }
+  /// The instances whose records are complete and valid.
+  std::vector<Instance> instances() const { return assembler_.instances(); }
+  /// Why the other instances are not usable, by name; for operators.
+  const std::map<std::string, std::string>& faults() const { return assembler_.faults(); }
 
  private:
-  struct Set {  // the records of a name and type
-    enum class State { Unknown, Known, Absent } state = State::Unknown;
-    std::vector<dns::Data> data;
-    Time refreshAt{};
-    bool out = false, tried = false;
-    int failures = 0;
-  };
-  void put(Time now, const dns::Question&, std::vector<dns::Data>, std::uint32_t ttl);
-  void absent(Time now, const dns::Question&, const dns::Message&);
-  std::vector<dns::Question> take(Time now, const std::vector<dns::Record>&, bool additional);
-  void answeredPtr(Time now, const dns::Message&, bool tcp);
-  void resolveAll();
-  void resolve(const dns::Name& instance);
-  void resolve(const dns::Question&);  // the instances that it is of
-  void describe(const dns::Name& instance, std::optional<Instance>&, std::string& fault);
-  void collect();
-  bool spend(Time now);
-  std::vector<dns::Name> names() const;
-  const Set* find(const dns::Name&, dns::Type) const;
-  Time after(Time now, std::uint32_t ttl);
-  Time backoff(int failures);
-  bool covered() const;
+  std::vector<Query> dueRecordQueries(Time now);
+  bool isCombinedRefreshDue(Time now) const;
+  void onPtrResponse(Time now, ResponseKind, const dns::Message&, bool overTcp);
+  RecordData acceptListedNames(const dns::Message&);
+  void chooseTransport(Time now, bool overTcp);
+  void stopUsingTcp();
+  void forgetUnlisted(const std::vector<dns::Name>& listed);
+  bool isNeeded(const dns::Question&, const std::set<dns::Name>& listed) const;
+  std::vector<dns::Name> listedNames() const;
+  bool responseHadAllRecords() const;
 
   const DnsSdSettings settings_;
-  const std::vector<GroupName> groups_;
   const dns::Question ptr_;
   const dns::Name domain_;
-  pcg32 random_;
-  std::map<dns::Question, Set> sets_;
-  std::map<dns::Name, Instance> whole_;
-  std::map<dns::Name, Address> chosen_;             // of each instance: kept while it is still listed
-  std::map<dns::Name, std::set<dns::Name>> hosts_;  // instances by target
-  std::map<dns::Name, dns::Name> targets_;          // and the other way
-  std::map<std::string, std::string> faults_;
-  std::uint64_t version_ = 0;
-  bool settled_ = false;
-  double budget_ = 0;  // of questions for single records
-  Time budgetAt_{};
-  std::size_t out_ = 0;
-  int ptrFailures_ = 0;
-  bool bundled_ = false;  // the last PTR answer brought all else along
-  bool tcp_ = false;      // PTR is asked over TCP
-  int tcpInVain_ = 0;     // rounds until TCP is tried again for what a datagram has no room for
-  Time ptrAt_{};          // of the last PTR answer
+  RecordCache records_;
+  InstanceAssembler assembler_;
+  QueryBudget budget_;  // of queries for single record sets
+  bool initialized_ = false;
+  Time ptrRespondedAt_{};
+  int ptrFailures_ = 0;         // in a row
+  bool hadAllRecords_ = false;  // the last PTR response had all other records as additionals
+  bool ptrOverTcp_ = false;
+  int roundsWithoutTcp_ = 0;  // PTR responses until TCP is tried again
 };
 
 }  // namespace stonebay
--- a/src/discovery/dnssd/name_servers.cpp
+++ b/src/discovery/dnssd/name_servers.cpp
@@ -6,31 +6,35 @@
 namespace stonebay {
 namespace {
 
-constexpr NameServers::Time kFirstRest = std::chrono::seconds(1), kLongestRest = std::chrono::seconds(30);
+constexpr NameServers::Time kInitialBackoff = std::chrono::seconds(1);
+constexpr NameServers::Time kMaxBackoff = std::chrono::seconds(30);
+constexpr int kMaxDoublings = 6;
 
 }  // namespace
 
-std::optional<std::size_t> NameServers::pick(Time now, const std::vector<bool>& tried) const {
-  std::optional<std::size_t> best;
-  const auto rank = [&](std::size_t k) {
-    const bool rests = all_[k].restsUntil > now;
-    const std::size_t turn = (k + all_.size() - current_) % all_.size();
-    return std::make_tuple(rests, rests ? all_[k].restsUntil : Time(0), turn);
+std::optional<std::size_t> NameServers::select(Time now, const std::vector<bool>& attempted) const {
+  const auto rank = [&](std::size_t server) {
+    const Time backoffUntil = servers_[server].backoffUntil;
+    const bool inBackoff = backoffUntil > now;
+    const std::size_t distance = (server + servers_.size() - current_) % servers_.size();
+    return std::make_tuple(inBackoff, inBackoff ? backoffUntil : Time(0), distance);
   };
-  for (std::size_t k = 0; k < all_.size(); ++k)
-    if (!tried[k] && (!best || rank(k) < rank(*best))) best = k;
+  std::optional<std::size_t> best;
+  for (std::size_t server = 0; server < servers_.size(); ++server)
+    if (!attempted[server] && (!best || rank(server) < rank(*best))) best = server;
   return best;
 }
 
-void NameServers::failed(std::size_t k, Time now) {
-  State& s = all_[k];
-  s.restsUntil = now + std::min(kFirstRest * (std::int64_t{1} << std::min(s.failures, 6)), kLongestRest);
-  ++s.failures;
+void NameServers::onFailure(std::size_t server, Time now) {
+  State& state = servers_[server];
+  const Time backoff = kInitialBackoff * (std::int64_t{1} << std::min(state.failures, kMaxDoublings));
+  state.backoffUntil = now + std::min(backoff, kMaxBackoff);
+  ++state.failures;
 }
 
-void NameServers::answered(std::size_t k) {
-  all_[k] = {};
-  current_ = k;
+void NameServers::onResponse(std::size_t server) {
+  servers_[server] = {};
+  current_ = server;
 }
 
 }  // namespace stonebay
--- a/src/discovery/dnssd/name_servers.hpp
+++ b/src/discovery/dnssd/name_servers.hpp
@@ -1,8 +1,4 @@
-// Which of several name servers is asked. Pure.
-//
-// The one that answered last is asked again, since servers of one zone may hold different versions of it and
-// going from one to the other would make records flap. One that failed rests for a time that doubles with
-// each failure; when all rest, the one that has rested longest goes first.
+// The choice among several name servers.
 #pragma once
 
 #include <chrono>
@@ -12,23 +8,28 @@
 
 namespace stonebay {
 
+/// Selects the name server for the next query. Pure.
+///
+/// The server that responded last is preferred: servers of one zone may hold different versions of it, and
+/// alternating between them would make records flap. A server that failed is avoided for a backoff that
+/// doubles with each failure; when all are in backoff, the one whose backoff ends first is selected.
 class NameServers {
  public:
   using Time = std::chrono::microseconds;
-  explicit NameServers(std::size_t n) : all_(n) {}
+  explicit NameServers(std::size_t count) : servers_(count) {}
 
-  // Of those not in `tried`; nothing when all are.
-  std::optional<std::size_t> pick(Time now, const std::vector<bool>& tried) const;
-  void failed(std::size_t, Time now);
-  void answered(std::size_t);
-  std::size_t current() const { return current_; }
+  /// The index of the best server that is not in `attempted`, which holds one flag a server; nothing when all
+  /// are.
+  std::optional<std::size_t> select(Time now, const std::vector<bool>& attempted) const;
+  void onFailure(std::size_t server, Time now);
+  void onResponse(std::size_t server);
 
  private:
   struct State {
-    int failures = 0;
-    Time restsUntil{};
+    int failures = 0;  // in a row
+    Time backoffUntil{};
   };
-  std::vector<State> all_;
+  std::vector<State> servers_;
   std::size_t current_ = 0;
 };
 
--- a/src/discovery/dnssd/resolver.cpp
+++ b/src/discovery/dnssd/resolver.cpp
@@ -7,27 +7,35 @@
 #include <cstring>
 #include <utility>
 
-#include "discovery/dnssd/directory.hpp"
-#include "log/log.hpp"
+#include "discovery/dnssd/response.hpp"
 
 namespace stonebay {
 namespace {
 
-constexpr std::size_t kLongestDatagram = 65535;
-// Guards against one that floods the port with forged answers: so many are looked at in one go.
-constexpr int kDatagramsAtOnce = 64;
+constexpr std::size_t kMaxDatagramBytes = 65535;
+// Bounds the work of one wake-up while the port is flooded with forged responses.
+constexpr int kMaxDatagramsPerWakeUp = 64;
+constexpr std::size_t kTcpLengthBytes = 2;  // RFC 1035 section 4.2.2
 
-struct Socket {
-  int fd = -1;
+// A file descriptor with its owner.
+class Socket {
+ public:
+  Socket() = default;
+  Socket(const Socket&) = delete;
+  Socket& operator=(const Socket&) = delete;
   ~Socket() { reset(); }
-  void reset(int other = -1) {
-    if (fd >= 0) close(fd);
-    fd = other;
+  void reset(int fd = -1) {
+    if (fd_ >= 0) ::close(fd_);
+    fd_ = fd;
   }
+  int fd() const { return fd_; }
+
+ private:
+  int fd_ = -1;
 };
 
-const char* rcodeName(dns::Rcode r) {
-  switch (r) {
+const char* describeUnusable(dns::Rcode rcode) {
+  switch (rcode) {
     case dns::Rcode::NoError:
       return "NOERROR and nothing of use";
     case dns::Rcode::FormErr:
@@ -44,195 +52,224 @@
   return "an error of its own";
 }
 
+std::string withLengthPrefix(const std::string& message) {
+  const std::string length{static_cast<char>(message.size() >> 8), static_cast<char>(message.size())};
+  return length + message;
+}
+
 }  // namespace
 
-// One question, from one server to the next until one answers.
+// One question, put to one server after the other until one gives a usable response.
 class Resolver::Lookup {
  public:
-  Lookup(Resolver& owner, dns::Question q, bool tcp)
-      : owner_(owner),
-        question_(std::move(q)),
-        wantsTcp_(tcp),
-        tried_(owner.settings_.servers.size()),
-        timer_(event_new(
-            owner.base_, -1, 0,
-            [](evutil_socket_t, short, void* self) { static_cast<Lookup*>(self)->late(); }, this)) {
-    startTimer(timer_.get(), Time(0));  // the first try comes from the loop
-  }
+  Lookup(Resolver& resolver, dns::Question question, bool overTcp);
 
   const dns::Question& question() const { return question_; }
 
  private:
-  void late() {
-    if (!started_) return next();
-    fail("no answer in time");
-  }
-  const Address& server() const { return owner_.settings_.servers[at_]; }
-
-  void next() {
-    const auto k = owner_.servers_.pick(owner_.clock_.now(), tried_);
-    if (!k) {
-      Reply r;
-      r.why = why_;
-      ++owner_.counts_.failed;
-      return owner_.ended(*this, std::move(r));
-    }
-    owner_.counts_.failovers += started_;
-    started_ = true;
-    at_ = *k;
-    tried_[at_] = true;
-    wantsTcp_ ? overTcp() : overUdp();
-  }
-  // This server has failed for this question.
-  void fail(const std::string& why) {
-    close();
-    why_ = server().text() + ": " + why;
-    owner_.servers_.failed(at_, owner_.clock_.now());
-    next();
-  }
-  void close() {
-    event_.reset();
-    socket_.reset();
-    tcp_.reset();
-    event_del(timer_.get());
+  template <void (Lookup::*handler)()>
+  static void onEvent(evutil_socket_t, short, void* self) {
+    (static_cast<Lookup*>(self)->*handler)();
   }
 
-  std::string query() {
-    id_ = static_cast<std::uint16_t>(owner_.random_());
-    const int payload = owner_.plain_[at_] ? 0 : owner_.settings_.udpPayload;
-    return dns::encodeQuery(id_, question_, static_cast<std::uint16_t>(payload));
-  }
+  const Address& server() const { return resolver_.settings_.servers[server_]; }
+  void onTimer();
+  void tryNextServer();
+  void onServerFailure(const std::string& reason);
+  void failDeferred(const char* reason);
+  void onDeferredFailure() { onServerFailure(deferredFailure_); }
+  void closeSockets();
 
-  void overUdp() {
-    ++owner_.counts_.udp;
-    socket_.reset(::socket(server().data()->sa_family, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
-    const std::string bytes = query();
-    // Connected, so that the kernel passes on only what comes from this server's address and port.
-    if (socket_.fd < 0 || connect(socket_.fd, server().data(), server().size()) != 0 ||
-        send(socket_.fd, bytes.data(), bytes.size(), 0) != static_cast<ssize_t>(bytes.size()))
-      return failSoon(std::strerror(errno));
-    event_.reset(event_new(
-        owner_.base_, socket_.fd, EV_READ | EV_PERSIST,
-        [](evutil_socket_t, short, void* self) { static_cast<Lookup*>(self)->readUdp(); }, this));
-    event_add(event_.get(), nullptr);
-    startTimer(timer_.get(), owner_.settings_.queryTimeout);
-  }
-  // Not within the call that brought it about: all servers may fail like this.
-  void failSoon(const char* why) {
-    soon_ = why;
-    event_.reset(event_new(
-        owner_.base_, -1, 0,
-        [](evutil_socket_t, short, void* self) {
-          auto& l = *static_cast<Lookup*>(self);
-          l.fail(l.soon_);
-        },
-        this));
-    event_del(timer_.get());
-    startTimer(event_.get(), Time(0));
-  }
+  std::string encodeNewQuery();
+  void send(bool overTcp);
+  void sendUdp();
+  void sendTcp();
+  void onUdpReadable();
+  void onTcpReadable();
+  bool isResponse(const dns::Message&) const;
+  void onResponse(dns::Message, bool overTcp);
 
-  void readUdp() {
-    static char bytes[kLongestDatagram];  // one loop, one thread
-    for (int k = 0; k < kDatagramsAtOnce; ++k) {
-      const ssize_t n = recv(socket_.fd, bytes, sizeof bytes, 0);
-      if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) return;
-      if (n < 0) return fail(std::strerror(errno));  // refused: nobody listens there
-      auto m = dns::parse({bytes, static_cast<std::size_t>(n)});
-      if (m && answers(*m)) return take(std::move(*m), false);
-      ++owner_.counts_.passedOver;
-    }
-  }
-  // RFC 5452 section 9.1: id, question and, by the connected socket, addresses and ports.
-  bool answers(const dns::Message& m) const {
-    if (!m.response || m.id != id_) return false;
-    if (m.question) return *m.question == question_;
-    return m.rcode == dns::Rcode::FormErr;  // one that could not read the question need not repeat it
-  }
+  Resolver& resolver_;
+  const dns::Question question_;
+  const bool startsWithTcp_;
+  std::vector<bool> attempted_;  // by server
+  Event timer_;
+  Event event_;
+  Socket udp_;
+  BufferEvent tcp_;
+  std::size_t server_ = 0;
+  std::uint16_t queryId_ = 0;
+  bool started_ = false;
+  std::string failure_ = "no name server";
+  std::string deferredFailure_;
+};
 
-  void take(dns::Message m, bool tcp) {
-    close();
-    if (m.rcode == dns::Rcode::FormErr && !owner_.plain_[at_]) {  // RFC 6891 section 7
-      owner_.plain_[at_] = true;
-      return tcp ? overTcp() : overUdp();
-    }
-    if (m.truncated && !tcp) return overTcp();
-    if (judge(question_, m) == Verdict::Useless) return fail(std::string("it answers ") + rcodeName(m.rcode));
-    owner_.servers_.answered(at_);
-    Reply r;
-    r.ok = true;
-    r.message = std::move(m);
-    r.tcp = tcp;
-    owner_.ended(*this, std::move(r));
+Resolver::Lookup::Lookup(Resolver& resolver, dns::Question question, bool overTcp)
+    : resolver_(resolver),
+      question_(std::move(question)),
+      startsWithTcp_(overTcp),
+      attempted_(resolver.settings_.servers.size()),
+      timer_(event_new(resolver.base_, -1, 0, onEvent<&Lookup::onTimer>, this)) {
+  startTimer(timer_.get(), Time(0));  // the first attempt comes from the event loop
+}
+
+void Resolver::Lookup::onTimer() {
+  if (started_)
+    onServerFailure("no answer in time");
+  else
+    tryNextServer();
+}
+
+void Resolver::Lookup::tryNextServer() {
+  const auto next = resolver_.servers_.select(resolver_.clock_.now(), attempted_);
+  if (!next) {
+    Result result;
+    result.failure = failure_;
+    return resolver_.finish(*this, result);
   }
+  started_ = true;
+  server_ = *next;
+  attempted_[server_] = true;
+  send(startsWithTcp_);
+}
 
-  void overTcp() {
-    ++owner_.counts_.tcp;
-    const std::string bytes = query();
-    tcp_.reset(bufferevent_socket_new(owner_.base_, -1, BEV_OPT_CLOSE_ON_FREE));
-    const char length[2] = {static_cast<char>(bytes.size() >> 8), static_cast<char>(bytes.size())};
-    append(bufferevent_get_output(tcp_.get()), {length, sizeof length});
-    append(bufferevent_get_output(tcp_.get()), bytes);
-    bufferevent_enable(tcp_.get(), EV_READ | EV_WRITE);
-    startTimer(timer_.get(), owner_.settings_.queryTimeout);
-    if (bufferevent_socket_connect(tcp_.get(), server().data(), static_cast<int>(server().size())) != 0)
-      return failSoon("no connection over TCP");
-    bufferevent_setcb(
-        tcp_.get(), [](bufferevent*, void* self) { static_cast<Lookup*>(self)->readTcp(); }, nullptr,
-        [](bufferevent*, short what, void* self) {
-          if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
-            static_cast<Lookup*>(self)->fail("the TCP connection ended or never came up");
-        },
-        this);
+void Resolver::Lookup::onServerFailure(const std::string& reason) {
+  closeSockets();
+  failure_ = server().text() + ": " + reason;
+  resolver_.servers_.onFailure(server_, resolver_.clock_.now());
+  tryNextServer();
+}
+
+// Reports a failure from the event loop: if all servers fail within the call, the recursion would be as deep
+// as there are servers, and the handler would be called from within `resolve`.
+void Resolver::Lookup::failDeferred(const char* reason) {
+  deferredFailure_ = reason;
+  event_.reset(event_new(resolver_.base_, -1, 0, onEvent<&Lookup::onDeferredFailure>, this));
+  event_del(timer_.get());
+  startTimer(event_.get(), Time(0));
+}
+
+void Resolver::Lookup::closeSockets() {
+  event_.reset();
+  udp_.reset();
+  tcp_.reset();
+  event_del(timer_.get());
+}
+
+std::string Resolver::Lookup::encodeNewQuery() {
+  queryId_ = static_cast<std::uint16_t>(resolver_.random_());
+  const int payload = resolver_.rejectsEdns_[server_] ? 0 : resolver_.settings_.udpPayload;
+  return dns::encodeQuery(queryId_, question_, static_cast<std::uint16_t>(payload));
+}
+
+void Resolver::Lookup::send(bool overTcp) {
+  if (overTcp)
+    sendTcp();
+  else
+    sendUdp();
+}
+
+void Resolver::Lookup::sendUdp() {
+  udp_.reset(::socket(server().data()->sa_family, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  const std::string query = encodeNewQuery();
+  // Connected: the kernel passes on only what comes from this server's address and port.
+  if (udp_.fd() < 0 || ::connect(udp_.fd(), server().data(), server().size()) != 0 ||
+      ::send(udp_.fd(), query.data(), query.size(), 0) != static_cast<ssize_t>(query.size()))
+    return failDeferred(std::strerror(errno));
+  event_.reset(
+      event_new(resolver_.base_, udp_.fd(), EV_READ | EV_PERSIST, onEvent<&Lookup::onUdpReadable>, this));
+  event_add(event_.get(), nullptr);
+  startTimer(timer_.get(), resolver_.settings_.queryTimeout);
+}
+
+void Resolver::Lookup::onUdpReadable() {
+  static char buffer[kMaxDatagramBytes];  // shared: there is one loop in one thread
+  for (int i = 0; i < kMaxDatagramsPerWakeUp; ++i) {
+    const ssize_t size = ::recv(udp_.fd(), buffer, sizeof buffer, 0);
+    if (size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) return;
+    if (size < 0) return onServerFailure(std::strerror(errno));  // ECONNREFUSED: nothing listens there
+    auto message = dns::parse({buffer, static_cast<std::size_t>(size)});
+    if (message && isResponse(*message)) return onResponse(std::move(*message), false);
   }
-  void readTcp() {
-    evbuffer* const in = bufferevent_get_input(tcp_.get());
-    unsigned char length[2];
-    if (evbuffer_copyout(in, length, sizeof length) < static_cast<ev_ssize_t>(sizeof length)) return;
-    const std::size_t whole = std::size_t{length[0]} << 8 | length[1];
-    if (evbuffer_get_length(in) < sizeof length + whole) return;
-    const auto* const at =
-        reinterpret_cast<const char*>(evbuffer_pullup(in, static_cast<ev_ssize_t>(sizeof length + whole)));
-    auto m = dns::parse({at + sizeof length, whole});
-    if (!m || !answers(*m)) {
-      ++owner_.counts_.passedOver;
-      return fail("it answers over TCP what was not asked");
-    }
-    take(std::move(*m), true);
+}
+
+// RFC 5452 section 9.1: id, question and, by the connected socket, addresses and ports have to match.
+bool Resolver::Lookup::isResponse(const dns::Message& message) const {
+  if (!message.response || message.id != queryId_) return false;
+  if (message.question) return *message.question == question_;
+  return message.rcode == dns::Rcode::FormErr;  // a server that cannot parse the question may leave it out
+}
+
+void Resolver::Lookup::onResponse(dns::Message message, bool overTcp) {
+  closeSockets();
+  if (message.rcode == dns::Rcode::FormErr && !resolver_.rejectsEdns_[server_]) {  // RFC 6891 section 7
+    resolver_.rejectsEdns_[server_] = true;
+    return send(overTcp);
   }
+  if (message.truncated && !overTcp) return sendTcp();
+  if (classify(question_, message) == ResponseKind::Unusable)
+    return onServerFailure(std::string("it answers ") + describeUnusable(message.rcode));
+  resolver_.servers_.onResponse(server_);
+  Result result;
+  result.ok = true;
+  result.message = std::move(message);
+  result.overTcp = overTcp;
+  resolver_.finish(*this, result);
+}
 
-  Resolver& owner_;
-  const dns::Question question_;
-  const bool wantsTcp_;
-  std::vector<bool> tried_;
-  Event timer_, event_;
-  Socket socket_;
-  BufferEvent tcp_;
-  std::size_t at_ = 0;
-  std::uint16_t id_ = 0;
-  bool started_ = false;
-  std::string why_ = "no name server", soon_;
-};
+void Resolver::Lookup::sendTcp() {
+  const std::string query = withLengthPrefix(encodeNewQuery());
+  tcp_.reset(bufferevent_socket_new(resolver_.base_, -1, BEV_OPT_CLOSE_ON_FREE));
+  append(bufferevent_get_output(tcp_.get()), query);
+  bufferevent_enable(tcp_.get(), EV_READ | EV_WRITE);
+  startTimer(timer_.get(), resolver_.settings_.queryTimeout);
+  if (bufferevent_socket_connect(tcp_.get(), server().data(), static_cast<int>(server().size())) != 0)
+    return failDeferred("no connection over TCP");
+  bufferevent_setcb(
+      tcp_.get(), [](bufferevent*, void* self) { static_cast<Lookup*>(self)->onTcpReadable(); }, nullptr,
+      [](bufferevent*, short what, void* self) {
+        if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
+          static_cast<Lookup*>(self)->onServerFailure("the TCP connection ended or never came up");
+      },
+      this);
+}
+
+void Resolver::Lookup::onTcpReadable() {
+  evbuffer* const input = bufferevent_get_input(tcp_.get());
+  unsigned char length[kTcpLengthBytes];
+  if (evbuffer_copyout(input, length, kTcpLengthBytes) < static_cast<ev_ssize_t>(kTcpLengthBytes)) return;
+  const std::size_t messageBytes = std::size_t{length[0]} << 8 | length[1];
+  const std::size_t frameBytes = kTcpLengthBytes + messageBytes;
+  if (evbuffer_get_length(input) < frameBytes) return;
+  const auto* const frame =
+      reinterpret_cast<const char*>(evbuffer_pullup(input, static_cast<ev_ssize_t>(frameBytes)));
+  auto message = dns::parse({frame + kTcpLengthBytes, messageBytes});
+  if (!message || !isResponse(*message)) return onServerFailure("it answers over TCP what was not asked");
+  onResponse(std::move(*message), true);
+}
 
-Resolver::Resolver(event_base* base, const Clock& clock, const DnsSdSettings& settings, Done done)
+Resolver::Resolver(event_base* base, const Clock& clock, const DnsSdSettings& settings,
+                   ResultHandler onResult)
     : base_(base),
       clock_(clock),
       settings_(settings),
-      done_(std::move(done)),
+      onResult_(std::move(onResult)),
       servers_(settings.servers.size()),
-      plain_(settings.servers.size()) {}
+      rejectsEdns_(settings.servers.size()) {}
 Resolver::~Resolver() = default;
 
-void Resolver::ask(const dns::Question& q, bool tcp) {
-  auto l = std::make_unique<Lookup>(*this, q, tcp);
-  lookups_.emplace(l.get(), std::move(l));
+void Resolver::resolve(const dns::Question& question, bool overTcp) {
+  auto lookup = std::make_unique<Lookup>(*this, question, overTcp);
+  lookups_.emplace(lookup.get(), std::move(lookup));
 }
 
-void Resolver::ended(Lookup& l, Reply reply) {
-  const auto it = lookups_.find(&l);
-  const std::unique_ptr<Lookup> keep = std::move(it->second);  // until this call, which is its own, is over
+void Resolver::finish(Lookup& lookup, const Result& result) {
+  const auto it = lookups_.find(&lookup);
+  // The lookup calls this function and must outlive the call.
+  const std::unique_ptr<Lookup> owner = std::move(it->second);
   lookups_.erase(it);
-  const dns::Question q = keep->question();
-  done_(q, reply);
+  const dns::Question question = owner->question();
+  onResult_(question, result);
 }
 
 }  // namespace stonebay
--- a/src/discovery/dnssd/resolver.hpp
+++ b/src/discovery/dnssd/resolver.hpp
@@ -1,6 +1,4 @@
-// Questions to name servers over UDP and, after truncation or on demand, TCP (RFC 1035, 5452, 6891, 7766).
-// Each question has a random id and a socket of its own, hence a port of the system's choice; what comes from
-// elsewhere, or with another id or question, is counted and passed over, and the wait for the answer goes on.
+// A DNS stub resolver over UDP and TCP.
 #pragma once
 
 #include <functional>
@@ -18,41 +16,40 @@
 
 namespace stonebay {
 
+/// Sends queries to the configured name servers, and over TCP after truncation or on demand (RFC 1035, 5452,
+/// 6891, 7766). Each query has a random id and a socket of its own, hence a port that the system selects; a
+/// response from elsewhere, or with another id or question, is ignored and the wait goes on.
 class Resolver {
  public:
-  struct Reply {
-    bool ok = false;  // some server gave an answer that is one (Directory's judge)
-    dns::Message message;
-    bool tcp = false;
-    std::string why;  // not ok: what the last server did
+  /// How a lookup ended.
+  struct Result {
+    bool ok = false;       ///< some server gave a response that is usable; see classify
+    dns::Message message;  ///< ok only
+    bool overTcp = false;
+    std::string failure;  ///< not ok: what the last server did
   };
-  using Done = std::function<void(const dns::Question&, const Reply&)>;
+  using ResultHandler = std::function<void(const dns::Question&, const Result&)>;
 
-  Resolver(event_base*, const Clock&, const DnsSdSettings&, Done);
+  Resolver(event_base*, const Clock&, const DnsSdSettings&, ResultHandler);
   ~Resolver();
   Resolver(const Resolver&) = delete;
   Resolver& operator=(const Resolver&) = delete;
 
-  // Ends in one call of `done`, from the loop and never within this call. All end silently with the Resolver.
-  void ask(const dns::Question&, bool tcp);
-
-  struct Counts {
-    std::uint64_t udp = 0, tcp = 0, passedOver = 0, failovers = 0, failed = 0;
-  };
-  const Counts& counts() const { return counts_; }
+  /// Tries one server after the other. Ends in one call of the handler, from the event loop and never within
+  /// this call. Lookups that are in flight when the Resolver is destroyed end silently.
+  void resolve(const dns::Question&, bool overTcp);
 
  private:
   class Lookup;
-  void ended(Lookup&, Reply);
+  void finish(Lookup&, const Result&);
 
   event_base* const base_;
   const Clock& clock_;
   const DnsSdSettings settings_;
-  const Done done_;
+  const ResultHandler onResult_;
   NameServers servers_;
-  std::vector<bool> plain_;  // servers that turned EDNS0 down
+  std::vector<bool> rejectsEdns_;  // by server
   std::random_device random_;
-  Counts counts_;
   std::unordered_map<Lookup*, std::unique_ptr<Lookup>> lookups_;
 };
 
--- /dev/null
+++ b/tests/dnssd_client_test.cpp
@@ -0,0 +1,210 @@
+// The DNS-SD client against name servers on loopback.
+#include "discovery/dnssd/dnssd_client.hpp"
+
+#include <gtest/gtest.h>
+
+#include "discovery/endpoint_feed.hpp"
+#include "dnssd_fixture.hpp"
+#include "testbed/name_server.hpp"
+
+namespace stonebay {
+namespace {
+
+using dns::Type;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+struct DnsSdClientTest : testing::Test, EndpointListHandler {
+  EventBase base{event_base_new()};
+  Clock clock;
+  testbed::NameServer first{base.get(), kDomain, kService};
+  testbed::NameServer second{base.get(), kDomain, kService};
+  Config config;
+  std::unique_ptr<EndpointFeed> feed;
+  std::unique_ptr<DnsSdClient> client;
+  std::map<std::string, Instance> instances;  // as the feed has published them
+  std::uint64_t lists = 0;
+  std::uint64_t failures = 0;
+  std::string failureReason;
+
+  DnsSdClientTest() {
+    DnsSdSettings& settings = config.dnssd;
+    settings.domain = kDomain;
+    settings.service = kService;
+    for (const auto* server : {&first, &second})
+      settings.servers.push_back(*Address::parse("127.0.0.1:" + std::to_string(server->port())));
+    settings.minRefresh = milliseconds(100);
+    settings.maxRefresh = milliseconds(200);
+    settings.queryTimeout = milliseconds(150);
+    settings.udpPayload = 1232;
+    settings.defaultGroup = 3;
+    settings.flapHalfLife = seconds(15);
+    settings.maxSuppression = seconds(60);
+    settings.flapSuppress = 1.5;
+    settings.flapReuse = 0.75;
+    for (int k = 1; k <= 3; ++k) publish("s-" + std::to_string(k), 6000 + k);
+  }
+  void publish(const std::string& label, int port) {
+    testbed::ServiceInstance service;
+    service.label = label;
+    service.addresses = {"127.0.0.1"};
+    service.port = static_cast<std::uint16_t>(port);
+    for (auto* server : {&first, &second}) server->publish(service);
+  }
+  void onEndpointList(InstanceList list) override {
+    ++lists;
+    if (list.reset) instances.clear();
+    for (const Instance& instance : list.instances)
+      if (instance.state == Lifecycle::Gone)
+        instances.erase(instance.name);
+      else
+        instances[instance.name] = instance;
+  }
+  void onListFailure(const std::string& reason) override {
+    ++failures;
+    failureReason = reason;
+  }
+  std::uint64_t generation() const override { return 0; }
+  void start() {
+    feed = std::make_unique<EndpointFeed>(base.get(), clock, *this, EndpointTrackerPolicy());
+    client = std::make_unique<DnsSdClient>(base.get(), clock, *feed, config);
+  }
+  template <typename Done>
+  void until(Done done) {  // fails after 20 s
+    const Time end = clock.now() + seconds(20);
+    while (!done()) {
+      ASSERT_LT(clock.now(), end) << "timed out; the last failure: " << failureReason;
+      event_base_loop(base.get(), EVLOOP_ONCE);
+    }
+  }
+};
+
+TEST_F(DnsSdClientTest, DiscoversInstancesAndFollowsTheZone) {
+  start();
+  until([&] { return instances.size() == 3; });
+  EXPECT_EQ(lists, 1u);  // the initial list is complete
+  EXPECT_EQ(instances["s-1"].address.text(), "127.0.0.1:6001");
+  EXPECT_EQ(instances["s-1"].startedMs, 0);
+  first.withdraw("s-2");
+  until([&] { return instances.size() == 2; });
+  EXPECT_EQ(instances.count("s-2"), 0u);
+  publish("s-2", 6002);
+  until([&] { return instances.size() == 3; });
+  EXPECT_GT(instances["s-2"].startedMs, 0);
+  first.clear();
+  until([&] { return instances.empty(); });
+  EXPECT_EQ(second.counts().udp, 0u);                                 // the second server was not needed
+  EXPECT_EQ(first.counts().udp, first.counts().types.at(Type::Ptr));  // one query per refresh
+}
+
+TEST_F(DnsSdClientTest, OnlyANegativeResponseWithdraws) {
+  start();
+  until([&] { return instances.size() == 3; });
+  for (const char* name : {"silent", "servfail", "refused", "lame", "noise", "loop", "counts", "wrong-id",
+                           "wrong-question", "wrong-port"}) {
+    testbed::NameServer::Mood mood{};
+    ASSERT_TRUE(testbed::NameServer::moodOf(name, mood)) << name;
+    first.mood(mood);
+    second.mood(mood);
+    const auto before = failures;
+    until([&] { return failures > before; });
+    EXPECT_EQ(instances.size(), 3u) << name;
+    first.mood(testbed::NameServer::Mood::Good);
+    second.mood(testbed::NameServer::Mood::Good);
+    const auto asked = first.counts().udp + second.counts().udp;
+    until([&] { return first.counts().udp + second.counts().udp > asked + 1; });
+  }
+  EXPECT_EQ(instances.size(), 3u);
+  EXPECT_EQ(lists, 1u);
+}
+
+TEST_F(DnsSdClientTest, FailsOverAndStaysWithTheNewServer) {
+  first.mood(testbed::NameServer::Mood::Silent);
+  start();
+  until([&] { return instances.size() == 3; });
+  EXPECT_EQ(failures, 0u);
+  first.mood(testbed::NameServer::Mood::Good);
+  const auto before = first.counts().udp;
+  const auto asked = second.counts().udp;
+  until([&] { return second.counts().udp > asked + 4; });
+  EXPECT_EQ(first.counts().udp, before);
+}
+
+TEST_F(DnsSdClientTest, UsesTcpAfterTruncationAndKeepsTheListWhereTcpIsRefused) {
+  first.mood(testbed::NameServer::Mood::Truncated);
+  start();
+  until([&] { return instances.size() == 3; });
+  EXPECT_GT(first.counts().tcp, 0u);
+  first.mood(testbed::NameServer::Mood::TruncatedOnly);
+  second.mood(testbed::NameServer::Mood::TruncatedOnly);
+  until([&] { return failures >= 2; });
+  EXPECT_EQ(instances.size(), 3u);
+  second.mood(testbed::NameServer::Mood::Good);
+  second.withdraw("s-3");
+  until([&] { return instances.size() == 2; });
+}
+
+TEST_F(DnsSdClientTest, RetriesWithoutEdnsWhereItIsRejected) {
+  first.mood(testbed::NameServer::Mood::NoEdns);
+  second.mood(testbed::NameServer::Mood::Silent);
+  start();
+  until([&] { return instances.size() == 3; });
+  EXPECT_EQ(failures, 0u);
+}
+
+TEST_F(DnsSdClientTest, ManyInstancesCostOneConnectionPerRefreshNotAQueryEach) {
+  for (int k = 4; k <= 60; ++k) publish("s-" + std::to_string(k), 6000 + k);
+  start();
+  until([&] { return instances.size() == 60; });
+  const auto udp = first.counts().udp, tcp = first.counts().tcp;
+  until([&] { return first.counts().tcp >= tcp + 3; });
+  EXPECT_LE(first.counts().udp - udp, 1u);
+}
+
+TEST_F(DnsSdClientTest, AnInstanceIsPublishedOnceItHasAnAddress) {
+  testbed::ServiceInstance service;
+  service.label = "s-9";
+  service.port = 6009;
+  first.publish(service);
+  start();
+  until([&] { return instances.size() == 3 && client->faults().size() == 1; });
+  EXPECT_EQ(instances.count("s-9"), 0u);
+  service.addresses = {"127.0.0.1"};
+  first.publish(service);
+  until([&] { return instances.count("s-9") == 1; });
+  // One that loses its address is withdrawn.
+  service.addresses.clear();
+  first.publish(service);
+  until([&] { return instances.count("s-9") == 0; });
+}
+
+// SIGHUP with another domain: the list is kept until that of the new domain is complete.
+TEST_F(DnsSdClientTest, ChangesTheDomainWithoutAGap) {
+  start();
+  until([&] { return instances.size() == 3; });
+  testbed::NameServer other(base.get(), "seeb.example.org", kService);
+  testbed::ServiceInstance service;
+  service.addresses = {"127.0.0.1"};
+  service.label = "s-1";
+  service.port = 6001;
+  other.publish(service);
+  service.label = "t-1";
+  service.port = 6100;
+  other.publish(service);
+  other.mood(testbed::NameServer::Mood::Silent);
+  config.dnssd.domain = "seeb.example.org";
+  config.dnssd.servers = {*Address::parse("127.0.0.1:" + std::to_string(other.port()))};
+  const auto before = lists;
+  client->reconfigure(config);
+  until([&] { return failures > 0; });
+  EXPECT_EQ(instances.size(), 3u);
+  EXPECT_EQ(lists, before);
+  other.mood(testbed::NameServer::Mood::Good);
+  until([&] { return instances.size() == 2; });
+  EXPECT_EQ(lists, before + 1);
+  EXPECT_EQ(instances.count("s-1") + instances.count("t-1"), 2u);
+  EXPECT_EQ(instances["t-1"].startedMs, 0);  // it may have been there for long
+}
+
+}  // namespace
+}  // namespace stonebay
