--- a/src/app/discovery_source.cpp
+++ b/src/app/discovery_source.cpp
@@ -32,7 +32,7 @@
 // The endpoints of the configuration itself.
 class FixedSource final : public DiscoverySource {
  public:
-  void watch(std::uint64_t) override {}
+  void watch(std::uint64_t /*after*/) override {}
   void reconfigure(const Config& config) override { keepsSource(config, Source::Fixed); }
 };
 
@@ -41,7 +41,7 @@
  public:
   DnsSdSource(event_base* base, const Clock& clock, EndpointFeed& feed, const Config& config)
       : feed_(feed), client_(base, clock, feed, config) {}
-  void watch(std::uint64_t) override {}  // the client queries on its own schedule
+  void watch(std::uint64_t /*after*/) override {}  // the client queries on its own schedule
   void reconfigure(const Config& config) override {
     if (!keepsSource(config, Source::DnsSd)) return;
     feed_.setPolicy(trackerPolicy(config));
--- a/src/app/discovery_source.hpp
+++ b/src/app/discovery_source.hpp
@@ -21,9 +21,10 @@
 };
 
 /// How the source's list is damped and when it expires.
-EndpointTrackerPolicy trackerPolicy(const Config&);
+EndpointTrackerPolicy trackerPolicy(const Config& config);
 
 /// The source that the configuration names. Throws InvalidInput when this build lacks it.
-std::unique_ptr<DiscoverySource> openDiscoverySource(event_base*, const Clock&, EndpointFeed&, const Config&);
+std::unique_ptr<DiscoverySource> openDiscoverySource(event_base* base, const Clock& clock, EndpointFeed& feed,
+                                                     const Config& config);
 
 }  // namespace stonebay
--- a/src/codec/dns/ldns_handle.hpp
+++ b/src/codec/dns/ldns_handle.hpp
@@ -23,8 +23,8 @@
 using LdnsHandle = std::unique_ptr<T, LdnsDeleter>;
 
 /// The canonical Name in a field; empty when the field holds none.
-Name nameFromField(const ldns_rdf*);
+Name nameFromField(const ldns_rdf* field);
 /// Null when the text is not a name.
-LdnsHandle<ldns_rdf> fieldFromName(const Name&);
+LdnsHandle<ldns_rdf> fieldFromName(const Name& name);
 
 }  // namespace stonebay::dns
--- a/src/codec/dns/message.cpp
+++ b/src/codec/dns/message.cpp
@@ -133,7 +133,7 @@
   }
 
  private:
-  bool push(ldns_rdf* field) const { return field && ldns_rr_push_rdf(record_, field); }
+  bool push(ldns_rdf* field) const { return field != nullptr && ldns_rr_push_rdf(record_, field); }
   bool pushName(const Name& name) const { return push(fieldFromName(name).release()); }
   bool pushUint16(std::uint16_t value) const {
     return push(ldns_native2rdf_int16(LDNS_RDF_TYPE_INT16, value));
@@ -164,7 +164,8 @@
     ldns_rr_set_class(encoded.get(), LDNS_RR_CLASS_IN);
     ldns_rr_set_ttl(encoded.get(), record.ttl);
     if (!std::visit(DataEncoder(encoded.get()), record.data)) continue;
-    if (ldns_pkt_push_rr(packet, section, encoded.get())) encoded.release();
+    // On success the packet owns the record.
+    if (ldns_pkt_push_rr(packet, section, encoded.get())) static_cast<void>(encoded.release());
   }
 }
 
--- a/src/codec/dns/message.hpp
+++ b/src/codec/dns/message.hpp
@@ -83,10 +83,10 @@
 constexpr std::size_t kLongestMessage = 65535;
 
 /// A query with RD set; `udpPayload` 0: without EDNS0.
-std::string encodeQuery(std::uint16_t id, const Question&, std::uint16_t udpPayload);
+std::string encodeQuery(std::uint16_t id, const Question& question, std::uint16_t udpPayload);
 /// A message of at most `maxBytes`. What does not fit is left out: the additionals first; if the answers and
 /// authorities do not fit either, all records, and TC is set (RFC 2181 section 9).
-std::string encode(const Message&, std::size_t maxBytes = kLongestMessage);
+std::string encode(const Message& message, std::size_t maxBytes = kLongestMessage);
 
 /// Why bytes are not a DNS message.
 struct ParseError {
--- a/src/codec/dns/name.hpp
+++ b/src/codec/dns/name.hpp
@@ -19,7 +19,7 @@
 /// The name of a service instance from its label, which may hold any bytes, and the name of the service.
 std::optional<Name> instanceName(std::string_view label, const Name& service);
 /// The first label, unescaped.
-std::string firstLabel(const Name&);
+std::string firstLabel(const Name& name);
 /// Whether the name is the domain itself or below it.
 bool isWithin(const Name& name, const Name& domain);
 
--- a/src/discovery/address.hpp
+++ b/src/discovery/address.hpp
@@ -20,7 +20,7 @@
   /// From 4 or 16 bytes in network byte order, as A and AAAA records hold them; none for any other length.
   static Address fromBytes(std::string_view bytes, std::uint16_t port);
   /// None for a family other than AF_INET and AF_INET6.
-  static Address fromSocket(const sockaddr*);
+  static Address fromSocket(const sockaddr* from);
 
   bool none() const { return any_.sa_family == 0; }
   bool v6() const { return any_.sa_family == AF_INET6; }
--- a/src/discovery/dnssd/directory.cpp
+++ b/src/discovery/dnssd/directory.cpp
@@ -157,7 +157,7 @@
   const std::vector<Name> listed = listedNames();
   const auto isFresh = [&](const Name& instance) {
     const RecordSet* const srv = records_.find({instance, Type::Srv});
-    return srv && srv->refreshAt > ptrRespondedAt_;
+    return srv != nullptr && srv->refreshAt > ptrRespondedAt_;
   };
   return !listed.empty() && std::all_of(listed.begin(), listed.end(), isFresh);
 }
@@ -184,7 +184,7 @@
       return assembler_.isTarget(question.name);
     case Type::Aaaa: {  // queried only where there is no IPv4 address
       const RecordSet* const ipv4 = records_.find({question.name, Type::A});
-      return assembler_.isTarget(question.name) && ipv4 && ipv4->state == RecordSet::State::Absent;
+      return assembler_.isTarget(question.name) && ipv4 != nullptr && ipv4->state == RecordSet::State::Absent;
     }
     default:
       return listed.count(question.name) > 0;
--- a/src/discovery/dnssd/directory.hpp
+++ b/src/discovery/dnssd/directory.hpp
@@ -29,7 +29,7 @@
 class Directory {
  public:
   /// Throws InvalidInput when the service or the domain is not a name.
-  Directory(const DnsSdSettings&, const std::vector<GroupName>&, std::uint64_t seed);
+  Directory(const DnsSdSettings& settings, const std::vector<GroupName>& groups, std::uint64_t seed);
   Directory(const Directory&) = delete;
   Directory& operator=(const Directory&) = delete;
 
@@ -39,9 +39,9 @@
   };
   /// The queries to send now. Each must end in one onResponse or onFailure.
   std::vector<Query> dueQueries(Time now);
-  void onResponse(Time now, const dns::Question&, const dns::Message&, bool overTcp);
+  void onResponse(Time now, const dns::Question& question, const dns::Message& message, bool overTcp);
   /// No server gave a usable response.
-  void onFailure(Time now, const dns::Question&);
+  void onFailure(Time now, const dns::Question& question);
   /// When dueQueries has something without any further event; nothing while the PTR query is in flight.
   std::optional<Time> nextDeadline() const;
 
@@ -59,12 +59,12 @@
  private:
   std::vector<Query> dueRecordQueries(Time now);
   bool isCombinedRefreshDue(Time now) const;
-  void onPtrResponse(Time now, ResponseKind, const dns::Message&, bool overTcp);
-  RecordData acceptListedNames(const dns::Message&);
+  void onPtrResponse(Time now, ResponseKind kind, const dns::Message& message, bool overTcp);
+  RecordData acceptListedNames(const dns::Message& message);
   void chooseTransport(Time now, bool overTcp);
   void stopUsingTcp();
   void forgetUnlisted(const std::vector<dns::Name>& listed);
-  bool isNeeded(const dns::Question&, const std::set<dns::Name>& listed) const;
+  bool isNeeded(const dns::Question& question, const std::set<dns::Name>& listed) const;
   std::vector<dns::Name> listedNames() const;
   bool responseHadAllRecords() const;
 
--- a/src/discovery/dnssd/dnssd_client.hpp
+++ b/src/discovery/dnssd/dnssd_client.hpp
@@ -16,19 +16,19 @@
 class DnsSdClient {
  public:
   /// Queries from the next pass of the event loop on. Throws InvalidInput when the settings name no domain.
-  DnsSdClient(event_base*, const Clock&, EndpointFeed&, const Config&);
+  DnsSdClient(event_base* base, const Clock& clock, EndpointFeed& feed, const Config& config);
 
   /// Applies new settings; nothing happens when they are the same. The list stands until the new domain has
   /// delivered a complete one. Throws InvalidInput as the constructor does, and then keeps the old settings.
-  void reconfigure(const Config&);
+  void reconfigure(const Config& config);
   /// Instances that are not usable, by name, and why.
   const std::map<std::string, std::string>& faults() const { return directory_->faults(); }
 
  private:
-  void start(const Config&);
+  void start(const Config& config);
   void sendDueQueries();
-  void onResult(const dns::Question&, const Resolver::Result&);
-  void onFailedLookup(const dns::Question&, const std::string& reason);
+  void onResult(const dns::Question& question, const Resolver::Result& result);
+  void onFailedLookup(const dns::Question& question, const std::string& reason);
   void publish();
   void logNewFaults();
 
--- a/src/discovery/dnssd/instance_assembler.cpp
+++ b/src/discovery/dnssd/instance_assembler.cpp
@@ -26,9 +26,9 @@
   const dns::Srv* best = nullptr;
   for (const Data& data : records) {
     const auto& srv = std::get<dns::Srv>(data);
-    if (!best || rank(srv) < rank(*best)) best = &srv;
+    if (best == nullptr || rank(srv) < rank(*best)) best = &srv;
   }
-  const bool available = best && best->target != "." && best->port != 0;
+  const bool available = best != nullptr && best->target != "." && best->port != 0;
   return available ? best : nullptr;
 }
 
@@ -43,9 +43,9 @@
 
 }  // namespace
 
-InstanceAssembler::InstanceAssembler(RecordCache& records, const std::vector<GroupName>& groups,
+InstanceAssembler::InstanceAssembler(RecordCache& records, std::vector<GroupName> groups,
                                      std::optional<GroupId> defaultGroup)
-    : records_(records), groups_(groups), defaultGroup_(defaultGroup) {}
+    : records_(records), groups_(std::move(groups)), defaultGroup_(defaultGroup) {}
 
 InstanceAssembler::Assembly InstanceAssembler::assemble(const Name& name) {
   const RecordSet& srv = records_.track({name, Type::Srv});
--- a/src/discovery/dnssd/instance_assembler.hpp
+++ b/src/discovery/dnssd/instance_assembler.hpp
@@ -19,12 +19,12 @@
 class InstanceAssembler {
  public:
   /// `records` must outlive the assembler.
-  InstanceAssembler(RecordCache& records, const std::vector<GroupName>&, std::optional<GroupId> defaultGroup);
+  InstanceAssembler(RecordCache& records, std::vector<GroupName> groups, std::optional<GroupId> defaultGroup);
 
   /// Assembles all instances anew and removes those that are not listed.
   void updateAll(const std::vector<dns::Name>& listed);
   /// Assembles the instances to which the set of records belongs.
-  void update(const dns::Question&);
+  void update(const dns::Question& question);
   /// Drops what is remembered of instances that are not listed.
   void forgetUnlisted(const std::set<dns::Name>& listed);
 
@@ -44,14 +44,15 @@
     std::optional<Instance> instance;
     std::string fault;
   };
-  Assembly assemble(const dns::Name& instance);
-  void updateInstance(const dns::Name& instance);
-  bool storeInstance(const dns::Name&, std::optional<Instance>);
-  bool storeFault(const dns::Name&, const std::string& fault);
+  Assembly assemble(const dns::Name& name);
+  void updateInstance(const dns::Name& name);
+  bool storeInstance(const dns::Name& name, std::optional<Instance> instance);
+  bool storeFault(const dns::Name& name, const std::string& fault);
   void setTarget(const dns::Name& instance, const dns::Name& target);
   void removeFromTarget(const dns::Name& instance, const dns::Name& target);
   const RecordSet& addressRecords(const dns::Name& target);
-  const Address& selectAddress(const dns::Name& instance, const std::vector<dns::Data>&, std::uint16_t port);
+  const Address& selectAddress(const dns::Name& instance, const std::vector<dns::Data>& records,
+                               std::uint16_t port);
 
   RecordCache& records_;
   const std::vector<GroupName> groups_;
--- a/src/discovery/dnssd/record_cache.cpp
+++ b/src/discovery/dnssd/record_cache.cpp
@@ -27,8 +27,8 @@
 
 }  // namespace
 
-RecordCache::RecordCache(const DnsSdSettings& settings, std::uint64_t seed)
-    : settings_(settings), random_(seed) {}
+RecordCache::RecordCache(DnsSdSettings settings, std::uint64_t seed)
+    : settings_(std::move(settings)), random_(seed) {}
 
 double RecordCache::randomFraction() { return static_cast<double>(random_()) / kRandomRange; }
 
--- a/src/discovery/dnssd/record_cache.hpp
+++ b/src/discovery/dnssd/record_cache.hpp
@@ -28,38 +28,39 @@
 /// set that cannot be refreshed keeps its data; only a negative response removes it. Pure.
 class RecordCache {
  public:
-  RecordCache(const DnsSdSettings&, std::uint64_t seed);
+  RecordCache(DnsSdSettings settings, std::uint64_t seed);
 
   /// The set for a question; it is tracked from here on.
-  RecordSet& track(const dns::Question&);
+  RecordSet& track(const dns::Question& question);
   /// Null when the set is not tracked.
-  RecordSet* find(const dns::Question&);
-  const RecordSet* find(const dns::Question&) const;
+  RecordSet* find(const dns::Question& question);
+  const RecordSet* find(const dns::Question& question) const;
   /// Stops tracking the sets for which `isNeeded` is false.
   void retain(const std::function<bool(const dns::Question&)>& isNeeded);
 
-  void storePositive(Time now, const dns::Question&, RecordData);
-  void storeNegative(Time now, const dns::Question&, std::uint32_t ttl);
+  void storePositive(Time now, const dns::Question& question, RecordData records);
+  void storeNegative(Time now, const dns::Question& question, std::uint32_t ttl);
   /// Schedules the next attempt with an exponential backoff.
-  void onQueryFailure(Time now, RecordSet&);
+  void onQueryFailure(Time now, RecordSet& set);
   /// Stores the additional records of a response that belong to tracked sets and stand within the domain; the
   /// rest may come from anyone. Returns the questions whose sets were stored.
-  std::vector<dns::Question> storeAdditionals(Time now, const std::vector<dns::Record>&,
+  std::vector<dns::Question> storeAdditionals(Time now, const std::vector<dns::Record>& records,
                                               const dns::Name& domain);
 
   bool isAnyDue(Time now) const;
   /// The sets to be queried, the one that is overdue longest first; among equals the addresses come last,
   /// since the answer for a SRV record may bring them along.
   std::vector<dns::Question> due(Time now) const;
-  std::size_t dueCount(Time now, dns::Type) const;
+  std::size_t dueCount(Time now, dns::Type type) const;
   std::size_t inFlightCount() const;
   /// The earliest refresh of a set that is not in flight.
   std::optional<Time> nextRefreshAt() const;
   bool allAttempted() const;
 
  private:
-  void markAbsent(Time now, RecordSet&, std::uint32_t ttl);
-  std::vector<dns::Question> storeIpv6Only(Time now, const std::vector<dns::Record>&, const dns::Name& domain,
+  void markAbsent(Time now, RecordSet& set, std::uint32_t ttl);
+  std::vector<dns::Question> storeIpv6Only(Time now, const std::vector<dns::Record>& records,
+                                           const dns::Name& domain,
                                            const std::map<dns::Question, RecordData>& stored);
   Time refreshTime(Time now, std::uint32_t ttl);
   Time backoff(int failures);
--- a/src/discovery/dnssd/resolver.cpp
+++ b/src/discovery/dnssd/resolver.cpp
@@ -68,7 +68,7 @@
 
  private:
   template <void (Lookup::*handler)()>
-  static void onEvent(evutil_socket_t, short, void* self) {
+  static void onEvent(evutil_socket_t /*fd*/, short /*what*/, void* self) {
     (static_cast<Lookup*>(self)->*handler)();
   }
 
@@ -86,8 +86,8 @@
   void sendTcp();
   void onUdpReadable();
   void onTcpReadable();
-  bool isResponse(const dns::Message&) const;
-  void onResponse(dns::Message, bool overTcp);
+  bool isResponse(const dns::Message& message) const;
+  void onResponse(dns::Message message, bool overTcp);
 
   Resolver& resolver_;
   const dns::Question question_;
--- a/src/discovery/dnssd/resolver.hpp
+++ b/src/discovery/dnssd/resolver.hpp
@@ -30,18 +30,18 @@
   };
   using ResultHandler = std::function<void(const dns::Question&, const Result&)>;
 
-  Resolver(event_base*, const Clock&, const DnsSdSettings&, ResultHandler);
+  Resolver(event_base* base, const Clock& clock, const DnsSdSettings& settings, ResultHandler onResult);
   ~Resolver();
   Resolver(const Resolver&) = delete;
   Resolver& operator=(const Resolver&) = delete;
 
   /// Tries one server after the other. Ends in one call of the handler, from the event loop and never within
   /// this call. Lookups that are in flight when the Resolver is destroyed end silently.
-  void resolve(const dns::Question&, bool overTcp);
+  void resolve(const dns::Question& question, bool overTcp);
 
  private:
   class Lookup;
-  void finish(Lookup&, const Result&);
+  void finish(Lookup& lookup, const Result& result);
 
   event_base* const base_;
   const Clock& clock_;
--- a/src/discovery/dnssd/txt_record.hpp
+++ b/src/discovery/dnssd/txt_record.hpp
@@ -30,6 +30,6 @@
 /// Parses the strings of a TXT record into the instance. After an error the instance is partly filled. Pure.
 std::optional<TxtError> parseTxt(const std::vector<std::string>& strings,
                                  const std::vector<GroupName>& groups, std::optional<GroupId> defaultGroup,
-                                 Instance&);
+                                 Instance& instance);
 
 }  // namespace stonebay
--- a/src/discovery/endpoint_feed.hpp
+++ b/src/discovery/endpoint_feed.hpp
@@ -11,12 +11,13 @@
 class EndpointFeed final : public EndpointListHandler {
  public:
   /// `handler` must outlive the feed.
-  EndpointFeed(event_base*, const Clock&, EndpointListHandler& handler, const EndpointTrackerPolicy&);
+  EndpointFeed(event_base* base, const Clock& clock, EndpointListHandler& handler,
+               const EndpointTrackerPolicy& policy);
 
   /// From a source that delivers complete lists only; see EndpointTracker::onSnapshot.
-  void onSnapshot(std::vector<Instance>, bool initial);
+  void onSnapshot(std::vector<Instance> instances, bool initial);
   /// From a source with generations; see EndpointTracker::onChange.
-  void onEndpointList(InstanceList) override;
+  void onEndpointList(InstanceList list) override;
   void onListFailure(const std::string& why) override;
   std::uint64_t generation() const override { return tracker_.generation(); }
 
--- a/src/discovery/endpoint_list.hpp
+++ b/src/discovery/endpoint_list.hpp
@@ -24,7 +24,7 @@
   double weight = 1;
   std::int64_t startedMs = 0;  ///< Unix time in milliseconds; 0: long ago
 };
-bool operator==(const Instance&, const Instance&);
+bool operator==(const Instance& left, const Instance& right);
 inline bool operator!=(const Instance& left, const Instance& right) { return !(left == right); }
 
 /// A complete list or a change of one.
--- a/src/discovery/endpoint_tracker.cpp
+++ b/src/discovery/endpoint_tracker.cpp
@@ -212,7 +212,7 @@
   return entries;
 }
 
-void EndpointTracker::updateExclusions(const std::vector<NamedEntry>& entries, Time now) {
+void EndpointTracker::updateExclusions(const std::vector<NamedEntry>& entries, Time now) const {
   std::vector<Address> claimed;
   for (const auto& [name, entry] : entries) {
     entry->exclusion = ExclusionReason::None;
--- a/src/discovery/endpoint_tracker.hpp
+++ b/src/discovery/endpoint_tracker.hpp
@@ -46,7 +46,7 @@
 /// Why an instance is not published.
 enum class ExclusionReason { None, ListExpired, Flapping, DuplicateAddress, Withdrawn };
 /// For operators; empty for None.
-const char* describe(ExclusionReason);
+const char* describe(ExclusionReason reason);
 
 /// Tracks the instances of one source. Feed it with the on... functions, and after each of them, and when
 /// nextDeadline is due, call takeUpdate until it returns nothing.
@@ -60,7 +60,7 @@
   void onSnapshot(Time now, std::vector<Instance> instances, bool initial = false);
   /// A list or a change of one from a source with generations. Such a source reports start times and
   /// withdrawals itself: its lists are passed on as they are.
-  void onChange(Time now, InstanceList);
+  void onChange(Time now, InstanceList list);
   /// The source could not be reached or gave no usable answer.
   void onFailure(Time now, std::string reason);
 
@@ -114,19 +114,19 @@
   };
   using NamedEntry = std::pair<const std::string*, Entry*>;
 
-  double decayedPenalty(const Entry&, Time now) const;
+  double decayedPenalty(const Entry& entry, Time now) const;
   double maxPenalty() const;
-  bool isForgettable(const Entry&, Time now) const;
+  bool isForgettable(const Entry& entry, Time now) const;
   void onSourceDelivered(Time now);
   std::vector<WithdrawnServer> withdrawMissing(Time now, const std::vector<Instance>& instances);
-  void updateEntry(Time now, Instance, const std::vector<WithdrawnServer>&, bool initial);
-  void appear(Entry&, Time now, bool initial);
-  void withdraw(Entry&, Time now);
+  void updateEntry(Time now, Instance instance, const std::vector<WithdrawnServer>& withdrawn, bool initial);
+  void appear(Entry& entry, Time now, bool initial);
+  void withdraw(Entry& entry, Time now);
   void forgetOldEntries(Time now);
   std::optional<Time> listExpiresAt() const;
   std::vector<NamedEntry> entriesByPrecedence();
-  void updateExclusions(const std::vector<NamedEntry>&, Time now);
-  static void publish(const std::string& name, Entry&, Time now, std::vector<Instance>& changes);
+  void updateExclusions(const std::vector<NamedEntry>& entries, Time now) const;
+  static void publish(const std::string& name, Entry& entry, Time now, std::vector<Instance>& changes);
 
   EndpointTrackerPolicy policy_;
   std::map<std::string, Entry> entries_;
--- a/src/discovery/registry/registry_watch.hpp
+++ b/src/discovery/registry/registry_watch.hpp
@@ -13,13 +13,13 @@
 class RegistryWatch final : public EndpointWatcher {
  public:
   /// `handler` must outlive the watch.
-  RegistryWatch(event_base*, EndpointListHandler& handler, const Address&);
+  RegistryWatch(event_base* base, EndpointListHandler& handler, const Address& address);
 
   /// Connects and requests the changes after generation `after`. Does nothing while a watch is active.
   void watch(std::uint64_t after) override;
   /// Moves the watch to another address and resumes after the last known generation. The old connection is
   /// closed without a failure.
-  void setAddress(const Address&);
+  void setAddress(const Address& address);
 
  private:
   void onReadable();
