--- a/src/app/members.cpp
+++ b/src/app/members.cpp
@@ -50,8 +50,8 @@
 }
 
 std::string formatListAge(const MembersView& view) {
-  if (!view.members.toldAt) return "discovery has told nothing";
-  const std::chrono::duration<double> age = view.now - *view.members.toldAt;
+  if (!view.members.lastUpdateAt) return "discovery has told nothing";
+  const std::chrono::duration<double> age = view.now - *view.members.lastUpdateAt;
   return fmt::format("told {:.1f} s ago", age.count());
 }
 
@@ -65,7 +65,7 @@
           fmt::format("{:g}", instance.weight),
           stateName(instance.state),
           formatStart(instance.startedMs),
-          row.leftOut};
+          describe(row.exclusion)};
 }
 
 std::vector<std::size_t> columnWidths(const std::vector<TableRow>& rows) {
@@ -95,13 +95,13 @@
               {"state", stateName(instance.state)},
               {"started_ms", instance.startedMs},
               {"withdrawals", row.withdrawals}};
-  if (!row.leftOut.empty()) object["left_out"] = row.leftOut;
+  if (row.exclusion != ExclusionReason::None) object["left_out"] = describe(row.exclusion);
   return object;
 }
 
 Json jsonListAge(const MembersView& view) {
-  if (!view.members.toldAt) return nullptr;
-  return (view.now - *view.members.toldAt).count() / 1000;
+  if (!view.members.lastUpdateAt) return nullptr;
+  return (view.now - *view.members.lastUpdateAt).count() / 1000;
 }
 
 void print(const Config& config, const MembersOptions& options, const MembersView& view) {
@@ -144,10 +144,10 @@
 // The endpoints of the configuration, which discovery has not confirmed.
 MembersView configuredMembers(const Config& config, const Clock& clock) {
   EndpointTracker known;
-  known.found(clock.now(), config.knownEndpoints.instances);
-  known.take(clock.now());
+  known.onSnapshot(clock.now(), config.knownEndpoints.instances);
+  known.takeUpdate(clock.now());
   MembersView view{known.view(clock.now()), {}, clock.now()};
-  view.members.toldAt.reset();
+  view.members.lastUpdateAt.reset();
   return view;
 }
 
@@ -157,7 +157,7 @@
   std::vector<TableRow> rows{TableRow(std::begin(kColumns), std::end(kColumns))};
   std::size_t used = 0;
   for (const EndpointTracker::Row& row : view.members.rows) {
-    if (row.leftOut.empty()) ++used;
+    if (row.exclusion == ExclusionReason::None) ++used;
     rows.push_back(tableRow(config, row));
   }
   for (const auto& [name, reason] : view.faults) rows.push_back({name, "", "", "", "", "", "", "", reason});
@@ -172,11 +172,11 @@
   Json used = Json::array();
   Json leftOut = Json::array();
   for (const EndpointTracker::Row& row : view.members.rows)
-    (row.leftOut.empty() ? used : leftOut).push_back(jsonRow(config, row));
+    (row.exclusion == ExclusionReason::None ? used : leftOut).push_back(jsonRow(config, row));
   for (const auto& [name, reason] : view.faults) leftOut.push_back({{"name", name}, {"left_out", reason}});
   Json page{{"members", std::move(used)}, {"left_out", std::move(leftOut)}};
   page["list_age_ms"] = jsonListAge(view);
-  if (view.members.failingSince) page["failing"] = view.members.why;
+  if (view.members.failingSince) page["failing"] = view.members.failureReason;
   // Names come from the network: bytes that are not UTF-8 are replaced instead of being an error.
   return page.dump(kJsonIndent, ' ', false, Json::error_handler_t::replace) + "\n";
 }
@@ -188,7 +188,7 @@
   EndpointFeed feed(base.get(), clock, recorder, trackerPolicy(config));
   const std::unique_ptr<DiscoverySource> source = openDiscoverySource(base.get(), clock, feed, config);
   if (config.source == Source::Fixed) {
-    feed.found(config.knownEndpoints.instances, true);
+    feed.onSnapshot(config.knownEndpoints.instances, true);
   } else {
     source->watch(0);
     awaitList(base.get(), options.waitSeconds);
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -19,7 +19,7 @@
 // nothing. Reading blocks the event loop, which is tolerable for a small local file.
 void reloadDiscovery(DiscoverySource& source, const std::function<Config()>& reloadConfig) {
   try {
-    source.move(reloadConfig());
+    source.reconfigure(reloadConfig());
     logEvent(LogLevel::Info, "settings_read_again");
   } catch (const std::exception& e) {
     logEvent(LogLevel::Error, "settings_unchanged", {{"why", e.what()}});
