--- a/src/downstream/pg/client_listener.hpp
+++ b/src/downstream/pg/client_listener.hpp
@@ -23,27 +23,27 @@
 
  private:
   class Session;
-  void accepted(evutil_socket_t);
-  void acceptFailed();
-  void closed(Session&);
-  void acceptAgain();
-  bool makeRoom();
-  void round();
-  void firstAsked(const Session& by);
+  void onAccepted(evutil_socket_t);
+  void onAcceptFailed();
+  void closeSession(Session&);
+  void resumeAccepting();
+  bool evictIdleSession();
+  void checkSessions();
+  void onFirstRequest(const Session& by);
   void stopListening();
   void acceptPending();
-  bool lastCallOver() const { return draining_ && !listener_; }
+  bool acceptingStopped() const { return draining_ && !listener_; }
 
   event_base* const base_;
   Dispatcher& dispatcher_;
   const Config& config_;
-  const std::size_t most_;    // connections at once
-  std::size_t asking_ = 0;    // sessions that have asked something
-  std::size_t reserved_ = 0;  // bytes of long statements on their way, of Config::largeStatements
+  const std::size_t maxSessions_;  // connections at once
+  std::size_t activeClients_ = 0;  // sessions that have asked something
+  std::size_t reserved_ = 0;       // bytes of long statements on their way, of Config::largeStatements
   Listener listener_;
-  Event pause_, lastCall_, round_;
+  Event acceptRetryTimer_, shutdownTimer_, checkTimer_;
   bool draining_ = false;
-  Time lastCalled_{};  // when the listener was closed
+  Time stoppedAcceptingAt_{};  // when the listener was closed
   std::function<void()> done_;
   std::unordered_map<std::uint64_t, Session*> byKey_;  // that a client may cancel by
   std::uint32_t lastProcess_ = 0;
--- a/src/upstream/pg/connection_pool.hpp
+++ b/src/upstream/pg/connection_pool.hpp
@@ -21,7 +21,8 @@
   ~ConnectionPool() override;
 
   void updateEndpoint(EndpointId, const Address&, bool ready) override;
-  void send(RequestId, int attempt, EndpointId, Time until, std::shared_ptr<const ForwardedRequest>) override;
+  void send(RequestId, int attempt, EndpointId, Time deadline,
+            std::shared_ptr<const ForwardedRequest>) override;
   void resumeAttempt(RequestId, int attempt, bool fit) override;
   void cancel(RequestId, int attempt) override;
   void checkHealth(EndpointId) override;
@@ -35,37 +36,37 @@
     bool ready = false;
     std::vector<Connection*> idle;         // the last one used comes last
     std::deque<UpstreamRequest*> waiting;  // for a connection
-    int dialing = 0;
-    Time dialAgain{};  // no connection is opened in advance before then
-    std::unique_ptr<UpstreamRequest> probe;
+    int connecting = 0;
+    Time connectAgainAt{};  // no connection is opened in advance before then
+    std::unique_ptr<UpstreamRequest> healthCheck;
   };
   using AttemptKey = std::pair<RequestId, int>;
 
-  void run(UpstreamRequest&);  // on an idle connection, or once a new one stands
-  void dial(EndpointId, Endpoint&);
-  bool stands(Connection&);  // dialed or released: takes the next job or idles; false: it was dropped
+  void start(UpstreamRequest&);  // on an idle connection, or once a new one stands
+  void openConnection(EndpointId, Endpoint&);
+  bool onReady(Connection&);  // dialed or released: takes the next job or idles; false: it was dropped
   void write(UpstreamRequest&);
-  void lost(Connection&, AttemptStatus);       // its end; tells that of its job
-  void spoilt(Connection&, const char* what);  // the same, by what it sent
-  void dialFailed(Endpoint&, AttemptStatus);
-  void timedOut(UpstreamRequest&);
-  void finish(UpstreamRequest&, AttemptResult);  // the end of a job, told once
-  void finishProbe(UpstreamRequest&, bool ok, std::string_view report = {});
-  std::vector<double> believed(std::string_view report) const;
-  void drop(Connection&);
-  void dropIdle(Endpoint&);
-  void keepWarm();
+  void onConnectionLost(Connection&, AttemptStatus);        // its end; tells that of its job
+  void onMalformedResponse(Connection&, const char* what);  // the same, by what it sent
+  void onConnectFailed(Endpoint&, AttemptStatus);
+  void onDeadline(UpstreamRequest&);
+  void finishAttempt(UpstreamRequest&, AttemptResult);  // the end of a job, told once
+  void finishHealthCheck(UpstreamRequest&, bool ok, std::string_view report = {});
+  std::vector<double> parseLoadReport(std::string_view report) const;
+  void close(Connection&);
+  void closeIdle(Endpoint&);
+  void maintainMinIdle();
   bool makeRoom();
 
   event_base* const base_;
   Dispatcher& dispatcher_;
   const Config& config_;
-  const std::size_t most_;  // connections at once
-  const std::size_t warm_;  // kept idle for each member that is ready
+  const std::size_t maxConnections_;  // connections at once
+  const std::size_t minIdle_;         // kept idle for each member that is ready
   std::unordered_map<EndpointId, Endpoint> endpoints_;
   std::unordered_map<Connection*, std::unique_ptr<Connection>> connections_;
   std::map<AttemptKey, std::unique_ptr<UpstreamRequest>> attempts_;
-  Event upkeep_;
+  Event maintenance_;
 };
 
 }  // namespace stonebay
