Split the connection pool by concern

One file parsed responses, held the state of a connection, kept the connections of every endpoint and carried requests. Now: ResponseParser (pure state machine, one function a message, typed protocol errors), UpstreamConnection, ConnectionSet, load reports and the pool that joins them.

--- /dev/null
+++ b/src/upstream/pg/upstream_connection.cpp
@@ -0,0 +1,209 @@
+#include "upstream/pg/upstream_connection.hpp"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <string>
+
+#include "log/log.hpp"
+
+namespace stonebay {
+namespace {
+
+constexpr std::string_view kUser = "api";
+constexpr std::string_view kDatabase = "ledger";
+constexpr std::string_view kHealthCheckStatement = "SHOW load";
+// An endpoint writes a response in one go. Once its first byte has arrived the rest is due: a length may
+// promise more than ever comes.
+constexpr Time kResponseTimeout = std::chrono::milliseconds(250);
+// internal_error, the endpoint's own fault: not logged here, since the log of the request shows the attempt.
+constexpr std::string_view kInternalError = "XX000";
+
+}  // namespace
+
+UpstreamConnection::UpstreamConnection(event_base* base, UpstreamConnectionHandler& handler,
+                                       EndpointId endpoint, const Address& address, Time connectTimeout)
+    : handler_(handler),
+      endpoint_(endpoint),
+      address_(address),
+      bev_(bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE)),
+      timer_(event_new(
+          base, -1, 0,
+          [](evutil_socket_t, short, void* self) { static_cast<UpstreamConnection*>(self)->onTimeout(); },
+          this)) {
+  append(output(), pg::startup(kUser, kDatabase));
+  bufferevent_enable(bev_.get(), EV_READ | EV_WRITE);
+  const int result =
+      bufferevent_socket_connect(bev_.get(), address_.data(), static_cast<int>(address_.size()));
+  // A connect that fails at once is reported by the timer: this call's own caller is not done yet.
+  startTimer(timer_.get(), result == 0 ? connectTimeout : Time(0));
+  bufferevent_setcb(
+      bev_.get(), [](bufferevent*, void* self) { static_cast<UpstreamConnection*>(self)->onReadable(); },
+      nullptr,
+      [](bufferevent*, short events, void* self) { static_cast<UpstreamConnection*>(self)->onEvent(events); },
+      this);
+}
+
+UpstreamConnection::~UpstreamConnection() {
+  // bufferevent_free closes the descriptor only in the loop's next pass; the endpoint has to see the end of
+  // an attempt before the next one goes out.
+  const evutil_socket_t fd = bufferevent_getfd(bev_.get());
+  if (fd >= 0) shutdown(fd, SHUT_RDWR);
+}
+
+// The peek sees what libevent has not read yet, and the end of the connection as well.
+bool UpstreamConnection::isClean() const {
+  if (evbuffer_get_length(input()) > 0) return false;
+  char byte = 0;
+  const ssize_t peeked = recv(bufferevent_getfd(bev_.get()), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return peeked < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+void UpstreamConnection::assign(UpstreamRequest& request) {
+  request_ = &request;
+  request.connection = this;
+  event_del(timer_.get());
+  responseMessages_ = newBuffer();
+  parser_.beginResponse(request.isHealthCheck());
+}
+
+UpstreamRequest* UpstreamConnection::detach() {
+  UpstreamRequest* const request = request_;
+  if (request) request->connection = nullptr;
+  request_ = nullptr;
+  return request;
+}
+
+void UpstreamConnection::writeRequest(Time now) {
+  request_->written = true;
+  if (request_->isHealthCheck()) {
+    append(output(), pg::query(kHealthCheckStatement));
+    return;
+  }
+  // The statement is passed on by reference, with its deadline replaced by the time that is left.
+  const ForwardedRequest& message = *request_->message;
+  const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(request_->deadline - now);
+  const std::string digits = std::to_string(std::max<std::int64_t>(remaining.count(), 1));
+  const std::size_t length =
+      evbuffer_get_length(message.before.get()) + digits.size() + evbuffer_get_length(message.after.get());
+  append(output(), pg::queryHead(length));
+  evbuffer_add_buffer_reference(output(), message.before.get());
+  append(output(), digits);
+  evbuffer_add_buffer_reference(output(), message.after.get());
+}
+
+void UpstreamConnection::startIdleTimer(Time maxIdleTime) { startTimer(timer_.get(), maxIdleTime); }
+
+// ---- events ----------------------------------------------------------------------------------------------
+void UpstreamConnection::onEvent(short events) {
+  if (events & BEV_EVENT_CONNECTED) {
+    const int enabled = 1;
+    setsockopt(bufferevent_getfd(bev_.get()), IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof enabled);
+  }
+  if (events & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) handler_.onConnectionLost(*this, parser_.statusIfLost());
+}
+
+void UpstreamConnection::onTimeout() {
+  if (request_)
+    handler_.onMalformedResponse(*this, ProtocolError::IncompleteResponse);
+  else
+    handler_.onConnectionLost(*this, parser_.statusIfLost());
+}
+
+void UpstreamConnection::onReadable() {
+  ReadStatus status = ReadStatus::Progress;
+  while (status == ReadStatus::Progress && evbuffer_get_length(input()) > 0) status = readMessage();
+  if (status != ReadStatus::Destroyed) limitResponseTime();
+}
+
+// ---- responses -------------------------------------------------------------------------------------------
+UpstreamConnection::ReadStatus UpstreamConnection::readMessage() {
+  const bool responseDue = request_ && request_->written && flushed();
+  if (!connecting() && !responseDue) return fail(ProtocolError::UnsolicitedData);
+  char bytes[pg::kHead];
+  if (evbuffer_copyout(input(), bytes, sizeof bytes) < static_cast<ev_ssize_t>(sizeof bytes))
+    return ReadStatus::NeedMoreInput;
+  const auto head = pg::parseHead(bytes);
+  if (!head || !parser_.accepts(*head)) return fail(ProtocolError::UnexpectedMessage);
+  if (evbuffer_get_length(input()) < pg::kHead + head->body) return ReadStatus::NeedMoreInput;
+  if (head->type == 'D' && !request_->isHealthCheck()) return moveRow(*head);
+  return parseMessage(*head);
+}
+
+// The row of a statement's response is moved, its value unread.
+UpstreamConnection::ReadStatus UpstreamConnection::moveRow(const pg::Head& head) {
+  char bytes[pg::kHead + pg::kRowHead];
+  const bool complete =
+      evbuffer_copyout(input(), bytes, sizeof bytes) == static_cast<ev_ssize_t>(sizeof bytes);
+  char columns[pg::kRowHead];
+  std::copy(bytes + pg::kHead, bytes + sizeof bytes, columns);
+  if (!complete || !parser_.parseRowHead(columns, head.body)) return fail(ProtocolError::MalformedDataRow);
+  evbuffer_remove_buffer(input(), responseMessages_.get(), pg::kHead + head.body);
+  return ReadStatus::Progress;
+}
+
+UpstreamConnection::ReadStatus UpstreamConnection::parseMessage(const pg::Head& head) {
+  const std::size_t length = pg::kHead + head.body;
+  const bool wasConnecting = connecting();
+  const unsigned char* const bytes = evbuffer_pullup(input(), static_cast<ev_ssize_t>(length));
+  const std::string_view message(reinterpret_cast<const char*>(bytes), length);
+  const ParseStatus status = parser_.parse(head.type, message.substr(pg::kHead));
+  if (status == ParseStatus::Malformed) return fail(parser_.protocolError());
+  if (head.type == 'E') logServerError();
+  if (status == ParseStatus::AuthenticationRequired)
+    logEvent(LogLevel::Warning, "server_requires_authentication");
+  if (status == ParseStatus::AuthenticationRequired || status == ParseStatus::Fatal) {
+    handler_.onConnectionLost(*this, parser_.statusIfLost());
+    return ReadStatus::Destroyed;
+  }
+  // Of the messages that are parsed, only the response's own go on to the client.
+  if (head.type == 'T' || head.type == 'C')
+    evbuffer_remove_buffer(input(), responseMessages_.get(), length);
+  else
+    evbuffer_drain(input(), length);
+  return status == ParseStatus::Ready ? onReadyForQuery(wasConnecting) : ReadStatus::Progress;
+}
+
+UpstreamConnection::ReadStatus UpstreamConnection::onReadyForQuery(bool startupCompleted) {
+  if (startupCompleted) {
+    handler_.onConnected(*this);
+  } else {
+    deliverResponse();
+    if (!isClean()) {
+      handler_.onNotReusable(*this);
+      return ReadStatus::Destroyed;
+    }
+  }
+  return handler_.onReady(*this) ? ReadStatus::Progress : ReadStatus::Destroyed;
+}
+
+UpstreamConnection::ReadStatus UpstreamConnection::fail(ProtocolError error) {
+  handler_.onMalformedResponse(*this, error);
+  return ReadStatus::Destroyed;
+}
+
+void UpstreamConnection::deliverResponse() {
+  UpstreamRequest& request = *detach();
+  event_del(timer_.get());
+  handler_.onResponse(request, parser_.response(), std::move(responseMessages_));
+}
+
+void UpstreamConnection::limitResponseTime() {
+  if (!request_ || !request_->written) return;
+  const bool started = parser_.responseStarted() || evbuffer_get_length(input()) > 0;
+  if (started && !event_pending(timer_.get(), EV_TIMEOUT, nullptr))
+    startTimer(timer_.get(), kResponseTimeout);
+}
+
+// An endpoint that is not ready says so to each health check: a line for each would crowd out those of
+// statements.
+void UpstreamConnection::logServerError() const {
+  const ServerResponse& response = parser_.response();
+  const bool ofStatement = request_ && !request_->isHealthCheck();
+  if (!ofStatement || response.status != AttemptStatus::Error || response.errorCode == kInternalError) return;
+  logEvent(LogLevel::Warning, "server_error", {{"code", response.errorCode}, {"text", response.errorText}});
+}
+
+}  // namespace stonebay
