Split the client listener: sessions, their socket, statements, startup, arrival times

One file accepted connections, spoke the protocol and read the statements' comments. ending_ and lingering_ were always set together and are one state; the integers of the eviction order are an enum.

--- /dev/null
+++ b/src/downstream/pg/arrival_times.hpp
@@ -0,0 +1,32 @@
+// When the bytes of a client's input arrived.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+
+#include "util/clock.hpp"
+
+namespace stonebay {
+
+/// A request's deadline counts from its arrival, though it may be pipelined behind others that take long.
+/// Input that arrives within some ms counts as one arrival.
+class ArrivalTimes {
+ public:
+  /// Notes the input that has arrived by now: `unread` bytes wait to be consumed.
+  void record(std::size_t unread, Clock::Time now);
+  /// The first `length` bytes of the input have been taken.
+  void consume(std::size_t length) { consumed_ += length; }
+  /// When the last byte that has been consumed arrived. Something must have been recorded.
+  Clock::Time ofLastConsumed();
+
+ private:
+  struct Arrival {
+    std::uint64_t end;  // bytes that had arrived in all
+    Clock::Time at;
+  };
+  std::uint64_t consumed_ = 0;
+  std::deque<Arrival> arrivals_;
+};
+
+}  // namespace stonebay
--- /dev/null
+++ b/src/downstream/pg/client_connection.cpp
@@ -0,0 +1,84 @@
+#include "downstream/pg/client_connection.hpp"
+
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/socket.h>
+
+#include <cerrno>
+
+namespace stonebay {
+namespace {
+
+constexpr timeval kWriteTimeout{10, 0};  // for a client that does not read its responses
+constexpr short kDisconnectEvents = BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT;
+
+ClientConnectionHandler& handlerOf(void* context) { return *static_cast<ClientConnectionHandler*>(context); }
+
+}  // namespace
+
+ClientConnection::ClientConnection(event_base* base, evutil_socket_t fd, ClientConnectionHandler& handler)
+    : bev_(bufferevent_socket_new(base, fd, BEV_OPT_CLOSE_ON_FREE)) {
+  const int enabled = 1;
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof enabled);
+  bufferevent_setcb(
+      bev_.get(), [](bufferevent*, void* context) { handlerOf(context).onReadable(); },
+      [](bufferevent*, void* context) { handlerOf(context).onOutputFlushed(); },
+      [](bufferevent*, short events, void* context) {
+        if (events & kDisconnectEvents) handlerOf(context).onDisconnected();
+      },
+      &handler);
+  setInputLimit(kReadAhead);
+  restartWriteTimeout();
+  bufferevent_enable(bev_.get(), EV_READ | EV_WRITE);
+}
+
+bool ClientConnection::hasInput() const {
+  if (unread() > 0) return true;
+  char byte = 0;
+  const ssize_t peeked = recv(socket(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return peeked >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+bool ClientConnection::peerClosed() const {
+  pollfd poller{socket(), POLLRDHUP, 0};
+  return poll(&poller, 1, 0) > 0;
+}
+
+void ClientConnection::setInputLimit(std::size_t bytes) {
+  inputLimit_ = bytes;
+  bufferevent_setwatermark(bev_.get(), EV_READ, 0, bytes);
+}
+
+// libevent calls back time and again while the input stands at its high watermark.
+void ClientConnection::updateReading() {
+  const bool hasRoom = unread() < inputLimit_;
+  if (hasRoom == reading_) return;
+  reading_ = hasRoom;
+  if (hasRoom)
+    bufferevent_enable(bev_.get(), EV_READ);
+  else
+    bufferevent_disable(bev_.get(), EV_READ);
+}
+
+void ClientConnection::resumeReading() {
+  reading_ = true;
+  bufferevent_enable(bev_.get(), EV_READ);
+}
+
+void ClientConnection::scheduleRead() {
+  bufferevent_trigger(bev_.get(), EV_READ, BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
+}
+
+std::size_t ClientConnection::discardInput() {
+  const std::size_t length = unread();
+  evbuffer_drain(input(), length);
+  return length;
+}
+
+void ClientConnection::closeOutput() { shutdown(socket(), SHUT_WR); }
+
+void ClientConnection::restartWriteTimeout() {
+  bufferevent_set_timeouts(bev_.get(), nullptr, &kWriteTimeout);
+}
+
+}  // namespace stonebay
--- a/src/downstream/pg/client_listener.hpp
+++ b/src/downstream/pg/client_listener.hpp
@@ -1,54 +1,66 @@
-// Client connections: the startup, queries one at a time, answers in order.
+// Accepts client connections, within the limits on their number, until the graceful shutdown.
 #pragma once
 
+#include <cstddef>
+#include <functional>
 #include <memory>
-#include <string>
+#include <optional>
 #include <unordered_map>
-#include <unordered_set>
 
-#include "dispatch/dispatcher.hpp"
+#include "downstream/pg/client_session.hpp"
+#include "downstream/pg/session_context.hpp"
 #include "util/event.hpp"
 
 namespace stonebay {
 
-class ClientListener {
+/// Owns the client sessions. Where there is no room for a new one, a session that is being closed, has sent
+/// no request or is idle is evicted; otherwise new connections wait in the listener's backlog.
+class ClientListener final : private ClientSessionOwner {
  public:
-  ClientListener(event_base*, Dispatcher&,
-                 const Config&);  // throws std::runtime_error where it cannot listen
+  /// Listens at once. Throws std::runtime_error where that fails.
+  ClientListener(event_base*, Dispatcher&, const Config&);
   ~ClientListener();
-  // Serves on while new connections still come, then closes connections between requests and finishes what is
-  // taken. `done` follows when no connection is left.
+  ClientListener(const ClientListener&) = delete;
+  ClientListener& operator=(const ClientListener&) = delete;
+
+  /// Starts the graceful shutdown: for some time new connections are still served; then no more are accepted,
+  /// idle ones are closed, and what is in flight is finished. `done` is called when no connection is left, or
+  /// when the longest deadline has passed.
   void drain(std::function<void()> done);
+  /// The port that it listens on.
   int port() const;
 
  private:
-  class Session;
+  void onSessionClosed(ClientSession&) override;
+  void onFirstRequest(ClientSession&) override;
+  std::optional<Time> stoppedAcceptingAt() const override { return stoppedAcceptingAt_; }
+
   void onAccepted(evutil_socket_t);
   void onAcceptFailed();
-  void closeSession(Session&);
   void resumeAccepting();
-  bool evictIdleSession();
+  void pauseAccepting();
+  void acceptBacklog();
+  void addSession(evutil_socket_t);
+  void removeSession(ClientSession&);
+  bool hasRoom();
+  bool evictSession();
+  void evictLongestIdle(const ClientSession& except);
   void checkSessions();
-  void onFirstRequest(const Session& by);
-  void stopListening();
-  void acceptPending();
-  bool acceptingStopped() const { return draining_ && !listener_; }
+  void onShutdownTimer();
+  void stopAccepting();
 
-  event_base* const base_;
-  Dispatcher& dispatcher_;
   const Config& config_;
-  const std::size_t maxSessions_;  // connections at once
-  std::size_t activeClients_ = 0;  // sessions that have asked something
-  std::size_t reserved_ = 0;       // bytes of long statements on their way, of Config::largeStatements
+  Dispatcher& dispatcher_;
+  SessionContext context_;
+  std::size_t activeSessions_ = 0;  // those that have sent a request
   Listener listener_;
-  Event acceptRetryTimer_, shutdownTimer_, checkTimer_;
+  Event acceptTimer_;    // ends a pause of accepting
+  Event checkTimer_;     // for the timeouts of all sessions
+  Event shutdownTimer_;  // ends accepting, then the wait for the last sessions
   bool draining_ = false;
-  Time stoppedAcceptingAt_{};  // when the listener was closed
+  std::optional<Time> stoppedAcceptingAt_;
   std::function<void()> done_;
-  std::unordered_map<std::uint64_t, Session*> byKey_;  // that a client may cancel by
-  std::uint32_t lastProcess_ = 0;
-  std::unordered_set<std::string> openIds_;  // of the requests that are out
-  std::unordered_map<Session*, std::unique_ptr<Session>> sessions_;
+  std::unordered_map<ClientSession*, std::unique_ptr<ClientSession>> sessions_;
 };
 
 }  // namespace stonebay
--- /dev/null
+++ b/src/downstream/pg/client_session.hpp
@@ -0,0 +1,105 @@
+// One client connection: the startup, queries one at a time, responses in order, and the close.
+#pragma once
+
+#include <cstddef>
+#include <optional>
+#include <string>
+
+#include "downstream/pg/arrival_times.hpp"
+#include "downstream/pg/client_connection.hpp"
+#include "downstream/pg/client_statement.hpp"
+#include "downstream/pg/session_context.hpp"
+#include "downstream/pg/startup_message.hpp"
+#include "util/event.hpp"
+
+namespace stonebay {
+
+/// Owns sessions and is notified of what concerns the others.
+class ClientSessionOwner {
+ public:
+  /// Destroys the session.
+  virtual void onSessionClosed(ClientSession&) = 0;
+  /// It has sent its first request; until then it is not active.
+  virtual void onFirstRequest(ClientSession&) = 0;
+  /// When the graceful shutdown stopped to accept connections; nothing before.
+  virtual std::optional<Time> stoppedAcceptingAt() const = 0;
+
+ protected:
+  ~ClientSessionOwner() = default;
+};
+
+/// How readily a session gives up its place to a new client, in ascending order.
+enum class EvictionPriority { Never, Idle, NeverActive, Closing };
+
+/// Takes one request at a time; what is pipelined behind it waits in the input, which is bounded.
+class ClientSession final : public ResponseHandler, private ClientConnectionHandler {
+ public:
+  /// Takes the descriptor of an accepted connection.
+  ClientSession(SessionContext&, ClientSessionOwner&, evutil_socket_t fd);
+  ~ClientSession() override;
+  ClientSession(const ClientSession&) = delete;
+  ClientSession& operator=(const ClientSession&) = delete;
+
+  void onResponse(Buffer response) override;
+  void onRejected(Time retryAfter) override;
+  void onFailed() override;
+
+  /// Whether it has sent a request.
+  bool active() const { return active_; }
+  /// Whether it is between requests. A request that has reached this machine counts, even if it is still to
+  /// be read.
+  bool idle() const;
+  EvictionPriority evictionPriority(Time now) const;
+  /// When its client connected, got its last response, or began to be closed.
+  Time lastActiveAt() const { return lastActiveAt_; }
+
+  /// Takes nothing more. The connection is closed when all output has gone out and the client has closed its
+  /// end, or has had the time to: closing on unread input would reset the connection, and the output would be
+  /// lost.
+  void startLingeringClose();
+  /// Its client has cancelled the request that is in flight, if any.
+  void cancelRequest();
+  /// Resumes what reading has been paused. False: a timeout has passed, the session has to be closed.
+  bool checkTimeouts(Time now);
+
+ private:
+  enum class State { Startup, Ready, LingeringClose };
+
+  bool closing() const { return state_ == State::LingeringClose; }
+
+  void onReadable() override;
+  void onOutputFlushed() override;
+  void onDisconnected() override;
+
+  bool canTakeMessage() const;
+  void discardInput();
+  bool takeStartup();
+  void greet();
+  void handleCancelRequest(const std::optional<CancelKey>&);
+  bool takeMessage();
+  void handleStatement(Buffer body);
+
+  void submit(ClientStatement&, int classIndex);
+  void rejectMessage(const ClientError&);
+  void finishResponse();
+  void releaseRequestId();
+  bool reserveMemory(std::size_t messageLength);
+  void releaseMemory();
+
+  SessionContext& context_;
+  ClientSessionOwner& owner_;
+  ClientConnection connection_;
+  State state_ = State::Startup;
+  bool active_ = false;
+  bool paused_ = false;       // no message is taken until the next periodic check
+  CancelKey cancelKey_;       // none before the startup
+  RequestId request_ = 0;     // in flight; 0: none
+  std::string requestId_;     // what the client calls it
+  std::size_t reserved_ = 0;  // of SessionContext::statementMemory
+  std::size_t discarded_ = 0;
+  ArrivalTimes arrivals_;
+  Time lastActiveAt_{};
+  Time incompleteSince_{};  // since when the input holds part of a message; 0: it does not
+};
+
+}  // namespace stonebay
--- /dev/null
+++ b/src/downstream/pg/client_statement.cpp
@@ -0,0 +1,84 @@
+#include "downstream/pg/client_statement.hpp"
+
+#include <algorithm>
+
+#include "util/hash.hpp"
+
+namespace stonebay {
+namespace {
+
+constexpr std::size_t kMaxKeyEnd = 256;  // the quoted key of a statement ends before
+constexpr std::uint32_t kMaxDeadlineMs = 3600 * 1000;
+constexpr float kMinTokenAgeMs = 0.001F;  // 0 stands for no token
+constexpr double kMicrosecondsPerMillisecond = 1e3;
+constexpr std::string_view kInsignificant = " \t\r\n;";
+
+}  // namespace
+
+ClientStatement::ClientStatement(Buffer body)
+    : body_(std::move(body)),
+      length_(evbuffer_get_length(body_.get())),
+      tailLength_(std::min(length_, kMaxTail)) {
+  evbuffer_ptr start;
+  evbuffer_ptr_set(body_.get(), &start, length_ - tailLength_, EVBUFFER_PTR_SET);
+  evbuffer_copyout_from(body_.get(), &start, tail_.data(), tailLength_);
+}
+
+std::optional<ClientError> ClientStatement::parse() {
+  // Endpoints close the connection on what they can't read: the only NUL has to be the last byte.
+  const auto terminator = evbuffer_search(body_.get(), "", 1, nullptr);
+  if (length_ == 0 || terminator.pos != static_cast<ev_ssize_t>(length_) - 1)
+    return ClientError{Severity::Fatal, "08P01", "a query's end is not where its length says"};
+  const std::string_view text = tail().substr(0, tailLength_ - 1);
+  empty_ = tailLength_ == length_ && text.find_first_not_of(kInsignificant) == std::string_view::npos;
+  if (empty_) return std::nullopt;
+  comment_ = pg::parseComment(text);
+  if (comment_.fault) return ClientError{Severity::Error, "42601", comment_.fault};
+  return std::nullopt;
+}
+
+std::optional<int> ClientStatement::classIndex(const Config& config) const {
+  const auto it = std::find(config.classes.begin(), config.classes.end(), comment_.cls);
+  if (it == config.classes.end()) return std::nullopt;
+  return static_cast<int>(it - config.classes.begin());
+}
+
+Request ClientStatement::toRequest(const Config& config, int classIndex, Time arrivedAt, Time now) const {
+  Request request;
+  request.classIndex = classIndex;
+  request.group = comment_.cluster;
+  const bool hasDeadline = comment_.waitLength > 0;
+  const Time timeAllowed = hasDeadline
+                               ? Time(std::chrono::milliseconds(std::min(comment_.waitMs, kMaxDeadlineMs)))
+                               : config.settings.classes[static_cast<std::size_t>(classIndex)].deadline;
+  request.deadline = arrivedAt + timeAllowed;
+  if (comment_.after > 0) {
+    const double nowMs = static_cast<double>(now.count()) / kMicrosecondsPerMillisecond;
+    const double ageMs = nowMs - static_cast<double>(comment_.after);
+    request.sessionTokenAgeMs = std::max(kMinTokenAgeMs, static_cast<float>(ageMs));
+  }
+  if (config.tracksSessions) request.session = session();
+  return request;
+}
+
+// A session is known by the key that its statements name; 0: there is none.
+std::uint64_t ClientStatement::session() const {
+  std::array<char, kMaxKeyEnd> start{};
+  const ev_ssize_t copied = evbuffer_copyout(body_.get(), start.data(), start.size());
+  const auto length = static_cast<std::size_t>(std::max<ev_ssize_t>(copied, 0));
+  const std::string_view key = pg::parseKey({start.data(), length});
+  return key.empty() ? 0 : std::max<std::uint64_t>(fnv1a(key), 1);
+}
+
+// Where the comment has a deadline, the statement is cut around its digits.
+ForwardedRequest ClientStatement::takeForwarded() {
+  ForwardedRequest forwarded{newBuffer(), std::move(body_), id()};
+  if (comment_.waitLength > 0) {
+    const std::size_t before = length_ - tailLength_ + comment_.waitAt;
+    evbuffer_remove_buffer(forwarded.after.get(), forwarded.before.get(), before);
+    evbuffer_drain(forwarded.after.get(), comment_.waitLength);
+  }
+  return forwarded;
+}
+
+}  // namespace stonebay
