--- /dev/null
+++ b/tests/shutdown_test.cpp
@@ -0,0 +1,66 @@
+// The graceful shutdown on SIGTERM. scenario.hpp explains the language.
+#include "scenario.hpp"
+
+namespace stonebay::test {
+namespace {
+
+TEST(Shutdown, FinishesRequestsInFlightAndExits) {
+  Scenario t;
+  t.run(R"(
+    c2 send query
+    c2 expect empty
+    c1 send query SELECT 1 /* id=1,c=read,d=7000,cluster=3 */
+    s2 expect query id=1
+    proxy send TERM
+    c3 send query SELECT 1 /* id=2,c=read,d=7000,cluster=3 */
+    s2 expect query id=2
+    c2 expect closed
+    s2 send row two
+    c3 expect row two
+    c3 expect closed
+    s1 wait idle 0
+  )");
+  t.run(R"(
+    c1 close
+    proxy expect exit 0
+  )");
+}
+// After SIGTERM clients go on sending on every connection that stays open. Once accepting has stopped, new
+// requests are rejected with a Retry-After, or the shutdown would never end; the close loses no response.
+TEST(Shutdown, RejectsRequestsThatArriveAfterAcceptingHasStopped) {
+  Scenario t;
+  t.run(R"(
+    c1 send query SELECT 1 /* id=1,c=read,d=7000,cluster=3 */
+    s2 expect query id=1
+    proxy send TERM
+    time passes 600
+    c1 send query SELECT 2 /* id=2,c=read,d=60000,cluster=3 */
+    c1 send query SELECT 3 /* id=3,c=read,d=60000,cluster=3 */
+    s2 send row big
+    c1 expect row big
+    c1 expect told to come back
+    c1 expect told to come back
+    c1 expect closed
+    proxy expect exit 0
+  )");
+}
+// Accepting stops in the very moment in which a connection and its first request have arrived, unread.
+TEST(Shutdown, AnswersAConnectionThatCrossesTheEndOfAccepting) {
+  Scenario t;
+  t.run(R"(
+    proxy send TERM
+    proxy expect log event=drain_started
+    proxy send STOP
+    c1 open
+    c1 send query SELECT 1 /* id=1,c=read,d=7000,cluster=3 */
+    time passes 600
+    proxy send CONT
+    c1 expect greeted
+    c1 expect told to come back
+    c1 expect closed
+    proxy expect exit 0
+  )");
+}
+
+}  // namespace
+}  // namespace stonebay::test
