--- a/src/downstream/pg/client_connection.cpp
+++ b/src/downstream/pg/client_connection.cpp
@@ -69,7 +69,7 @@
   bufferevent_trigger(bev_.get(), EV_READ, BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
 }
 
-std::size_t ClientConnection::discardInput() {
+std::size_t ClientConnection::discardInput() const {
   const std::size_t length = unread();
   evbuffer_drain(input(), length);
   return length;
--- a/src/downstream/pg/client_connection.hpp
+++ b/src/downstream/pg/client_connection.hpp
@@ -25,7 +25,7 @@
   static constexpr std::size_t kReadAhead = 16 << 10;
 
   /// Takes an accepted descriptor.
-  ClientConnection(event_base*, evutil_socket_t, ClientConnectionHandler&);
+  ClientConnection(event_base* base, evutil_socket_t fd, ClientConnectionHandler& handler);
 
   evbuffer* input() const { return bufferevent_get_input(bev_.get()); }
   evbuffer* output() const { return bufferevent_get_output(bev_.get()); }
@@ -48,7 +48,7 @@
   void scheduleRead();
 
   /// Returns the number of bytes dropped.
-  std::size_t discardInput();
+  std::size_t discardInput() const;
   /// Tells the client that nothing more is sent.
   void closeOutput();
   /// Starts the time that the client has to read its output anew.
--- a/src/downstream/pg/client_listener.cpp
+++ b/src/downstream/pg/client_listener.cpp
@@ -134,8 +134,9 @@
     best = session;
     highest = priority;
   }
-  if (best) removeSession(*best);
-  return best != nullptr;
+  if (best == nullptr) return false;
+  removeSession(*best);
+  return true;
 }
 
 // Clients that send one request and keep their connections may have no connection left on their own side
@@ -150,7 +151,7 @@
   ClientSession* longest = nullptr;
   for (const auto& [session, owned] : sessions_) {
     if (session == &except || session->evictionPriority(now) != EvictionPriority::Idle) continue;
-    if (longest && session->lastActiveAt() >= longest->lastActiveAt()) continue;
+    if (longest != nullptr && session->lastActiveAt() >= longest->lastActiveAt()) continue;
     if (session->idle()) longest = session;
   }
   if (longest) onSessionClosed(*longest);
--- a/src/downstream/pg/client_listener.hpp
+++ b/src/downstream/pg/client_listener.hpp
@@ -18,10 +18,10 @@
 class ClientListener final : private ClientSessionOwner {
  public:
   /// Listens at once. Throws std::runtime_error where that fails.
-  ClientListener(event_base*, Dispatcher&, const Config&);
+  ClientListener(event_base* base, Dispatcher& dispatcher, const Config& config);
   ~ClientListener();
-  ClientListener(const ClientListener&) = delete;
-  ClientListener& operator=(const ClientListener&) = delete;
+  ClientListener(const ClientListener& other) = delete;
+  ClientListener& operator=(const ClientListener& other) = delete;
 
   /// Starts the graceful shutdown: for some time new connections are still served; then no more are accepted,
   /// idle ones are closed, and what is in flight is finished. `done` is called when no connection is left, or
@@ -31,17 +31,17 @@
   int port() const;
 
  private:
-  void onSessionClosed(ClientSession&) override;
-  void onFirstRequest(ClientSession&) override;
+  void onSessionClosed(ClientSession& session) override;
+  void onFirstRequest(ClientSession& session) override;
   std::optional<Time> stoppedAcceptingAt() const override { return stoppedAcceptingAt_; }
 
-  void onAccepted(evutil_socket_t);
+  void onAccepted(evutil_socket_t fd);
   void onAcceptFailed();
   void resumeAccepting();
   void pauseAccepting();
   void acceptBacklog();
-  void addSession(evutil_socket_t);
-  void removeSession(ClientSession&);
+  void addSession(evutil_socket_t fd);
+  void removeSession(ClientSession& session);
   bool hasRoom();
   bool evictSession();
   void evictLongestIdle(const ClientSession& except);
--- a/src/downstream/pg/client_session.hpp
+++ b/src/downstream/pg/client_session.hpp
@@ -18,9 +18,9 @@
 class ClientSessionOwner {
  public:
   /// Destroys the session.
-  virtual void onSessionClosed(ClientSession&) = 0;
+  virtual void onSessionClosed(ClientSession& session) = 0;
   /// It has sent its first request; until then it is not active.
-  virtual void onFirstRequest(ClientSession&) = 0;
+  virtual void onFirstRequest(ClientSession& session) = 0;
   /// When the graceful shutdown stopped to accept connections; nothing before.
   virtual std::optional<Time> stoppedAcceptingAt() const = 0;
 
@@ -35,10 +35,10 @@
 class ClientSession final : public ResponseHandler, private ClientConnectionHandler {
  public:
   /// Takes the descriptor of an accepted connection.
-  ClientSession(SessionContext&, ClientSessionOwner&, evutil_socket_t fd);
+  ClientSession(SessionContext& context, ClientSessionOwner& owner, evutil_socket_t fd);
   ~ClientSession() override;
-  ClientSession(const ClientSession&) = delete;
-  ClientSession& operator=(const ClientSession&) = delete;
+  ClientSession(const ClientSession& other) = delete;
+  ClientSession& operator=(const ClientSession& other) = delete;
 
   void onResponse(Buffer response) override;
   void onRejected(Time retryAfter) override;
@@ -75,12 +75,12 @@
   void discardInput();
   bool takeStartup();
   void greet();
-  void handleCancelRequest(const std::optional<CancelKey>&);
+  void handleCancelRequest(const std::optional<CancelKey>& key);
   bool takeMessage();
   void handleStatement(Buffer body);
 
-  void submit(ClientStatement&, int classIndex);
-  void rejectMessage(const ClientError&);
+  void submit(ClientStatement& statement, int classIndex);
+  void rejectMessage(const ClientError& error);
   void finishResponse();
   void releaseRequestId();
   bool reserveMemory(std::size_t messageLength);
--- a/src/downstream/pg/client_statement.hpp
+++ b/src/downstream/pg/client_statement.hpp
@@ -27,8 +27,8 @@
  public:
   /// Takes the body of a Query message.
   explicit ClientStatement(Buffer body);
-  ClientStatement(const ClientStatement&) = delete;
-  ClientStatement& operator=(const ClientStatement&) = delete;
+  ClientStatement(const ClientStatement& other) = delete;
+  ClientStatement& operator=(const ClientStatement& other) = delete;
 
   /// To be called first. Nothing: the statement is sound, or empty.
   std::optional<ClientError> parse();
@@ -37,8 +37,8 @@
   /// The client's own name of the request.
   std::string id() const { return std::string(comment_.id); }
   /// The index of its class in Config::classes; nothing: there is no such class.
-  std::optional<int> classIndex(const Config&) const;
-  Request toRequest(const Config&, int classIndex, Time arrivedAt, Time now) const;
+  std::optional<int> classIndex(const Config& config) const;
+  Request toRequest(const Config& config, int classIndex, Time arrivedAt, Time now) const;
   /// Gives the statement away.
   ForwardedRequest takeForwarded();
 
--- a/src/downstream/pg/session_context.hpp
+++ b/src/downstream/pg/session_context.hpp
@@ -18,10 +18,10 @@
 class CancelKeys {
  public:
   /// A new key: a number that no session has yet, and a secret that can't be guessed.
-  CancelKey add(ClientSession&);
+  CancelKey add(ClientSession& session);
   void remove(const CancelKey& key) { sessions_.erase(key.encoded()); }
   /// Null: no session has this key.
-  ClientSession* find(const CancelKey&) const;
+  ClientSession* find(const CancelKey& key) const;
 
  private:
   std::unordered_map<std::uint64_t, ClientSession*> sessions_;
--- a/src/upstream/pg/connection_pool.hpp
+++ b/src/upstream/pg/connection_pool.hpp
@@ -22,37 +22,37 @@
 /// opened in advance for each endpoint that is ready.
 class ConnectionPool final : public EndpointPool, private UpstreamConnectionHandler {
  public:
-  ConnectionPool(event_base*, Dispatcher&, const Config&);
+  ConnectionPool(event_base* base, Dispatcher& dispatcher, const Config& config);
   ~ConnectionPool() override;
-  ConnectionPool(const ConnectionPool&) = delete;
-  ConnectionPool& operator=(const ConnectionPool&) = delete;
+  ConnectionPool(const ConnectionPool& other) = delete;
+  ConnectionPool& operator=(const ConnectionPool& other) = delete;
 
-  void updateEndpoint(EndpointId, const Address&, bool ready) override;
-  void send(RequestId, int attempt, EndpointId, Time deadline,
-            std::shared_ptr<const ForwardedRequest>) override;
-  void resumeAttempt(RequestId, int attempt, bool eligible) override;
-  void cancel(RequestId, int attempt) override;
-  void checkHealth(EndpointId) override;
-  void removeEndpoint(EndpointId) override;
+  void updateEndpoint(EndpointId id, const Address& address, bool ready) override;
+  void send(RequestId id, int attempt, EndpointId endpoint, Time deadline,
+            std::shared_ptr<const ForwardedRequest> message) override;
+  void resumeAttempt(RequestId id, int attempt, bool eligible) override;
+  void cancel(RequestId id, int attempt) override;
+  void checkHealth(EndpointId endpoint) override;
+  void removeEndpoint(EndpointId id) override;
 
  private:
   using AttemptKey = std::pair<RequestId, int>;
 
-  void onConnected(UpstreamConnection&) override;
-  bool onReady(UpstreamConnection&) override;
-  void onResponse(UpstreamRequest&, const ServerResponse&, Buffer messages) override;
-  void onConnectionLost(UpstreamConnection&, AttemptStatus) override;
-  void onMalformedResponse(UpstreamConnection&, ProtocolError) override;
-  void onNotReusable(UpstreamConnection&) override;
-  void onConnectFailed(EndpointConnections&, AttemptStatus);
-  void onDeadline(UpstreamRequest&);
+  void onConnected(UpstreamConnection& connection) override;
+  bool onReady(UpstreamConnection& connection) override;
+  void onResponse(UpstreamRequest& request, const ServerResponse& response, Buffer messages) override;
+  void onConnectionLost(UpstreamConnection& connection, AttemptStatus status) override;
+  void onMalformedResponse(UpstreamConnection& connection, ProtocolError error) override;
+  void onNotReusable(UpstreamConnection& connection) override;
+  void onConnectFailed(EndpointConnections& endpoint, AttemptStatus status);
+  void onDeadline(UpstreamRequest& request);
 
-  void start(UpstreamRequest&);
-  void startDeadlineTimer(UpstreamRequest&);
-  void write(UpstreamRequest&);
-  void finishAttempt(UpstreamRequest&, AttemptResult);
-  void finishHealthCheck(UpstreamRequest&, bool ok, std::string_view report = {});
-  void failRequest(UpstreamRequest&, AttemptStatus);
+  void start(UpstreamRequest& request);
+  void startDeadlineTimer(UpstreamRequest& request);
+  void write(UpstreamRequest& request);
+  void finishAttempt(UpstreamRequest& request, AttemptResult result);
+  void finishHealthCheck(UpstreamRequest& request, bool ok, std::string_view report = {});
+  void failRequest(UpstreamRequest& request, AttemptStatus status);
   std::vector<double> parseReport(std::string_view report) const;
 
   void maintainMinIdle();
--- a/src/upstream/pg/connection_set.cpp
+++ b/src/upstream/pg/connection_set.cpp
@@ -97,12 +97,11 @@
 
 bool ConnectionSet::makeRoom() {
   if (connections_.size() < maxConnections_) return true;
-  for (const auto& [id, endpoint] : endpoints_) {
-    if (endpoint.idle.empty()) continue;
-    close(*endpoint.idle.front());
-    return true;
-  }
-  return false;
+  const auto hasIdle = [](const auto& entry) { return !entry.second.idle.empty(); };
+  const auto it = std::find_if(endpoints_.begin(), endpoints_.end(), hasIdle);
+  if (it == endpoints_.end()) return false;
+  close(*it->second.idle.front());
+  return true;
 }
 
 }  // namespace stonebay
--- a/src/upstream/pg/connection_set.hpp
+++ b/src/upstream/pg/connection_set.hpp
@@ -29,21 +29,21 @@
 /// Owns the connections and keeps the records of their endpoints.
 class ConnectionSet {
  public:
-  ConnectionSet(event_base*, UpstreamConnectionHandler&, const Config&);
+  ConnectionSet(event_base* base, UpstreamConnectionHandler& handler, const Config& config);
 
   /// The record of an endpoint, which is made where there is none. The reference is valid until
   /// removeEndpoint.
   EndpointConnections& at(EndpointId id) { return endpoints_[id]; }
   /// Closes its connections.
-  void removeEndpoint(EndpointId);
+  void removeEndpoint(EndpointId id);
 
-  void open(EndpointId);
-  void close(UpstreamConnection&);
-  void closeIdle(EndpointId);
+  void open(EndpointId id);
+  void close(UpstreamConnection& connection);
+  void closeIdle(EndpointId id);
   /// Keeps a connection for the next request, until its idle timer ends it.
-  void addIdle(UpstreamConnection&);
+  void addIdle(UpstreamConnection& connection);
   /// Takes out the most recently used idle connection that can still be used; null: there is none.
-  UpstreamConnection* takeIdle(EndpointId);
+  UpstreamConnection* takeIdle(EndpointId id);
   /// Opens connections in advance, so that each endpoint that is ready has some idle ones.
   void maintainMinIdle(Time now);
   /// Closes an idle connection of any endpoint if the limit is reached. False: there is none.
--- a/src/upstream/pg/response_parser.hpp
+++ b/src/upstream/pg/response_parser.hpp
@@ -27,7 +27,7 @@
 };
 
 /// For the log.
-const char* describe(ProtocolError);
+const char* describe(ProtocolError error);
 
 /// What a response says besides the rows that go on to the client.
 struct ServerResponse {
@@ -60,7 +60,7 @@
 
   /// Whether a message with this head may come next. To be asked before the body has been read: a head may
   /// promise gigabytes.
-  bool accepts(const pg::Head&) const;
+  bool accepts(const pg::Head& head) const;
   /// Parses a message that is accepted.
   ParseStatus parse(char type, std::string_view body);
   /// In place of parse for the row of a statement's response, which is passed on unread. False: malformed.
@@ -79,10 +79,10 @@
   enum class Stage { Start, Described, Row, Complete, Failed };
 
   bool expects(char type) const;
-  ParseStatus malformed(ProtocolError);
+  ParseStatus malformed(ProtocolError error);
   ParseStatus onErrorResponse(std::string_view body);
   ParseStatus onParameterStatus(std::string_view body);
-  ParseStatus onAuthentication(std::string_view body);
+  static ParseStatus onAuthentication(std::string_view body);
   ParseStatus onRowDescription(std::string_view body);
   ParseStatus onDataRow(std::string_view body);
   ParseStatus onCommandComplete(std::string_view body);
--- a/src/upstream/pg/upstream_connection.cpp
+++ b/src/upstream/pg/upstream_connection.cpp
@@ -120,7 +120,7 @@
 
 // ---- responses -------------------------------------------------------------------------------------------
 UpstreamConnection::ReadStatus UpstreamConnection::readMessage() {
-  const bool responseDue = request_ && request_->written && flushed();
+  const bool responseDue = request_ != nullptr && request_->written && flushed();
   if (!connecting() && !responseDue) return fail(ProtocolError::UnsolicitedData);
   char bytes[pg::kHead];
   if (evbuffer_copyout(input(), bytes, sizeof bytes) < static_cast<ev_ssize_t>(sizeof bytes))
@@ -201,7 +201,7 @@
 // statements.
 void UpstreamConnection::logServerError() const {
   const ServerResponse& response = parser_.response();
-  const bool ofStatement = request_ && !request_->isHealthCheck();
+  const bool ofStatement = request_ != nullptr && !request_->isHealthCheck();
   if (!ofStatement || response.status != AttemptStatus::Error || response.errorCode == kInternalError) return;
   logEvent(LogLevel::Warning, "server_error", {{"code", response.errorCode}, {"text", response.errorText}});
 }
--- a/src/upstream/pg/upstream_connection.hpp
+++ b/src/upstream/pg/upstream_connection.hpp
@@ -17,17 +17,17 @@
 class UpstreamConnectionHandler {
  public:
   /// The startup is complete; onReady follows.
-  virtual void onConnected(UpstreamConnection&) = 0;
+  virtual void onConnected(UpstreamConnection& connection) = 0;
   /// May take a request. False: the connection has been destroyed.
-  virtual bool onReady(UpstreamConnection&) = 0;
+  virtual bool onReady(UpstreamConnection& connection) = 0;
   /// The connection carries this request no more. `messages` holds the RowDescription, DataRow and
   /// CommandComplete as they came.
-  virtual void onResponse(UpstreamRequest&, const ServerResponse&, Buffer messages) = 0;
+  virtual void onResponse(UpstreamRequest& request, const ServerResponse& response, Buffer messages) = 0;
   /// The connection is at its end; `status` is that of the attempt on it.
-  virtual void onConnectionLost(UpstreamConnection&, AttemptStatus status) = 0;
-  virtual void onMalformedResponse(UpstreamConnection&, ProtocolError) = 0;
+  virtual void onConnectionLost(UpstreamConnection& connection, AttemptStatus status) = 0;
+  virtual void onMalformedResponse(UpstreamConnection& connection, ProtocolError error) = 0;
   /// The response was good, but the connection can't be used again.
-  virtual void onNotReusable(UpstreamConnection&) = 0;
+  virtual void onNotReusable(UpstreamConnection& connection) = 0;
 
  protected:
   ~UpstreamConnectionHandler() = default;
@@ -36,12 +36,12 @@
 class UpstreamConnection {
  public:
   /// Starts to connect. A failure is reported from the event loop, never from within this call.
-  UpstreamConnection(event_base*, UpstreamConnectionHandler&, EndpointId, const Address&,
-                     Time connectTimeout);
+  UpstreamConnection(event_base* base, UpstreamConnectionHandler& handler, EndpointId endpoint,
+                     const Address& address, Time connectTimeout);
   /// Shuts the connection down at once.
   ~UpstreamConnection();
-  UpstreamConnection(const UpstreamConnection&) = delete;
-  UpstreamConnection& operator=(const UpstreamConnection&) = delete;
+  UpstreamConnection(const UpstreamConnection& other) = delete;
+  UpstreamConnection& operator=(const UpstreamConnection& other) = delete;
 
   EndpointId endpoint() const { return endpoint_; }
   const Address& address() const { return address_; }
@@ -50,7 +50,7 @@
   /// The request that it carries, or null.
   UpstreamRequest* request() const { return request_; }
   /// Whether the response so far blames the statement; false without a request.
-  bool invalidStatement() const { return request_ && parser_.response().invalidStatement; }
+  bool invalidStatement() const { return request_ != nullptr && parser_.response().invalidStatement; }
   /// Whether all bytes written have left the process.
   bool flushed() const { return evbuffer_get_length(output()) == 0; }
   /// Whether nothing has arrived that is still unread, the end of the connection included. What stands behind
@@ -58,7 +58,7 @@
   bool isClean() const;
 
   /// Takes a request, which is not written yet.
-  void assign(UpstreamRequest&);
+  void assign(UpstreamRequest& request);
   /// Parts with the request that it carries; returns it, or null.
   UpstreamRequest* detach();
   /// Writes the query of its request, with the time that is left until the request's deadline.
@@ -76,10 +76,10 @@
   void onTimeout();
   void onReadable();
   ReadStatus readMessage();
-  ReadStatus moveRow(const pg::Head&);
-  ReadStatus parseMessage(const pg::Head&);
+  ReadStatus moveRow(const pg::Head& head);
+  ReadStatus parseMessage(const pg::Head& head);
   ReadStatus onReadyForQuery(bool startupCompleted);
-  ReadStatus fail(ProtocolError);
+  ReadStatus fail(ProtocolError error);
   void deliverResponse();
   void limitResponseTime();
   void logServerError() const;
