--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -83,7 +83,7 @@
   s << R"(]},"settings":{"allowed":{"attemptsCap":8,"cancel":true,"dialTimeoutUs":250000,"idleCloseUs":)"
     << setting.idleCloseUs
     << R"(,"maxRetryAfterUs":1000000,"parallelTries":false,"probing":true,"retryAfter":)"
-    << (setting.retryAfter ? "true" : "false") << R"(},"balancers":)" << setting.balancers << R"(,
+    << (setting.retryAfterAllowed ? "true" : "false") << R"(},"balancers":)" << setting.proxyCount << R"(,
 "classes":[{"deadlineUs":9000000,"effect":"safe","lateWorth":0.0,"name":"read","promiseUs":8000000,"worth":1.0},
 {"deadlineUs":9000000,"effect":"keyed","group":"cell","lateWorth":0.5,"memorySpanUs":9000000,"name":"write",
 "promiseUs":8000000,"worth":6.0}],"discovery":"subscribe","goal":{"whole":0.55,"worstClass":0.3},
--- a/tests/scenario.hpp
+++ b/tests/scenario.hpp
@@ -40,7 +40,7 @@
   std::string idleCloseUs = "15000000";
   int sockets = 1024, memoryMb = 192;
   std::string reports = "pull";
-  int balancers = 3;
+  int proxyCount = 3;
   bool retryAfterAllowed = true;
   bool dnssd = false;   // found by service records; in our form
   bool ini = false;     // settings in our form, by `serve --config`
