Take in the split of upstream and downstream by concern

Change: response parser, connection, request, pool and connection set upstream; listener, session, connection, statement, startup message and arrival times downstream; socket tests in files beside the modules; unit tests for the new units.

--- a/src/upstream/pg/connection_pool.hpp
+++ b/src/upstream/pg/connection_pool.hpp
@@ -1,71 +1,69 @@
-// Connections to data servers: the pool of each, attempts and probes on them.
+// Requests to endpoints: each attempt and health check gets a connection, a deadline and one reported end.
 #pragma once
 
-#include <deque>
 #include <map>
 #include <memory>
-#include <string>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
 
-#include "codec/pg/pg.hpp"
 #include "dispatch/dispatcher.hpp"
+#include "upstream/pg/connection_set.hpp"
+#include "upstream/pg/upstream_connection.hpp"
+#include "upstream/pg/upstream_request.hpp"
 #include "util/event.hpp"
 
 namespace stonebay {
 
-class ConnectionPool final : public EndpointPool {
+/// Carries out attempts and health checks, each on a connection of its own for as long as it lasts.
+///
+/// An idle connection is used again; otherwise the request waits for a new one. Some idle connections are
+/// opened in advance for each endpoint that is ready.
+class ConnectionPool final : public EndpointPool, private UpstreamConnectionHandler {
  public:
-  ConnectionPool(event_base*, Dispatcher&, const Config&);
+  ConnectionPool(event_base* base, Dispatcher& dispatcher, const Config& config);
   ~ConnectionPool() override;
+  ConnectionPool(const ConnectionPool& other) = delete;
+  ConnectionPool& operator=(const ConnectionPool& other) = delete;
 
-  void updateEndpoint(EndpointId, const Address&, bool ready) override;
-  void send(RequestId, int attempt, EndpointId, Time until, std::shared_ptr<const ForwardedRequest>) override;
-  void resumeAttempt(RequestId, int attempt, bool fit) override;
-  void cancel(RequestId, int attempt) override;
-  void checkHealth(EndpointId) override;
-  void removeEndpoint(EndpointId) override;
+  void updateEndpoint(EndpointId id, const Address& address, bool ready) override;
+  void send(RequestId id, int attempt, EndpointId endpoint, Time deadline,
+            std::shared_ptr<const ForwardedRequest> message) override;
+  void resumeAttempt(RequestId id, int attempt, bool eligible) override;
+  void cancel(RequestId id, int attempt) override;
+  void checkHealth(EndpointId endpoint) override;
+  void removeEndpoint(EndpointId id) override;
 
  private:
-  struct UpstreamRequest;
-  class Connection;
-  struct Endpoint {
-    Address address;
-    bool ready = false;
-    std::vector<Connection*> idle;         // the last one used comes last
-    std::deque<UpstreamRequest*> waiting;  // for a connection
-    int dialing = 0;
-    Time dialAgain{};  // no connection is opened in advance before then
-    std::unique_ptr<UpstreamRequest> probe;
-  };
   using AttemptKey = std::pair<RequestId, int>;
 
-  void run(UpstreamRequest&);  // on an idle connection, or once a new one stands
-  void dial(EndpointId, Endpoint&);
-  bool stands(Connection&);  // dialed or released: takes the next job or idles; false: it was dropped
-  void write(UpstreamRequest&);
-  void lost(Connection&, AttemptStatus);       // its end; tells that of its job
-  void spoilt(Connection&, const char* what);  // the same, by what it sent
-  void dialFailed(Endpoint&, AttemptStatus);
-  void timedOut(UpstreamRequest&);
-  void finish(UpstreamRequest&, AttemptResult);  // the end of a job, told once
-  void finishProbe(UpstreamRequest&, bool ok, std::string_view report = {});
-  std::vector<double> believed(std::string_view report) const;
-  void drop(Connection&);
-  void dropIdle(Endpoint&);
-  void keepWarm();
-  bool makeRoom();
+  void onConnected(UpstreamConnection& connection) override;
+  bool onReady(UpstreamConnection& connection) override;
+  void onResponse(UpstreamRequest& request, const ServerResponse& response, Buffer messages) override;
+  void onConnectionLost(UpstreamConnection& connection, AttemptStatus status) override;
+  void onMalformedResponse(UpstreamConnection& connection, ProtocolError error) override;
+  void onNotReusable(UpstreamConnection& connection) override;
+  void onConnectFailed(EndpointConnections& endpoint, AttemptStatus status);
+  void onDeadline(UpstreamRequest& request);
+
+  void start(UpstreamRequest& request);
+  void startDeadlineTimer(UpstreamRequest& request);
+  void write(UpstreamRequest& request);
+  void finishAttempt(UpstreamRequest& request, AttemptResult result);
+  void finishHealthCheck(UpstreamRequest& request, bool ok, std::string_view report = {});
+  void failRequest(UpstreamRequest& request, AttemptStatus status);
+  std::vector<double> parseReport(std::string_view report) const;
+
+  void maintainMinIdle();
 
   event_base* const base_;
   Dispatcher& dispatcher_;
   const Config& config_;
-  const std::size_t most_;  // connections at once
-  const std::size_t warm_;  // kept idle for each member that is ready
-  std::unordered_map<EndpointId, Endpoint> endpoints_;
-  std::unordered_map<Connection*, std::unique_ptr<Connection>> connections_;
+  ConnectionSet connections_;
   std::map<AttemptKey, std::unique_ptr<UpstreamRequest>> attempts_;
-  Event upkeep_;
+  std::unordered_map<EndpointId, std::unique_ptr<UpstreamRequest>> healthChecks_;  // one an endpoint at most
+  Event maintenanceTimer_;
 };
 
 }  // namespace stonebay
