--- a/testbed/audit.hpp
+++ b/testbed/audit.hpp
@@ -1,117 +1,75 @@
-// Judges a run by what the stand-ins saw on their sockets, and by what the clients got. Pure: facts come with
-// their times, in the order in which they happened.
+// Judges a run by what the stand-ins observed on their sockets and by what the clients received.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
-#include <map>
-#include <optional>
-#include <set>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
-#include "testbed/model.hpp"
+#include "testbed/audit_records.hpp"
+#include "testbed/auditors.hpp"
+#include "testbed/figures.hpp"
 
 namespace stonebay::testbed {
 
-enum class Got {
-  Served,
-  Refused,
-  Failed,
-  Late,
-  Nothing
-};  // Nothing: its time was up, and no answer had come
-
-class Audit {
+/// Passes the events of a run to its auditors and computes the figures that claims and reports use. Pure:
+/// events come with their times, in the order in which they happened.
+class RunAudit {
  public:
-  struct Rules {
-    Time drainGrace = std::chrono::milliseconds(1050);  // 1 s and 50 ms for the sockets
-    Time overlap = std::chrono::milliseconds(20);    // the end of a connection is noticed no later than that
-    Time staleSlack = std::chrono::milliseconds(5);  // from the proxy's send to what the stand-in sees of it
-  };
-  explicit Audit(const Rules& rules) : rules_(rules) {}
-  Audit() : Audit(Rules()) {}
+  explicit RunAudit(const AuditSettings& settings = {});
+  RunAudit(const RunAudit&) = delete;
+  RunAudit& operator=(const RunAudit&) = delete;
 
-  // Of the list: what a proxy has been told of a server, by the stand-in that told it.
-  void withdrawn(Time, int server);                 // by the script: from here on it is to be told
-  void told(Time, int proxy, int server, bool in);  // in: it may be sent work
+  // Discovery.
+  void onWithdrawn(Time at, int endpoint) { drain_.onWithdrawn(at, endpoint); }
+  void onListing(Time at, int proxy, int endpoint, bool listed) {
+    drain_.onListing(at, proxy, endpoint, listed);
+  }
 
-  // Of the servers.
-  struct Send {
-    Time at{};
-    int proxy = 0, server = 0;
-    std::string id, key;
-    std::string cls;
-    bool read = false;
-    Time age{}, bound{};      // of the data there at that time; bound 0: any age will do
-    std::uint64_t token = 0;  // of this attempt, given by send
-  };
-  std::uint64_t send(Send);
-  void ended(Time, std::uint64_t token, bool served);       // answered, or its connection ended
-  void ran(Time, const std::string& key, Time droppedFor);  // a write took effect, and it was not a repeat
-  void felled(Time, int server);
-  void cold(double multiple);
-  void probe(Time) { ++probes_; }
+  // Endpoints.
+  /// @return the token of the attempt, for onAttemptEnded.
+  std::uint64_t onAttempt(AttemptRecord attempt);
+  /// The attempt was answered, or its connection ended.
+  void onAttemptEnded(Time at, std::uint64_t token, bool served);
+  /// A write took effect; a repeat that was recognised as one does not count.
+  void onWriteApplied(Time at, const std::string& key, Time deduplicationWindow) {
+    idempotency_.onWriteApplied(at, key, deduplicationWindow);
+  }
+  void onOverloadCrash(Time at, int endpoint) { overload_.onCrash(at, endpoint); }
+  void onPeakOverload(double overload) { overload_.onPeakOverload(overload); }
+  void onHealthCheck() { ++healthChecks_; }
 
-  // Of the clients: every request ends in one of these, once.
-  void request(Time at, const std::string& id);
-  void answer(Time at, const std::string& id, Got, const std::string& value, Time latency, bool onTime,
-              double worth, double earned);
-  void extra(Time) { ++extraAnswers_; }  // an answer that nobody waited for
-  void lost(const std::string& id, const char* why);
+  // Clients.
+  void onRequest(Time at, const std::string& id) { responseAuditor_.onRequest(at, id); }
+  void onResponse(const ResponseEvent& response) { responseAuditor_.onResponse(response); }
+  void onUnexpectedResponse() { responseAuditor_.onUnexpectedResponse(); }
 
-  void finish(Time);  // judges what is still open
+  /// Judges what is still undecided at the end of the run.
+  void finish(Time now);
 
-  std::size_t count(Got) const;  // so far; cheap
-  // Figures, by the names that claims use.
-  std::map<std::string, double> figures() const;
-  const std::vector<Send>& sends() const { return sends_; }
-  struct Answer {
-    Time at{}, latency{};
-    std::string id;
-    Got got{};
-    std::string cls;
-  };
-  const std::vector<Answer>& answers() const { return answers_; }
-  struct Broken {
-    Time at{};
-    std::string rule, what;
-  };
-  const std::vector<Broken>& broken() const { return broken_; }
-  struct Told {
-    Time at{};
-    int proxy, server;
-    bool in;
-    Time after{};  // the withdrawal
-  };
-  const std::vector<Told>& tellings() const { return told_; }
+  std::size_t count(RequestResult result) const { return responseAuditor_.count(result); }
+  /// All figures, by the names that claims use.
+  Figures figures() const;
+  const std::vector<AttemptRecord>& attempts() const { return attempts_; }
+  const std::vector<ResponseRecord>& responses() const { return responseAuditor_.responses(); }
+  const std::vector<ListingRecord>& listings() const { return drain_.listings(); }
+  const std::vector<Violation>& violations() const { return log_.violations(); }
 
  private:
-  struct Out {
-    std::uint64_t token;
-    int server;
-    Time at;
-    std::optional<Time> overlappedAt;
-  };
-  void breaks(Time, const char* rule, std::string what);
-  void settle(Time now);
+  void addCounts(Figures& figures) const;
+  void addQuantiles(Figures& figures) const;
 
-  const Rules rules_;
-  std::map<std::pair<int, int>, Time> outSince_;  // proxy, server
-  std::map<std::pair<int, int>, bool> in_;
-  std::map<int, Time> withdrawnAt_;
-  std::unordered_map<std::string, std::vector<Out>> open_;  // attempts by id
-  std::unordered_map<std::uint64_t, std::string> idOf_;
-  std::unordered_map<std::string, Time> waiting_;  // requests without an answer
-  std::unordered_map<std::string, Time> effects_;  // by key
-  std::vector<std::pair<Time, std::string>> overlaps_;
-  std::vector<Send> sends_;
-  std::vector<Answer> answers_;
-  std::vector<Told> told_;
-  std::vector<Broken> broken_;
-  std::uint64_t tokens_ = 0, extraAnswers_ = 0, probes_ = 0, inGrace_ = 0;
-  double worstCold_ = 0, worth_ = 0, earned_ = 0;
-  std::map<std::string, std::uint64_t> count_;
+  const AuditSettings settings_;
+  ViolationLog log_;
+  DrainAuditor drain_;
+  StalenessAuditor staleness_;
+  ConcurrencyAuditor concurrency_;
+  IdempotencyAuditor idempotency_;
+  OverloadAuditor overload_;
+  ResponseAuditor responseAuditor_;
+  std::vector<AttemptRecord> attempts_;
+  std::uint64_t attemptsServed_ = 0;
+  std::uint64_t healthChecks_ = 0;
 };
 
 }  // namespace stonebay::testbed
--- /dev/null
+++ b/testbed/client_connection.cpp
@@ -0,0 +1,115 @@
+#include "testbed/client_connection.hpp"
+
+#include <cstdlib>
+#include <utility>
+
+#include "codec/pg/pg.hpp"
+#include "testbed/connection_io.hpp"
+#include "testbed/socket_address.hpp"
+
+namespace stonebay::testbed {
+namespace {
+
+constexpr Time kDeadlineTolerance = std::chrono::milliseconds(70);  // a response still counts that long after
+constexpr std::string_view kTooManyConnections = "53300";           // SQLSTATE
+constexpr std::string_view kCannotConnectNow = "57P03";
+constexpr std::string_view kDetailField("\0D", 2);  // of an ErrorResponse
+
+}  // namespace
+
+ClientConnection::ClientConnection(RunContext& context, ClientConnectionHandler& handler,
+                                   const sockaddr_in& target)
+    : context_(context),
+      handler_(handler),
+      connection_(bufferevent_socket_new(context.eventBase(), -1, BEV_OPT_CLOSE_ON_FREE)),
+      deadline_(context, [this] { onDeadline(); }) {
+  bufferevent_setcb(
+      connection_.get(),
+      [](bufferevent* /*connection*/, void* self) { static_cast<ClientConnection*>(self)->onReadable(); },
+      nullptr,
+      [](bufferevent* /*connection*/, short events, void* self) {
+        static_cast<ClientConnection*>(self)->onEvent(events);
+      },
+      this);
+  write(connection_.get(), pg::startup("api", "ledger"));
+  bufferevent_enable(connection_.get(), EV_READ | EV_WRITE);
+  bufferevent_socket_connect(connection_.get(), asSockaddr(target), sizeof target);
+}
+
+void ClientConnection::send(ClientRequest request) {
+  request_ = std::move(request);
+  hasRow_ = false;
+  rejected_ = false;
+  value_.clear();
+  write(connection_.get(), pg::query(request_->statement));
+  deadline_.startIn(request_->deadline + kDeadlineTolerance - context_.now());
+}
+
+void ClientConnection::onEvent(short events) {
+  if ((events & BEV_EVENT_CONNECTED) != 0) disableNagle(bufferevent_getfd(connection_.get()));
+  if ((events & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) close();
+}
+
+void ClientConnection::onReadable() {
+  evbuffer* const input = bufferevent_get_input(connection_.get());
+  PgMessage message;
+  for (;;) {
+    const ReadStatus status = readMessage(input, message);
+    if (status == ReadStatus::Malformed) return close();
+    if (status == ReadStatus::Incomplete || !onMessage(message)) return;
+  }
+}
+
+bool ClientConnection::onMessage(const PgMessage& message) {
+  if (message.type == 'D') onRow(message.body);
+  if (message.type == 'E') onError(message.body);
+  return message.type != 'Z' || onReadyForQuery();
+}
+
+void ClientConnection::onRow(std::string_view body) {
+  if (hasRow_) handler_.onUnexpectedResponse();
+  hasRow_ = true;
+  if (const auto value = pg::parseColumn(body)) value_ = std::string(*value);
+}
+
+void ClientConnection::onError(std::string_view body) {
+  const auto error = pg::parseError(body);
+  rejected_ = error.code == kTooManyConnections || error.code == kCannotConnectNow;
+  retryAfter_ = Time(0);
+  const std::size_t detail = body.find(kDetailField);
+  if (detail != std::string_view::npos)
+    retryAfter_ = std::chrono::milliseconds(std::atoi(body.data() + detail + kDetailField.size()));
+}
+
+bool ClientConnection::onReadyForQuery() {
+  if (!greeted_) {
+    greeted_ = true;
+    return true;
+  }
+  if (!request_) {
+    handler_.onUnexpectedResponse();
+    return true;
+  }
+  deadline_.stop();
+  const ClientRequest request = *std::exchange(request_, std::nullopt);
+  ClientResponse response;
+  if (hasRow_)
+    response.result = RequestResult::Served;
+  else if (rejected_)
+    response.result = RequestResult::Rejected;
+  response.value = value_;
+  response.retryAfter = retryAfter_;
+  return handler_.onResponse(*this, request, response);
+}
+
+void ClientConnection::onDeadline() {
+  const ClientRequest request = *std::exchange(request_, std::nullopt);
+  handler_.onDeadline(*this, request);
+}
+
+void ClientConnection::close() {
+  const std::optional<ClientRequest> request = std::exchange(request_, std::nullopt);
+  handler_.onClosed(*this, request);
+}
+
+}  // namespace stonebay::testbed
--- a/testbed/experiment.hpp
+++ b/testbed/experiment.hpp
@@ -1,53 +1,49 @@
-// An experiment as its file says it: INI with the sections [experiment], [fleet], [load] (and [load NAME] for
-// clients that go directly to a server), [class NAME], [settings], [script] and [claims].
+// An experiment as its file describes it: INI with the sections [experiment], [fleet], [load] (and
+// [load NAME] for clients that connect to an endpoint directly), [class NAME], [settings], [script] and
+// [claims].
 #pragma once
 
-#include <optional>
+#include <cstdint>
 #include <string>
 #include <vector>
 
-#include "testbed/clients.hpp"
-#include "testbed/fleet.hpp"
+#include "testbed/claim.hpp"
+#include "testbed/endpoint_settings.hpp"
+#include "testbed/load_generator.hpp"
+#include "testbed/script.hpp"
+#include "testbed/workload.hpp"
 #include "util/config_error.hpp"
 
 namespace stonebay::testbed {
 
-struct Claim {
-  std::string text, figure, relation;
-  double value = 0;
-  int line = 0;
-  bool holds(double measured) const;
-};
-
-struct Step {
-  Time at{};
-  std::vector<std::string> words;  // "withdraw", "s-3"
-  int line = 0;
-};
-
+/// Load that bypasses the proxies.
 struct DirectLoad {
-  std::string name, server;
-  ClientSettings settings;
+  std::string name;
+  std::string endpoint;
+  LoadSettings settings;
 };
 
 struct Experiment {
-  std::string file, title;
-  Time duration = std::chrono::seconds(30), warmup = std::chrono::seconds(1);
+  std::string file;
+  std::string title;
+  Time duration = std::chrono::seconds(30);
+  Time warmup = std::chrono::seconds(1);
   int proxies = 1;
-  std::string discovery = "dnssd";
+  std::string discovery = "dnssd";  ///< or "registry"
   std::uint64_t seed = 1;
   FleetSettings fleet;
-  ClientSettings load;
+  LoadSettings load;
   std::vector<DirectLoad> direct;
-  std::vector<ClassModel> classes;
-  std::string settings;  // for the proxies, as INI
-  std::vector<Step> script;
+  std::vector<RequestClass> classes;
+  std::string proxySettings;  ///< additional settings for the proxies, as INI
+  std::vector<ScriptStep> script;
   std::vector<Claim> claims;
 };
 
-// Everything that is wrong with the file goes to `faults`; then the experiment is of no use.
+/// Appends all that is wrong with the text to `errors`; then the result must not be used.
 Experiment parseExperiment(const std::string& text, const std::string& file,
-                           std::vector<ConfigError>& faults);
-Experiment readExperiment(const std::string& path, std::vector<ConfigError>& faults);
+                           std::vector<ConfigError>& errors);
+/// Reads and parses a file; a file that can't be read is an error as well.
+Experiment readExperiment(const std::string& path, std::vector<ConfigError>& errors);
 
 }  // namespace stonebay::testbed
--- /dev/null
+++ b/testbed/faulty_proxy.hpp
@@ -0,0 +1,59 @@
+// A proxy that breaks one rule on purpose.
+#pragma once
+
+#include <netinet/in.h>
+
+#include <atomic>
+#include <string>
+#include <vector>
+
+#include "codec/dns/message.hpp"
+#include "testbed/dns_discovery_client.hpp"
+#include "testbed/unique_fd.hpp"
+
+namespace stonebay::testbed {
+
+enum class Fault {
+  None,
+  LateAttempt,    ///< goes on sending to endpoints that were withdrawn
+  Hedging,        ///< sends each read to two endpoints at once
+  Loss,           ///< never answers one request in ten
+  WrongValue,     ///< answers with a value that no endpoint returned
+  StaleRead,      ///< sends reads to replicas however far they lag
+  Overload,       ///< sends all reads to the endpoint that was listed last
+  RepeatedWrite,  ///< sends each write again after its idempotency key has expired
+  ExtraResponse   ///< answers twice
+};
+
+/// "late", "copies", "lose", "swap", "stale", "flood", "twice" or "extra"; None for any other name.
+Fault faultNamed(const std::string& name);
+
+/// Except for its fault it serves as simply as possible: a connection for each request, no retries of reads,
+/// no limits. Its functions may be called from several threads.
+class FaultyProxy {
+ public:
+  FaultyProxy(Fault fault, const sockaddr_in& nameServer, dns::Name service);
+
+  /// Polls discovery once.
+  void updateEndpoints();
+  /// Polls discovery again and again; never returns.
+  [[noreturn]] void pollDiscovery();
+  /// Serves a client until its connection ends.
+  void serveClient(const UniqueFd& client);
+
+ private:
+  std::string respond(const std::string& statement);
+  std::string respondToWrite(const std::vector<DiscoveredEndpoint>& endpoints,
+                             const std::string& statement) const;
+  std::string respondToRead(const std::vector<DiscoveredEndpoint>& endpoints, const std::string& statement,
+                            unsigned request) const;
+  std::vector<DiscoveredEndpoint> endpointsFor(const std::string& statement) const;
+
+  const Fault fault_;
+  const sockaddr_in nameServer_;
+  const dns::Name service_;
+  EndpointList endpoints_;
+  std::atomic<unsigned> requests_{0};
+};
+
+}  // namespace stonebay::testbed
--- a/testbed/main.cpp
+++ b/testbed/main.cpp
@@ -1,152 +1,163 @@
 // stonebay-testbed: experiments with real proxies and stand-ins for all else.
-#include <signal.h>
 #include <sys/resource.h>
 #include <unistd.h>
 
 #include <CLI/CLI.hpp>
 #include <algorithm>
+#include <csignal>
 #include <cstdio>
-#include <cstdlib>
+#include <exception>
 #include <filesystem>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
 
+#include "testbed/demo.hpp"
+#include "testbed/experiment_run.hpp"
 #include "testbed/report.hpp"
-#include "testbed/run.hpp"
 
 namespace {
 
+using namespace stonebay;
 using namespace stonebay::testbed;
 namespace fs = std::filesystem;
 
-// Four stand-ins, one proxy, and a server that goes and comes back, for ever.
-constexpr const char* kDemo = R"(
-[experiment]
-title = demo
-proxies = 1
-[fleet]
-groups = 1
-members = 4
-[load]
-rate = 60
-[class tour-read]
-share = 93%
-work_least = 5ms
-work_most = 20ms
-data = bounded
-max_age = 200ms
-repeats = safe
-aim = 400ms
-give_up = 1200ms
-[class handset-write]
-share = 7%
-work_least = 10ms
-work_most = 30ms
-data = write
-repeats = keyed
-repeats_dropped_for = 2s
-aim = 1s
-give_up = 3s
-worth = 6
-[settings]
-dnssd.refresh_most = 1s
-[script]
-from 10s every 20s until 3600s withdraw s-4
-from 20s every 20s until 3600s publish s-4
-)";
-
-std::string proxyBeside(const char* self) {
-  const fs::path p = fs::path(self).parent_path() / "stonebay";
-  return fs::exists(p) ? p.string() : "stonebay";
+constexpr std::size_t kMaxViolationsPrinted = 10;
+
+struct Arguments {
+  std::string experimentFile;
+  std::string outputDirectory;
+  std::string proxyProgram;
+  std::string experimentDirectory = "testbed/experiments";
+  std::optional<std::uint64_t> seed;
+};
+
+// The proxy stands beside this program, or is found by PATH.
+std::string findProxy(const char* self) {
+  const fs::path beside = fs::path(self).parent_path() / "stonebay";
+  return fs::exists(beside) ? beside.string() : "stonebay";
 }
 
-int complain(const std::vector<ConfigError>& faults) {
-  for (const auto& f : faults) std::fprintf(stderr, "%s\n", f.text().c_str());
+int printErrors(const std::vector<ConfigError>& errors) {
+  for (const ConfigError& error : errors) std::fprintf(stderr, "%s\n", error.text().c_str());
   return 1;
 }
 
-// A connection for each client and server side at once, in one process.
-void raiseDescriptors() {
+// All clients and endpoints run in this process and need a descriptor for each connection.
+void raiseDescriptorLimit() {
   rlimit limit{};
   getrlimit(RLIMIT_NOFILE, &limit);
   limit.rlim_cur = limit.rlim_max;
   setrlimit(RLIMIT_NOFILE, &limit);
 }
 
-int list(const std::string& dir) {
+std::vector<fs::path> findExperiments(const std::string& directory) {
   std::vector<fs::path> files;
-  for (const auto& entry : fs::recursive_directory_iterator(dir))
+  for (const auto& entry : fs::recursive_directory_iterator(directory))
     if (entry.path().extension() == ".ini") files.push_back(entry.path());
   std::sort(files.begin(), files.end());
-  int bad = 0;
-  for (const auto& f : files) {
-    std::vector<ConfigError> faults;
-    const Experiment e = readExperiment(f.string(), faults);
-    bad |= faults.empty() ? 0 : complain(faults);
-    std::printf("%-48s %4lld s  %s\n", f.string().c_str(),
-                static_cast<long long>(e.duration.count() / 1000000), e.title.c_str());
+  return files;
+}
+
+int listExperiments(const std::string& directory) {
+  int status = 0;
+  for (const fs::path& file : findExperiments(directory)) {
+    std::vector<ConfigError> errors;
+    const Experiment experiment = readExperiment(file.string(), errors);
+    if (!errors.empty()) status = printErrors(errors);
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(experiment.duration);
+    std::printf("%-48s %4lld s  %s\n", file.string().c_str(), static_cast<long long>(seconds.count()),
+                experiment.title.c_str());
   }
-  return bad;
+  return status;
 }
 
-int play(Experiment e, const std::string& program, std::string out, bool forEver) {
-  if (out.empty())
-    out = (fs::temp_directory_path() / ("stonebay-testbed-" + std::to_string(getpid()))).string();
-  fs::create_directories(out);
-  Run::Options o;
-  o.program = program;
-  o.directory = out;
-  o.progress = forEver || isatty(2);
-  o.forEver = forEver;
-  Run run(e, o);
-  const EventPtr interrupt(evsignal_new(
-      run.loop(), SIGINT, [](evutil_socket_t, short, void* r) { static_cast<Run*>(r)->stop(); }, &run));
-  event_add(interrupt.get(), nullptr);
-  const Outcome outcome = run.play();
-  writeReport(out, e, outcome, run.audit(), run.fleet());
-  for (const auto& j : outcome.claims) {
-    if (j.known)
-      std::printf("%-7s %s (measured %g)\n", j.held ? "held" : "BROKEN", j.claim.text.c_str(), j.measured);
+void printClaims(const ExperimentResult& result) {
+  for (const JudgedClaim& judged : result.claims) {
+    const char* const text = judged.claim.text.c_str();
+    if (judged.isMeasured)
+      std::printf("%-7s %s (measured %g)\n", judged.holds ? "held" : "BROKEN", text, judged.measured);
     else
-      std::printf("BROKEN  %s (not measured)\n", j.claim.text.c_str());
+      std::printf("BROKEN  %s (not measured)\n", text);
+  }
+}
+
+void printViolations(const std::vector<Violation>& violations) {
+  const std::size_t printed = std::min(violations.size(), kMaxViolationsPrinted);
+  for (std::size_t i = 0; i < printed; ++i) {
+    const Violation& violation = violations[i];
+    std::printf("at %.3f s, %s: %s\n", toSeconds(violation.at), figureName(violation.rule),
+                violation.description.c_str());
   }
-  std::size_t shown = 0;
-  for (const auto& b : run.audit().broken())
-    if (++shown <= 10)
-      std::printf("at %.3f s, %s: %s\n", static_cast<double>(b.at.count()) / 1e6, b.rule.c_str(),
-                  b.what.c_str());
-  std::printf("report: %s/report.md\n", out.c_str());
-  std::printf("claims: %zu held, %zu broken\n", outcome.claims.size() - outcome.broken(), outcome.broken());
-  return outcome.broken() == 0 ? 0 : 1;
+}
+
+std::string outputDirectoryOrDefault(const std::string& directory) {
+  if (!directory.empty()) return directory;
+  return (fs::temp_directory_path() / ("stonebay-testbed-" + std::to_string(getpid()))).string();
+}
+
+int runExperiment(const Experiment& experiment, const Arguments& arguments, bool runForever) {
+  RunOptions options;
+  options.program = arguments.proxyProgram;
+  options.directory = outputDirectoryOrDefault(arguments.outputDirectory);
+  options.showProgress = runForever || isatty(STDERR_FILENO) != 0;
+  options.runForever = runForever;
+  fs::create_directories(options.directory);
+  ExperimentRun run(experiment, options);
+  const Event interrupt(evsignal_new(
+      run.eventBase(), SIGINT,
+      [](evutil_socket_t /*signal*/, short /*events*/, void* data) {
+        static_cast<ExperimentRun*>(data)->stop();
+      },
+      &run));
+  event_add(interrupt.get(), nullptr);
+  const ExperimentResult result = run.run();
+  writeReport(options.directory, experiment, result, run.audit());
+  printClaims(result);
+  printViolations(run.audit().violations());
+  const std::size_t broken = result.brokenClaims();
+  std::printf("report: %s/report.md\n", options.directory.c_str());
+  std::printf("claims: %zu held, %zu broken\n", result.claims.size() - broken, broken);
+  return broken == 0 ? 0 : 1;
+}
+
+int runOrDemo(const Arguments& arguments, bool isDemo) {
+  std::vector<ConfigError> errors;
+  Experiment experiment = isDemo ? parseExperiment(kDemoExperiment, "demo", errors)
+                                 : readExperiment(arguments.experimentFile, errors);
+  if (!errors.empty()) return printErrors(errors);
+  if (arguments.seed) experiment.seed = *arguments.seed;
+  return runExperiment(experiment, arguments, isDemo);
 }
 
 }  // namespace
 
 int main(int argc, char** argv) {
   signal(SIGPIPE, SIG_IGN);
-  raiseDescriptors();
+  raiseDescriptorLimit();
   CLI::App app{"stonebay-testbed: experiments with real proxies and stand-ins for all else",
                "stonebay-testbed"};
   app.require_subcommand(1);
-  std::string file, out, program = proxyBeside(argv[0]), dir = "lab/experiments";
+  Arguments arguments;
+  arguments.proxyProgram = findProxy(argv[0]);
   std::int64_t seed = -1;
-  CLI::App* const running = app.add_subcommand("run", "play an experiment; exit 1 if a claim is broken");
-  running->add_option("FILE", file, "experiment (INI)")->required();
-  running->add_option("--out", out, "folder for tables and charts");
-  running->add_option("--seed", seed, "in place of the file's");
-  running->add_option("--proxy", program, "the proxy's program")->capture_default_str();
-  CLI::App* const listing = app.add_subcommand("list", "list the experiments");
-  listing->add_option("--dir", dir, "where they are")->capture_default_str();
+  CLI::App* const run = app.add_subcommand("run", "play an experiment; exit 1 if a claim is broken");
+  run->add_option("FILE", arguments.experimentFile, "experiment (INI)")->required();
+  run->add_option("--out", arguments.outputDirectory, "folder for tables and charts");
+  run->add_option("--seed", seed, "in place of the file's");
+  run->add_option("--proxy", arguments.proxyProgram, "the proxy's program")->capture_default_str();
+  CLI::App* const list = app.add_subcommand("list", "list the experiments");
+  list->add_option("--dir", arguments.experimentDirectory, "where they are")->capture_default_str();
   CLI::App* const demo = app.add_subcommand("demo", "a few servers, a proxy, clients; Ctrl-C ends it");
-  demo->add_option("--proxy", program, "the proxy's program")->capture_default_str();
+  demo->add_option("--proxy", arguments.proxyProgram, "the proxy's program")->capture_default_str();
   CLI11_PARSE(app, argc, argv);
+  if (seed >= 0) arguments.seed = static_cast<std::uint64_t>(seed);
   try {
-    if (listing->parsed()) return list(dir);
-    std::vector<ConfigError> faults;
-    Experiment e = demo->parsed() ? parseExperiment(kDemo, "demo", faults) : readExperiment(file, faults);
-    if (!faults.empty()) return complain(faults);
-    if (seed >= 0) e.seed = static_cast<std::uint64_t>(seed);
-    return play(std::move(e), program, out, demo->parsed());
-  } catch (const std::exception& e) {
-    std::fprintf(stderr, "stonebay-testbed: %s\n", e.what());
+    if (list->parsed()) return listExperiments(arguments.experimentDirectory);
+    return runOrDemo(arguments, demo->parsed());
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "stonebay-testbed: %s\n", error.what());
     return 1;
   }
 }
--- a/testbed/name_server.cpp
+++ b/testbed/name_server.cpp
@@ -1,314 +1,294 @@
 #include "testbed/name_server.hpp"
 
-#include <arpa/inet.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 #include <algorithm>
 #include <stdexcept>
+#include <utility>
+
+#include "testbed/socket_address.hpp"
 
 namespace stonebay::testbed {
 namespace {
 
-constexpr std::size_t kPlainUdp = 512;  // without EDNS0
+constexpr std::size_t kMaxUdpSizeWithoutEdns = 512;  // RFC 1035 section 4.2.1
+constexpr std::uint16_t kUdpPayload = 4096;          // that this server advertises
+constexpr std::size_t kReadBytes = 4096;
+constexpr std::uint32_t kEmptyZoneTtl = 60;
+constexpr std::size_t kTcpLengthBytes = 2;  // RFC 1035 section 4.2.2
+constexpr int kListenBacklog = 64;
+constexpr int kMaxBindAttempts = 50;
 
-sockaddr_in loopback(int port) {
-  sockaddr_in a{};
-  a.sin_family = AF_INET;
-  a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  a.sin_port = htons(static_cast<std::uint16_t>(port));
-  return a;
-}
-int openSocket(int type, int port) {
-  const int fd = socket(AF_INET, type | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+// Offsets of RFC 1035 section 4.1.1.
+constexpr std::size_t kIdBytes = 2;
+constexpr std::size_t kAnswerCountAt = 6;
+
+UniqueFd bindSocket(int type, int port) {
+  UniqueFd fd(socket(AF_INET, type | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
   const int on = 1;
-  setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-  const sockaddr_in a = loopback(port);
-  if (fd < 0 || bind(fd, reinterpret_cast<const sockaddr*>(&a), sizeof a) != 0) {
-    if (fd >= 0) close(fd);
-    return -1;
-  }
+  setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  const sockaddr_in address = loopbackAddress(port);
+  if (fd.isOpen() && bind(fd.get(), asSockaddr(address), sizeof address) != 0) fd.reset();
   return fd;
 }
-int portOf(int fd) {
-  sockaddr_in a{};
-  socklen_t n = sizeof a;
-  getsockname(fd, reinterpret_cast<sockaddr*>(&a), &n);
-  return ntohs(a.sin_port);
+
+dns::Message errorResponse(const dns::Message& query, dns::Rcode rcode) {
+  dns::Message response;
+  response.id = query.id;
+  response.response = true;
+  response.question = query.question;
+  response.rcode = rcode;
+  return response;
+}
+
+std::string noise(const std::string& query) {
+  return query.substr(0, kIdBytes) + std::string("\x84\x00\xff\xff\xff\xff noise", 12);
+}
+
+// One answer, whose name is a compression pointer at itself.
+std::string selfReference(const dns::Message& query) {
+  std::string bytes = dns::encode(errorResponse(query, dns::Rcode::NoError));
+  bytes[kAnswerCountAt + 1] = 1;
+  const std::size_t at = bytes.size();
+  bytes += {static_cast<char>(0xc0 | at >> 8), static_cast<char>(at), 0, 12, 0, 1, 0, 0, 0, 9, 0, 0};
+  return bytes;
+}
+
+std::string withTooManyAnswersPromised(const dns::Message& response) {
+  std::string bytes = dns::encode(response);
+  bytes[kAnswerCountAt] = 0x7f;
+  return bytes;
+}
+
+bool wantsRequests(const ServiceInstance& instance) {
+  return std::find(instance.txt.begin(), instance.txt.end(), "state=leaving") == instance.txt.end();
 }
 
 }  // namespace
 
-// One TCP connection: queries with their lengths before them, answered in order.
-class NameServer::Tcp {
+// One TCP connection: each message follows its length; queries are answered in order.
+class NameServer::TcpConnection {
  public:
-  Tcp(NameServer& owner, int fd)
+  TcpConnection(NameServer& owner, int fd)
       : owner_(owner),
         fd_(fd),
-        event_(event_new(
+        readable_(event_new(
             owner.base_, fd, EV_READ | EV_PERSIST,
-            [](evutil_socket_t, short, void* self) { static_cast<Tcp*>(self)->read(); }, this)) {
-    event_add(event_, nullptr);
-  }
-  ~Tcp() {
-    event_free(event_);
-    close(fd_);
+            [](evutil_socket_t /*fd*/, short /*events*/, void* self) {
+              static_cast<TcpConnection*>(self)->onReadable();
+            },
+            this)) {
+    event_add(readable_.get(), nullptr);
   }
 
  private:
-  void read() {
-    char bytes[4096];
-    const ssize_t n = recv(fd_, bytes, sizeof bytes, 0);
-    if (n <= 0) return owner_.connections_.remove_if([this](const auto& c) { return c.get() == this; });
-    in_.append(bytes, static_cast<std::size_t>(n));
-    while (in_.size() >= 2) {
-      const std::size_t length =
-          std::size_t{static_cast<unsigned char>(in_[0])} << 8 | static_cast<unsigned char>(in_[1]);
-      if (in_.size() < 2 + length) return;
-      const std::string reply = owner_.answer(in_.substr(2, length), true);
-      in_.erase(0, 2 + length);
-      if (reply.empty()) continue;
-      std::string framed{static_cast<char>(reply.size() >> 8), static_cast<char>(reply.size())};
-      framed += reply;
-      if (send(fd_, framed.data(), framed.size(), MSG_NOSIGNAL) < 0) return;
+  void onReadable() {
+    char bytes[kReadBytes];
+    const ssize_t received = recv(fd_.get(), bytes, sizeof bytes, 0);
+    if (received <= 0) return owner_.remove(*this);
+    input_.append(bytes, static_cast<std::size_t>(received));
+    while (hasMessage()) {
+      const std::string query = input_.substr(kTcpLengthBytes, messageSize());
+      input_.erase(0, kTcpLengthBytes + query.size());
+      const std::string response = owner_.answer(query, Transport::Tcp);
+      if (!response.empty() && !sendFramed(response)) return;
     }
   }
+  std::size_t messageSize() const {
+    return std::size_t{static_cast<unsigned char>(input_[0])} << 8 | static_cast<unsigned char>(input_[1]);
+  }
+  bool hasMessage() const {
+    return input_.size() >= kTcpLengthBytes && input_.size() >= kTcpLengthBytes + messageSize();
+  }
+  bool sendFramed(const std::string& message) {
+    std::string framed{static_cast<char>(message.size() >> 8), static_cast<char>(message.size())};
+    framed += message;
+    return send(fd_.get(), framed.data(), framed.size(), MSG_NOSIGNAL) >= 0;
+  }
 
   NameServer& owner_;
-  const int fd_;
-  event* const event_;
-  std::string in_;
+  const UniqueFd fd_;
+  const Event readable_;
+  std::string input_;
 };
 
 NameServer::NameServer(event_base* base, const std::string& domain, const std::string& service, int port)
-    : base_(base),
-      domain_(dns::parseName(domain).value()),
-      service_(dns::parseName(service + "." + domain).value()) {
-  // The same port for both; the system chooses it for one, and may have given it away for the other.
-  for (int k = 0; k < 50 && listener_ < 0; ++k) {
-    if (udp_ >= 0) close(udp_);
-    udp_ = openSocket(SOCK_DGRAM, port);
-    if (udp_ < 0) break;
-    port_ = portOf(udp_);
-    listenTcp();
-  }
-  other_ = openSocket(SOCK_DGRAM, 0);
-  if (udp_ < 0 || listener_ < 0 || other_ < 0) throw std::runtime_error("the name server finds no port");
-  readable_ = event_new(
-      base, udp_, EV_READ | EV_PERSIST,
-      [](evutil_socket_t, short, void* self) { static_cast<NameServer*>(self)->readUdp(); }, this);
-  event_add(readable_, nullptr);
+    : base_(base), zone_(domain, service) {
+  bindPorts(port);
+  otherUdpSocket_ = bindSocket(SOCK_DGRAM, 0);
+  if (!udpSocket_.isOpen() || !tcpListener_.isOpen() || !otherUdpSocket_.isOpen())
+    throw std::runtime_error("the name server finds no port");
+  udpReadable_.reset(event_new(
+      base, udpSocket_.get(), EV_READ | EV_PERSIST,
+      [](evutil_socket_t /*fd*/, short /*events*/, void* self) {
+        static_cast<NameServer*>(self)->onUdpReadable();
+      },
+      this));
+  event_add(udpReadable_.get(), nullptr);
 }
 
-NameServer::~NameServer() {
-  connections_.clear();
-  event_free(readable_);
-  if (acceptable_) event_free(acceptable_);
-  for (const int fd : {udp_, other_, listener_})
-    if (fd >= 0) close(fd);
+NameServer::~NameServer() = default;
+
+// UDP and TCP use the same port; the system chooses it for UDP, and may have given it away for TCP.
+void NameServer::bindPorts(int port) {
+  for (int i = 0; i < kMaxBindAttempts && !tcpListener_.isOpen(); ++i) {
+    udpSocket_.reset();
+    udpSocket_ = bindSocket(SOCK_DGRAM, port);
+    if (!udpSocket_.isOpen()) return;
+    port_ = boundPort(udpSocket_.get());
+    listenTcp();
+  }
 }
 
 void NameServer::listenTcp() {
-  listener_ = openSocket(SOCK_STREAM, port_);
-  if (listener_ < 0) return;
-  listen(listener_, 64);
-  acceptable_ = event_new(
-      base_, listener_, EV_READ | EV_PERSIST,
-      [](evutil_socket_t fd, short, void* self) {
-        const int c = accept4(fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-        auto& s = *static_cast<NameServer*>(self);
-        if (c >= 0) s.connections_.push_back(std::make_unique<Tcp>(s, c));
+  tcpListener_ = bindSocket(SOCK_STREAM, port_);
+  if (!tcpListener_.isOpen()) return;
+  listen(tcpListener_.get(), kListenBacklog);
+  tcpAcceptable_.reset(event_new(
+      base_, tcpListener_.get(), EV_READ | EV_PERSIST,
+      [](evutil_socket_t /*fd*/, short /*events*/, void* self) {
+        static_cast<NameServer*>(self)->onTcpAccept();
       },
-      this);
-  event_add(acceptable_, nullptr);
+      this));
+  event_add(tcpAcceptable_.get(), nullptr);
 }
 
-void NameServer::mood(Mood m) {
-  const bool tcp = m != Mood::TruncatedOnly;
-  mood_ = m;
-  if (tcp && listener_ < 0) listenTcp();
-  if (tcp || listener_ < 0) return;
+void NameServer::closeTcp() {
   connections_.clear();
-  event_free(acceptable_);
-  acceptable_ = nullptr;
-  close(listener_);
-  listener_ = -1;
+  tcpAcceptable_.reset();
+  tcpListener_.reset();
 }
 
-bool NameServer::moodOf(const std::string& name, Mood& m) {
-  static const std::map<std::string, Mood> all{{"good", Mood::Good},
-                                               {"silent", Mood::Silent},
-                                               {"servfail", Mood::ServFail},
-                                               {"refused", Mood::Refused},
-                                               {"lame", Mood::Lame},
-                                               {"noise", Mood::Noise},
-                                               {"loop", Mood::Loop},
-                                               {"counts", Mood::Counts},
-                                               {"wrong-id", Mood::WrongId},
-                                               {"wrong-question", Mood::WrongQuestion},
-                                               {"wrong-port", Mood::WrongPort},
-                                               {"truncated", Mood::Truncated},
-                                               {"truncated-only", Mood::TruncatedOnly},
-                                               {"no-edns", Mood::NoEdns}};
-  const auto it = all.find(name);
-  if (it != all.end()) m = it->second;
-  return it != all.end();
+void NameServer::onTcpAccept() {
+  const int fd = accept4(tcpListener_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+  if (fd >= 0) connections_.push_back(std::make_unique<TcpConnection>(*this, fd));
 }
 
-void NameServer::publish(const ServiceInstance& i) {
-  instances_[i.label] = i;
-  ++serial_;
+void NameServer::remove(const TcpConnection& connection) {
+  connections_.remove_if([&connection](const auto& owned) { return owned.get() == &connection; });
 }
-void NameServer::withdraw(const std::string& label) {
-  instances_.erase(label);
-  ++serial_;
+
+void NameServer::mood(Mood mood) {
+  mood_ = mood;
+  const bool acceptsTcp = mood != Mood::TruncatedOnly;
+  if (acceptsTcp && !tcpListener_.isOpen()) listenTcp();
+  if (!acceptsTcp && tcpListener_.isOpen()) closeTcp();
 }
 
-void NameServer::readUdp() {
-  char bytes[4096];
-  sockaddr_in from{};
-  socklen_t size = sizeof from;
-  for (;;) {
-    const ssize_t n = recvfrom(udp_, bytes, sizeof bytes, 0, reinterpret_cast<sockaddr*>(&from), &size);
-    if (n < 0) return;
-    const std::string reply = answer({bytes, static_cast<std::size_t>(n)}, false);
-    const int by = mood_ == Mood::WrongPort ? other_ : udp_;
-    if (!reply.empty()) sendto(by, reply.data(), reply.size(), 0, reinterpret_cast<sockaddr*>(&from), size);
-  }
+bool NameServer::moodOf(const std::string& name, Mood& mood) {
+  static const std::map<std::string, Mood> moods{{"good", Mood::Good},
+                                                 {"silent", Mood::Silent},
+                                                 {"servfail", Mood::ServFail},
+                                                 {"refused", Mood::Refused},
+                                                 {"lame", Mood::Lame},
+                                                 {"noise", Mood::Noise},
+                                                 {"loop", Mood::Loop},
+                                                 {"counts", Mood::Counts},
+                                                 {"wrong-id", Mood::WrongId},
+                                                 {"wrong-question", Mood::WrongQuestion},
+                                                 {"wrong-port", Mood::WrongPort},
+                                                 {"truncated", Mood::Truncated},
+                                                 {"truncated-only", Mood::TruncatedOnly},
+                                                 {"no-edns", Mood::NoEdns}};
+  const auto it = moods.find(name);
+  if (it == moods.end()) return false;
+  mood = it->second;
+  return true;
 }
 
-dns::Message NameServer::records(const dns::Question& q) const {
-  using dns::Record;
-  using dns::Type;
-  dns::Message m;
-  const auto target = [&](const ServiceInstance& i) {
-    return dns::parseName("host-" + i.label + "." + domain_).value();
-  };
-  const auto srv = [&](const ServiceInstance& i, std::vector<Record>& to) {
-    if (i.hasSrv)
-      to.push_back(
-          {*dns::instanceName(i.label, service_), Type::Srv, i.ttl, dns::Srv{0, 0, i.port, target(i)}});
-  };
-  const auto txt = [&](const ServiceInstance& i, std::vector<Record>& to) {
-    const auto strings = i.txt.empty() ? dns::Strings{""} : i.txt;
-    if (i.hasTxt) to.push_back({*dns::instanceName(i.label, service_), Type::Txt, i.ttl, strings});
-  };
-  const auto addresses = [&](const ServiceInstance& i, std::vector<Record>& to, bool v4, bool v6) {
-    for (const std::string& text : i.addresses) {
-      char bytes[16];
-      if (v4 && inet_pton(AF_INET, text.c_str(), bytes) == 1)
-        to.push_back({target(i), Type::A, i.ttl, dns::Bytes{{bytes, 4}}});
-      if (v6 && inet_pton(AF_INET6, text.c_str(), bytes) == 1)
-        to.push_back({target(i), Type::Aaaa, i.ttl, dns::Bytes{{bytes, 16}}});
-    }
-  };
-  bool exists = q.name == domain_;
-  if (q.name == service_) {
-    exists = !instances_.empty();
-    for (const auto& [label, i] : instances_) {
-      if (q.type != Type::Ptr) continue;
-      m.answers.push_back({service_, Type::Ptr, i.ttl, *dns::instanceName(label, service_)});
-      srv(i, m.additionals);
-      txt(i, m.additionals);
-      addresses(i, m.additionals, true, true);
-    }
-  }
-  for (const auto& [label, i] : instances_) {
-    if (q.name == *dns::instanceName(label, service_)) {
-      exists = true;
-      if (q.type == Type::Srv) srv(i, m.answers);
-      if (q.type == Type::Srv) addresses(i, m.additionals, true, true);
-      if (q.type == Type::Txt) txt(i, m.answers);
-    }
-    if (q.name == target(i)) {
-      exists = true;
-      addresses(i, m.answers, q.type == Type::A, q.type == Type::Aaaa);
-    }
+void NameServer::onUdpReadable() {
+  char bytes[kReadBytes];
+  sockaddr_in client{};
+  socklen_t clientSize = sizeof client;
+  auto* const clientAddress = reinterpret_cast<sockaddr*>(&client);
+  for (;;) {
+    const ssize_t received = recvfrom(udpSocket_.get(), bytes, sizeof bytes, 0, clientAddress, &clientSize);
+    if (received < 0) return;
+    const std::string response = answer({bytes, static_cast<std::size_t>(received)}, Transport::Udp);
+    if (response.empty()) continue;
+    const UniqueFd& sender = mood_ == Mood::WrongPort ? otherUdpSocket_ : udpSocket_;
+    sendto(sender.get(), response.data(), response.size(), 0, clientAddress, clientSize);
   }
-  if (!additionals_) m.additionals.clear();
-  if (!exists) m.rcode = dns::Rcode::NxDomain;
-  if (m.answers.empty())
-    m.authorities.push_back({domain_, Type::Soa, negativeTtl_, dns::Soa{serial_, negativeTtl_}});
-  return m;
 }
 
-std::string NameServer::answer(const std::string& query, bool tcp) {
-  const auto q = dns::parse(query);
-  if (!q || q->response || !q->question) return {};
-  ++(tcp ? counts_.tcp : counts_.udp);
-  ++counts_.types[q->question->type];
-  const std::size_t most = tcp ? dns::kLongestMessage : std::max<std::size_t>(q->udpPayload, kPlainUdp);
-  dns::Message m = records(*q->question);
-  m.id = q->id;
-  m.response = m.authoritative = true;
-  m.question = q->question;
-  m.udpPayload = q->udpPayload > 0 ? 4096 : 0;
-  const auto error = [&](dns::Rcode r) {
-    dns::Message e;
-    e.id = q->id;
-    e.response = true;
-    e.question = q->question;
-    e.rcode = r;
-    return dns::encode(e);
-  };
-  const auto emptied = [&] {
-    m.answers.clear();
-    m.additionals.clear();
-    m.rcode = dns::Rcode::NxDomain;
-    m.authorities = {{domain_, dns::Type::Soa, 60, dns::Soa{serial_, 60}}};
-  };
+// Empty: no answer.
+std::string NameServer::answer(const std::string& bytes, Transport transport) {
+  const auto query = dns::parse(bytes);
+  if (!query || query->response || !query->question) return {};
+  const bool isTcp = transport == Transport::Tcp;
+  ++(isTcp ? counts_.tcp : counts_.udp);
+  ++counts_.types[query->question->type];
+  const std::size_t maxSize =
+      isTcp ? dns::kLongestMessage : std::max<std::size_t>(query->udpPayload, kMaxUdpSizeWithoutEdns);
+  dns::Message response = newResponse(*query);
   switch (mood_) {
     case Mood::Silent:
       return {};
     case Mood::ServFail:
-      return error(dns::Rcode::ServFail);
+      return dns::encode(errorResponse(*query, dns::Rcode::ServFail));
     case Mood::Refused:
-      return error(dns::Rcode::Refused);
+      return dns::encode(errorResponse(*query, dns::Rcode::Refused));
     case Mood::Lame:
-      return error(dns::Rcode::NoError);
+      return dns::encode(errorResponse(*query, dns::Rcode::NoError));
     case Mood::Noise:
-      return std::string(query.substr(0, 2)) + std::string("\x84\x00\xff\xff\xff\xff noise", 12);
-    case Mood::Loop: {
-      std::string bytes = error(dns::Rcode::NoError);
-      bytes[7] = 1;  // one answer, whose name points at itself
-      const auto at = bytes.size();
-      bytes += {static_cast<char>(0xc0 | at >> 8), static_cast<char>(at), 0, 12, 0, 1, 0, 0, 0, 9, 0, 0};
-      return bytes;
-    }
-    case Mood::Counts: {
-      std::string bytes = dns::encode(m);
-      bytes[6] = 0x7f;
-      return bytes;
-    }
+      return noise(bytes);
+    case Mood::Loop:
+      return selfReference(*query);
+    case Mood::Counts:
+      return withTooManyAnswersPromised(response);
     case Mood::WrongId:
-      emptied();
-      m.id ^= 1;
-      return dns::encode(m, most);
+      response.id ^= 1;
+      return dns::encode(withEmptyZone(std::move(response)), maxSize);
     case Mood::WrongQuestion:
-      emptied();
-      m.question->name = "other." + m.question->name;
-      return dns::encode(m, most);
+      response.question->name = "other." + response.question->name;
+      return dns::encode(withEmptyZone(std::move(response)), maxSize);
     case Mood::WrongPort:
-      emptied();
-      return dns::encode(m, most);
+      return dns::encode(withEmptyZone(std::move(response)), maxSize);
     case Mood::Truncated:
     case Mood::TruncatedOnly:
-      return dns::encode(m, tcp ? most : 0);
+      return dns::encode(response, isTcp ? maxSize : 0);
     case Mood::NoEdns:
-      if (q->udpPayload > 0) return error(dns::Rcode::FormErr);
+      if (query->udpPayload > 0) return dns::encode(errorResponse(*query, dns::Rcode::FormErr));
       break;
     case Mood::Good:
       break;
   }
-  const std::string bytes = dns::encode(m, most);
-  if (onTold && q->question->name == service_ && q->question->type == dns::Type::Ptr) {
-    std::map<std::string, bool> all;
-    for (const auto& [label, i] : instances_)
-      all[label] = std::find(i.txt.begin(), i.txt.end(), "state=leaving") == i.txt.end();
-    const auto sent = dns::parse(bytes);
-    if (sent && !sent->truncated) onTold(all);
-  }
+  return answerTruthfully(*query, response, maxSize);
+}
+
+std::string NameServer::answerTruthfully(const dns::Message& query, const dns::Message& response,
+                                         std::size_t maxSize) {
+  std::string bytes = dns::encode(response, maxSize);
+  reportList(query, bytes);
   return bytes;
 }
 
+dns::Message NameServer::newResponse(const dns::Message& query) const {
+  dns::Message response = zone_.answer(*query.question);
+  response.id = query.id;
+  response.response = true;
+  response.authoritative = true;
+  response.question = query.question;
+  response.udpPayload = query.udpPayload > 0 ? kUdpPayload : 0;
+  return response;
+}
+
+dns::Message NameServer::withEmptyZone(dns::Message response) const {
+  response.answers.clear();
+  response.additionals.clear();
+  response.rcode = dns::Rcode::NxDomain;
+  response.authorities = {zone_.soa(kEmptyZoneTtl)};
+  return response;
+}
+
+void NameServer::reportList(const dns::Message& query, const std::string& response) const {
+  if (!onListSent || query.question->name != zone_.service() || query.question->type != dns::Type::Ptr)
+    return;
+  const auto sent = dns::parse(response);
+  if (!sent || sent->truncated) return;
+  std::map<std::string, bool> list;
+  for (const auto& [label, instance] : zone_.instances()) list[label] = wantsRequests(instance);
+  onListSent(list);
+}
+
 }  // namespace stonebay::testbed
--- a/testbed/name_server.hpp
+++ b/testbed/name_server.hpp
@@ -1,93 +1,97 @@
-// A stand-in name server, authoritative for one domain: DNS-SD records of data servers over UDP and TCP, with
-// the additional records of RFC 6763 section 12, and misbehaviour on request. Written from the RFCs; it
-// shares only the message codec with the proxy. Loopback addresses only.
+// A stand-in name server, authoritative for one domain: DNS-SD records of endpoints over UDP and TCP, and
+// misbehaviour on request. Written from the RFCs; it shares only the message codec with the proxy. Loopback
+// addresses only.
 #pragma once
 
 #include <event2/event.h>
 
-#include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <list>
 #include <map>
 #include <memory>
-#include <random>
 #include <string>
-#include <vector>
 
 #include "codec/dns/message.hpp"
+#include "testbed/dns_zone.hpp"
+#include "testbed/unique_fd.hpp"
+#include "util/event.hpp"
 
 namespace stonebay::testbed {
 
-struct ServiceInstance {
-  std::string label;  // "s-1"
-  std::vector<std::string>
-      addresses;  // "127.0.0.1"; several: several A or AAAA records; none: no address yet
-  std::uint16_t port = 0;
-  std::vector<std::string> txt;  // "group=3"
-  std::uint32_t ttl = 2;
-  bool hasSrv = true, hasTxt = true;
-};
-
 class NameServer {
  public:
   enum class Mood {
     Good,
-    Silent,  // takes queries and says nothing
+    Silent,  ///< takes queries and answers none
     ServFail,
     Refused,
-    Lame,           // NOERROR with nothing, not authoritative, no SOA
-    Noise,          // bytes that are no message
-    Loop,           // a name whose compression points at itself
-    Counts,         // a head that promises more records than come
-    WrongId,        // the right answer under another id
-    WrongQuestion,  // to another question, with the zone emptied
-    WrongPort,      // the zone emptied, from another port
-    Truncated,      // TC over UDP
-    TruncatedOnly,  // TC over UDP and no TCP at all
-    NoEdns          // FORMERR for what has an OPT record
+    Lame,           ///< NOERROR without records, not authoritative, no SOA
+    Noise,          ///< bytes that are no message
+    Loop,           ///< a name whose compression pointer points at itself
+    Counts,         ///< a header that promises more records than follow
+    WrongId,        ///< the right answer under another id
+    WrongQuestion,  ///< to another question, as if the zone were empty
+    WrongPort,      ///< as if the zone were empty, from another port
+    Truncated,      ///< TC over UDP
+    TruncatedOnly,  ///< TC over UDP, and no TCP
+    NoEdns          ///< FORMERR for queries with an OPT record
   };
 
-  NameServer(event_base*, const std::string& domain, const std::string& service, int port = 0);
+  /// Listens on 127.0.0.1; port 0: the system chooses one. Throws std::runtime_error if there is no port.
+  NameServer(event_base* base, const std::string& domain, const std::string& service, int port = 0);
   ~NameServer();
   NameServer(const NameServer&) = delete;
   NameServer& operator=(const NameServer&) = delete;
 
   int port() const { return port_; }
-  void publish(const ServiceInstance&);  // or replaces
-  void withdraw(const std::string& label);
-  void clear() { instances_.clear(); }
-  void mood(Mood m);
-  void additionals(bool on) { additionals_ = on; }
-  void negativeTtl(std::uint32_t s) { negativeTtl_ = s; }
+  /// Adds an instance, or replaces the one of the same label.
+  void publish(const ServiceInstance& instance) { zone_.publish(instance); }
+  void withdraw(const std::string& label) { zone_.withdraw(label); }
+  void clear() { zone_.clear(); }
+  void mood(Mood mood);
+  /// "silent", "wrong-id", ...; false if there is none of that name.
+  static bool moodOf(const std::string& name, Mood& mood);
 
-  // Called when an answer that names all instances goes out: each with whether it wants work (state=leaving).
-  std::function<void(const std::map<std::string, bool>&)> onTold;
+  /// Called when an answer that names all instances goes out: each label, and whether the instance wants
+  /// requests (false: state=leaving).
+  std::function<void(const std::map<std::string, bool>&)> onListSent;
 
-  struct Counts {
-    std::uint64_t udp = 0, tcp = 0;
+  struct Counts {  ///< of queries
+    std::uint64_t udp = 0;
+    std::uint64_t tcp = 0;
     std::map<dns::Type, std::uint64_t> types;
   };
   const Counts& counts() const { return counts_; }
-  static bool moodOf(const std::string& name, Mood&);  // "silent", "wrong-id", ...
 
  private:
-  class Tcp;
-  std::string answer(const std::string& query, bool tcp);
-  dns::Message records(const dns::Question&) const;
-  void readUdp();
+  class TcpConnection;
+  enum class Transport { Udp, Tcp };
+
+  void bindPorts(int port);
   void listenTcp();
+  void closeTcp();
+  void onTcpAccept();
+  void remove(const TcpConnection& connection);
+  void onUdpReadable();
+
+  std::string answer(const std::string& bytes, Transport transport);
+  std::string answerTruthfully(const dns::Message& query, const dns::Message& response, std::size_t maxSize);
+  dns::Message newResponse(const dns::Message& query) const;
+  dns::Message withEmptyZone(dns::Message response) const;
+  void reportList(const dns::Message& query, const std::string& response) const;
 
   event_base* const base_;
-  const dns::Name domain_, service_;
-  int port_ = 0, udp_ = -1, other_ = -1, listener_ = -1;
-  event* readable_ = nullptr;
-  event* acceptable_ = nullptr;
-  std::map<std::string, ServiceInstance> instances_;
-  std::list<std::unique_ptr<Tcp>> connections_;
+  DnsZone zone_;
+  int port_ = 0;
+  UniqueFd udpSocket_;
+  UniqueFd otherUdpSocket_;  // for answers from the wrong port
+  UniqueFd tcpListener_;
+  Event udpReadable_;
+  Event tcpAcceptable_;
+  std::list<std::unique_ptr<TcpConnection>> connections_;
   Mood mood_ = Mood::Good;
-  bool additionals_ = true;
-  std::uint32_t negativeTtl_ = 1, serial_ = 1;
   Counts counts_;
 };
 
--- a/testbed/proxy_process.cpp
+++ b/testbed/proxy_process.cpp
@@ -1,80 +1,104 @@
 #include "testbed/proxy_process.hpp"
 
 #include <fcntl.h>
-#include <signal.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <array>
+#include <csignal>
 #include <cstdlib>
 #include <fstream>
 #include <stdexcept>
+#include <utility>
 
 namespace stonebay::testbed {
+namespace {
 
-ProxyProcess::ProxyProcess(Context& c, std::string program, std::string settingsPath, std::string logPath)
-    : c_(c), program_(std::move(program)), settings_(std::move(settingsPath)), log_(std::move(logPath)) {}
+constexpr int kExecFailed = 127;      // as shells report it
+constexpr int kSignalExitBase = 128;  // as shells report an end by a signal
+constexpr std::size_t kReadBytes = 4096;
 
-ProxyProcess::~ProxyProcess() {
-  kill();
-  readable_.reset();
-  if (err_ >= 0) close(err_);
-}
+}  // namespace
+
+ProxyProcess::ProxyProcess(const RunContext& context, std::string program, std::string settingsPath,
+                           std::string logPath)
+    : context_(context),
+      program_(std::move(program)),
+      settingsPath_(std::move(settingsPath)),
+      logPath_(std::move(logPath)) {}
+
+ProxyProcess::~ProxyProcess() { kill(); }
 
-void ProxyProcess::start(std::function<void(int)> ready) {
-  if (running()) return;
-  ready_ = std::move(ready);
-  told_ = false;
-  text_.clear();
-  readable_.reset();
-  if (err_ >= 0) close(err_);
-  int ends[2];
-  if (pipe2(ends, O_CLOEXEC) != 0) throw std::runtime_error("no pipe");
+void ProxyProcess::start(ReadyHandler onReady) {
+  if (isRunning()) return;
+  onReady_ = std::move(onReady);
+  isReady_ = false;
+  startupOutput_.clear();
+  outputReadable_.reset();
+  output_.reset();
+  std::array<int, 2> pipeEnds{};
+  if (pipe2(pipeEnds.data(), O_CLOEXEC) != 0) throw std::runtime_error("no pipe");
+  output_ = UniqueFd(pipeEnds[0]);
+  const UniqueFd processEnd(pipeEnds[1]);
   pid_ = fork();
-  if (pid_ == 0) {
-    dup2(ends[1], 1);
-    dup2(ends[1], 2);
-    execl(program_.c_str(), "stonebay", "serve", "--config", settings_.c_str(), static_cast<char*>(nullptr));
-    _exit(127);
-  }
-  close(ends[1]);
-  err_ = ends[0];
-  fcntl(err_, F_SETFL, O_NONBLOCK);
-  readable_.reset(event_new(
-      c_.loop.get(), err_, EV_READ | EV_PERSIST,
-      [](evutil_socket_t, short, void* self) { static_cast<ProxyProcess*>(self)->read(); }, this));
-  event_add(readable_.get(), nullptr);
+  if (pid_ == 0) execute(processEnd.get());
+  fcntl(output_.get(), F_SETFL, O_NONBLOCK);
+  outputReadable_.reset(event_new(
+      context_.eventBase(), output_.get(), EV_READ | EV_PERSIST,
+      [](evutil_socket_t /*fd*/, short /*events*/, void* self) {
+        static_cast<ProxyProcess*>(self)->onOutput();
+      },
+      this));
+  event_add(outputReadable_.get(), nullptr);
+}
+
+// In the child process.
+void ProxyProcess::execute(int outputFd) const {
+  dup2(outputFd, STDOUT_FILENO);
+  dup2(outputFd, STDERR_FILENO);
+  execl(program_.c_str(), "stonebay", "serve", "--config", settingsPath_.c_str(),
+        static_cast<char*>(nullptr));
+  _exit(kExecFailed);
 }
 
-void ProxyProcess::read() {
-  char bytes[4096];
-  const ssize_t n = ::read(err_, bytes, sizeof bytes);
-  if (n <= 0) {
-    event_del(readable_.get());
+void ProxyProcess::onOutput() {
+  std::array<char, kReadBytes> bytes{};
+  const ssize_t received = ::read(output_.get(), bytes.data(), bytes.size());
+  if (received <= 0) {
+    event_del(outputReadable_.get());
     return;
   }
-  std::ofstream(log_, std::ios::app).write(bytes, n);
-  if (told_) return;
-  text_.append(bytes, static_cast<std::size_t>(n));
-  const std::size_t at = text_.find("event=listening");
-  if (at == std::string::npos || text_.find('\n', at) == std::string::npos) return;
-  told_ = true;
-  const int port = std::atoi(text_.c_str() + text_.find(" port=", at) + 6);
-  if (ready_) ready_(port);
+  std::ofstream(logPath_, std::ios::app).write(bytes.data(), received);
+  if (isReady_) return;
+  startupOutput_.append(bytes.data(), static_cast<std::size_t>(received));
+  lookForPort();
 }
 
-void ProxyProcess::signal(int which) const {
-  if (pid_ > 0) ::kill(pid_, which);
+// The process logs one line with event=listening and its port once clients can connect.
+void ProxyProcess::lookForPort() {
+  const std::string portField = " port=";
+  const std::size_t lineAt = startupOutput_.find("event=listening");
+  if (lineAt == std::string::npos || startupOutput_.find('\n', lineAt) == std::string::npos) return;
+  isReady_ = true;
+  const std::size_t portAt = startupOutput_.find(portField, lineAt) + portField.size();
+  if (onReady_) onReady_(std::atoi(startupOutput_.c_str() + portAt));
 }
-bool ProxyProcess::running() {
+
+void ProxyProcess::sendSignal(int signal) const {
+  if (pid_ > 0) ::kill(pid_, signal);
+}
+
+bool ProxyProcess::isRunning() {
   if (pid_ <= 0) return false;
   int status = 0;
   if (waitpid(pid_, &status, WNOHANG) != pid_) return true;
-  status_ = WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+  exitStatus_ = WIFEXITED(status) ? WEXITSTATUS(status) : kSignalExitBase + WTERMSIG(status);
   pid_ = -1;
   return false;
 }
+
 void ProxyProcess::kill() {
-  if (!running()) return;
+  if (!isRunning()) return;
   ::kill(pid_, SIGKILL);
   waitpid(pid_, nullptr, 0);
   pid_ = -1;
@@ -82,20 +106,21 @@
 
 double ProxyProcess::cpuSeconds() const {
   if (pid_ <= 0) return 0;
-  // Nanoseconds on a core; /proc/PID/stat counts in hundredths of a second.
-  std::ifstream stat("/proc/" + std::to_string(pid_) + "/schedstat");
-  double ns = 0;
-  stat >> ns;
-  return ns / 1e9;
+  // In nanoseconds; /proc/PID/stat counts in hundredths of a second.
+  std::ifstream schedulerStatistics("/proc/" + std::to_string(pid_) + "/schedstat");
+  double nanoseconds = 0;
+  schedulerStatistics >> nanoseconds;
+  return nanoseconds / 1e9;
 }
+
 double ProxyProcess::residentMb() const {
   std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
-  for (std::string word; status >> word;)
-    if (word == "VmRSS:") {
-      double kb = 0;
-      status >> kb;
-      return kb / 1024;
-    }
+  for (std::string word; status >> word;) {
+    if (word != "VmRSS:") continue;
+    double kilobytes = 0;
+    status >> kilobytes;
+    return kilobytes / 1024;
+  }
   return 0;
 }
 
--- a/testbed/proxy_process.hpp
+++ b/testbed/proxy_process.hpp
@@ -1,38 +1,55 @@
-// A real stonebay process: its settings, its log, its signals, what it uses.
+// A real stonebay process: its start, log, signals and resource usage.
 #pragma once
 
 #include <functional>
 #include <string>
 
-#include "testbed/context.hpp"
+#include "testbed/run_context.hpp"
+#include "testbed/unique_fd.hpp"
 
 namespace stonebay::testbed {
 
 class ProxyProcess {
  public:
-  ProxyProcess(Context&, std::string program, std::string settingsPath, std::string logPath);
-  ~ProxyProcess();  // kills it
+  using ReadyHandler = std::function<void(int port)>;
+
+  /// @param settingsPath the file for `serve --config`
+  /// @param logPath where the process's output is appended
+  ProxyProcess(const RunContext& context, std::string program, std::string settingsPath, std::string logPath);
+  /// Kills the process.
+  ~ProxyProcess();
   ProxyProcess(const ProxyProcess&) = delete;
   ProxyProcess& operator=(const ProxyProcess&) = delete;
 
-  void start(std::function<void(int port)> ready);
-  void signal(int) const;
-  void kill();  // at once, and waits for it
-  bool running();
-  int exitStatus() const { return status_; }  // of the last that ended by itself; -1: none
+  /// Does nothing if it is running. `onReady` is called once it listens. Throws std::runtime_error if there
+  /// is no pipe for its output.
+  void start(ReadyHandler onReady);
+  void sendSignal(int signal) const;
+  /// Sends SIGKILL and waits for the end.
+  void kill();
+  bool isRunning();
+  /// Of the last process that ended by itself: its exit status, or 128 and the signal; -1: there is none.
+  int exitStatus() const { return exitStatus_; }
+  /// Of the running process; 0 if there is none.
   double cpuSeconds() const;
   double residentMb() const;
 
  private:
-  void read();
-
-  Context& c_;
-  const std::string program_, settings_, log_;
-  std::function<void(int)> ready_;
-  int pid_ = -1, err_ = -1, status_ = -1;
-  std::string text_;
-  bool told_ = false;
-  EventPtr readable_;
+  [[noreturn]] void execute(int outputFd) const;
+  void onOutput();
+  void lookForPort();
+
+  const RunContext& context_;
+  const std::string program_;
+  const std::string settingsPath_;
+  const std::string logPath_;
+  ReadyHandler onReady_;
+  int pid_ = -1;
+  int exitStatus_ = -1;
+  UniqueFd output_;
+  Event outputReadable_;
+  std::string startupOutput_;
+  bool isReady_ = false;
 };
 
 }  // namespace stonebay::testbed
--- a/testbed/quantiles.hpp
+++ b/testbed/quantiles.hpp
@@ -1,35 +1,35 @@
-// Quantiles of what was measured, by prometheus-cpp's summary (Cormode, Korn, Muthukrishnan, Srivastava
-// 2005).
+// Quantiles of measured values, by prometheus-cpp's summary (Cormode, Korn, Muthukrishnan, Srivastava 2005).
 #pragma once
 
 #include <prometheus/summary.h>
 
 #include <algorithm>
 #include <chrono>
+#include <cstddef>
 
 namespace stonebay::testbed {
 
 class Quantiles {
  public:
-  void add(double v) {
-    summary_.Observe(v);
-    most_ = std::max(most_, v);
-    ++n_;
+  void add(double value) {
+    summary_.Observe(value);
+    max_ = std::max(max_, value);
+    ++count_;
   }
-  std::size_t count() const { return n_; }
-  double most() const { return most_; }
-  // Of 0.5, 0.9 and 0.99; 0 where nothing was measured.
-  double at(double q) const {
-    if (n_ == 0) return 0;
-    for (const auto& one : summary_.Collect().summary.quantile)
-      if (one.quantile == q) return one.value;
+  std::size_t count() const { return count_; }
+  double max() const { return max_; }
+  /// The quantile 0.5, 0.9 or 0.99; 0 if nothing was measured.
+  double at(double quantile) const {
+    if (count_ == 0) return 0;
+    for (const auto& entry : summary_.Collect().summary.quantile)
+      if (entry.quantile == quantile) return entry.value;
     return 0;
   }
 
  private:
   prometheus::Summary summary_{{{0.5, 0.005}, {0.9, 0.005}, {0.99, 0.0005}}, std::chrono::hours(24), 1};
-  double most_ = 0;
-  std::size_t n_ = 0;
+  double max_ = 0;
+  std::size_t count_ = 0;
 };
 
 }  // namespace stonebay::testbed
--- a/testbed/report.hpp
+++ b/testbed/report.hpp
@@ -1,14 +1,16 @@
-// What a run leaves behind: CSV files, a Markdown page, SVG charts by gnuplot.
+// What a run leaves behind: CSV files, a Markdown page, and SVG charts by gnuplot.
 #pragma once
 
 #include <string>
 
-#include "testbed/run.hpp"
+#include "testbed/audit.hpp"
+#include "testbed/experiment.hpp"
+#include "testbed/experiment_result.hpp"
 
 namespace stonebay::testbed {
 
-// Writes to the directory; false: there is no gnuplot, so there are no charts (the page says so).
-bool writeReport(const std::string& directory, const Experiment&, const Outcome&, const Audit&, const Fleet&);
-std::string markdown(const Experiment&, const Outcome&, const Audit&, bool charts);
+/// Writes all files to a directory. Without gnuplot there are no charts, and the page says so.
+void writeReport(const std::string& directory, const Experiment& experiment, const ExperimentResult& result,
+                 const RunAudit& audit);
 
 }  // namespace stonebay::testbed
--- /dev/null
+++ b/testbed/run_figures.hpp
@@ -0,0 +1,27 @@
+// The figures of a run that the auditors don't know.
+#pragma once
+
+#include <cstddef>
+#include <vector>
+
+#include "testbed/experiment_result.hpp"
+#include "testbed/time.hpp"
+
+namespace stonebay::testbed {
+
+/// What a run measured, over all proxies.
+struct RunMeasurements {
+  Time loadDuration{};
+  std::size_t proxies = 0;
+  std::size_t crashedProxies = 0;
+  double cpuSeconds = 0;
+  double peakResidentMb = 0;
+  double discoveryQueries = 0;                       ///< while the load ran
+  std::vector<double> proxiedLatencies;              ///< in ms
+  std::vector<std::vector<double>> directLatencies;  ///< in ms, by direct load
+};
+
+/// Adds the figures of the measurements to those of the audit.
+void addRunFigures(const RunMeasurements& measurements, Figures& figures);
+
+}  // namespace stonebay::testbed
--- /dev/null
+++ b/testbed/script_runner.cpp
@@ -0,0 +1,162 @@
+#include "testbed/script_runner.hpp"
+
+#include <cstdlib>
+#include <stdexcept>
+
+namespace stonebay::testbed {
+namespace {
+
+double numberOf(const std::string& argument) { return std::atof(argument.c_str()); }
+double shareOf(const std::string& percent) { return numberOf(percent) / 100; }
+
+}  // namespace
+
+ScriptRunner::ScriptRunner(const RunContext& context, const Experiment& experiment, EndpointFleet& fleet,
+                           EndpointPublisher& publisher, Proxies& proxies)
+    : context_(context),
+      experiment_(experiment),
+      fleet_(fleet),
+      publisher_(publisher),
+      proxies_(proxies),
+      timer_(context, [this] { runDueSteps(); }) {}
+
+const std::map<ScriptAction, ScriptRunner::Handler>& ScriptRunner::handlers() {
+  static const std::map<ScriptAction, Handler> handlers{
+      {ScriptAction::Withdraw, &ScriptRunner::withdraw},
+      {ScriptAction::Publish, &ScriptRunner::publish},
+      {ScriptAction::Toggle, &ScriptRunner::toggle},
+      {ScriptAction::Drain, &ScriptRunner::drain},
+      {ScriptAction::Rename, &ScriptRunner::rename},
+      {ScriptAction::WithdrawAll, &ScriptRunner::withdrawAll},
+      {ScriptAction::PublishAll, &ScriptRunner::publishAll},
+      {ScriptAction::Kill, &ScriptRunner::kill},
+      {ScriptAction::Start, &ScriptRunner::startEndpoint},
+      {ScriptAction::Vanish, &ScriptRunner::vanish},
+      {ScriptAction::Recover, &ScriptRunner::recover},
+      {ScriptAction::Hang, &ScriptRunner::hang},
+      {ScriptAction::Slow, &ScriptRunner::slowDown},
+      {ScriptAction::Errors, &ScriptRunner::injectErrors},
+      {ScriptAction::Resets, &ScriptRunner::injectResets},
+      {ScriptAction::Lag, &ScriptRunner::lag},
+      {ScriptAction::NameServers, &ScriptRunner::setNameServerMood},
+      {ScriptAction::Registry, &ScriptRunner::setRegistryState},
+      {ScriptAction::Rate, &ScriptRunner::setRate},
+      {ScriptAction::Proxy, &ScriptRunner::controlProxy},
+      {ScriptAction::Primary, &ScriptRunner::disturbPrimary}};
+  return handlers;
+}
+
+void ScriptRunner::start() {
+  startedAt_ = context_.now();
+  runDueSteps();
+}
+
+void ScriptRunner::runDueSteps() {
+  const Time now = context_.now() - startedAt_;
+  const std::vector<ScriptStep>& steps = experiment_.script;
+  while (nextStep_ < steps.size() && steps[nextStep_].at <= now) {
+    const ScriptStep& step = steps[nextStep_];
+    ++nextStep_;
+    execute(step);
+  }
+  if (nextStep_ < steps.size()) timer_.startIn(steps[nextStep_].at - now);
+}
+
+void ScriptRunner::execute(const ScriptStep& step) { (this->*handlers().at(step.action))(step); }
+
+void ScriptRunner::fail(const ScriptStep& step, const std::string& problem) const {
+  throw std::runtime_error(experiment_.file + ":" + std::to_string(step.line) + ": [script]: " + problem);
+}
+
+EndpointServer& ScriptRunner::endpointOf(const ScriptStep& step) const {
+  EndpointServer* const endpoint = fleet_.findByName(step.arguments[0]);
+  if (endpoint == nullptr) fail(step, "there is no data server " + step.arguments[0]);
+  return *endpoint;
+}
+
+ProxyUnderTest& ScriptRunner::proxyOf(const ScriptStep& step) const {
+  const auto index = static_cast<std::size_t>(std::atoi(step.arguments[0].c_str())) - 1;
+  if (index >= proxies_.size()) fail(step, "there is no proxy " + step.arguments[0]);
+  return *proxies_[index];
+}
+
+void ScriptRunner::toggle(const ScriptStep& step) {
+  EndpointServer& endpoint = endpointOf(step);
+  if (publisher_.isListed(endpoint))
+    publisher_.withdraw(endpoint);
+  else
+    publisher_.publish(endpoint);
+}
+
+void ScriptRunner::withdrawAll(const ScriptStep& /*step*/) {
+  for (const auto& endpoint : fleet_.endpoints()) publisher_.withdraw(*endpoint);
+}
+
+void ScriptRunner::publishAll(const ScriptStep& /*step*/) {
+  for (const auto& endpoint : fleet_.endpoints()) publisher_.publish(*endpoint);
+}
+
+void ScriptRunner::recover(const ScriptStep& step) {
+  EndpointServer& endpoint = endpointOf(step);
+  endpoint.setVanished(false);
+  endpoint.setHanging(false);
+}
+
+void ScriptRunner::slowDown(const ScriptStep& step) {
+  endpointOf(step).setSlowdown(numberOf(step.arguments[1]));
+}
+
+void ScriptRunner::injectErrors(const ScriptStep& step) {
+  endpointOf(step).setErrorShare(shareOf(step.arguments[1]));
+}
+
+void ScriptRunner::injectResets(const ScriptStep& step) {
+  endpointOf(step).setResetShare(shareOf(step.arguments[1]));
+}
+
+void ScriptRunner::lag(const ScriptStep& step) {
+  endpointOf(step).setApplySlowdown(numberOf(step.arguments[1]));
+}
+
+void ScriptRunner::setNameServerMood(const ScriptStep& step) {
+  NameServer::Mood mood{};
+  if (!NameServer::moodOf(step.arguments[0], mood)) fail(step, "there is no mood " + step.arguments[0]);
+  for (const auto& proxy : proxies_) proxy->discovery().setNameServerMood(mood);
+}
+
+void ScriptRunner::setRegistryState(const ScriptStep& step) {
+  for (const auto& proxy : proxies_) proxy->discovery().setRegistryDown(step.arguments[0] == "down");
+}
+
+void ScriptRunner::setRate(const ScriptStep& step) {
+  const double rateOfOneProxy = numberOf(step.arguments[0]) / static_cast<double>(proxies_.size());
+  for (const auto& proxy : proxies_) proxy->clients().setRate(rateOfOneProxy);
+}
+
+// "proxy 2 kill"
+void ScriptRunner::controlProxy(const ScriptStep& step) {
+  ProxyUnderTest& proxy = proxyOf(step);
+  const std::string& command = step.arguments[1];
+  if (command == "term")
+    proxy.terminate();
+  else if (command == "hup")
+    proxy.reload();
+  else if (command == "kill")
+    proxy.kill();
+  else if (command == "start")
+    proxy.start();
+  else
+    fail(step, "a proxy can be sent term, hup, kill or start");
+}
+
+// "primary kill 1": the primary of group 1
+void ScriptRunner::disturbPrimary(const ScriptStep& step) {
+  const std::string& fault = step.arguments[0];
+  EndpointServer* const primary = fleet_.primary(std::atoi(step.arguments[1].c_str()));
+  if (primary == nullptr) return;
+  if (fault == "kill") primary->kill();
+  if (fault == "hang") primary->setHanging(true);
+  if (fault == "vanish") primary->setVanished(true);
+}
+
+}  // namespace stonebay::testbed
--- /dev/null
+++ b/testbed/script_runner.hpp
@@ -0,0 +1,69 @@
+// Executes an experiment's script while the load runs.
+#pragma once
+
+#include <cstddef>
+#include <map>
+#include <string>
+
+#include "testbed/endpoint_fleet.hpp"
+#include "testbed/endpoint_publisher.hpp"
+#include "testbed/experiment.hpp"
+#include "testbed/run_context.hpp"
+#include "testbed/script.hpp"
+#include "testbed/timer.hpp"
+
+namespace stonebay::testbed {
+
+class ScriptRunner {
+ public:
+  ScriptRunner(const RunContext& context, const Experiment& experiment, EndpointFleet& fleet,
+               EndpointPublisher& publisher, Proxies& proxies);
+
+  /// Executes the steps that are due at once; the others follow by timer. Here and from the event loop it
+  /// throws std::runtime_error for a step that names what doesn't exist.
+  void start();
+  void stop() { timer_.stop(); }
+
+ private:
+  using Handler = void (ScriptRunner::*)(const ScriptStep&);
+  static const std::map<ScriptAction, Handler>& handlers();
+
+  void runDueSteps();
+  void execute(const ScriptStep& step);
+  [[noreturn]] void fail(const ScriptStep& step, const std::string& problem) const;
+  EndpointServer& endpointOf(const ScriptStep& step) const;
+  ProxyUnderTest& proxyOf(const ScriptStep& step) const;
+
+  void withdraw(const ScriptStep& step) { publisher_.withdraw(endpointOf(step)); }
+  void publish(const ScriptStep& step) { publisher_.publish(endpointOf(step)); }
+  void toggle(const ScriptStep& step);
+  void drain(const ScriptStep& step) { publisher_.drain(endpointOf(step)); }
+  void rename(const ScriptStep& step) { publisher_.rename(endpointOf(step), step.arguments[1]); }
+  void withdrawAll(const ScriptStep& step);
+  void publishAll(const ScriptStep& step);
+  void kill(const ScriptStep& step) { endpointOf(step).kill(); }
+  void startEndpoint(const ScriptStep& step) { endpointOf(step).start(); }
+  void vanish(const ScriptStep& step) { endpointOf(step).setVanished(true); }
+  void recover(const ScriptStep& step);
+  void hang(const ScriptStep& step) { endpointOf(step).setHanging(true); }
+  void slowDown(const ScriptStep& step);
+  void injectErrors(const ScriptStep& step);
+  void injectResets(const ScriptStep& step);
+  void lag(const ScriptStep& step);
+  void setNameServerMood(const ScriptStep& step);
+  void setRegistryState(const ScriptStep& step);
+  void setRate(const ScriptStep& step);
+  void controlProxy(const ScriptStep& step);
+  void disturbPrimary(const ScriptStep& step);
+
+  const RunContext& context_;
+  const Experiment& experiment_;
+  EndpointFleet& fleet_;
+  EndpointPublisher& publisher_;
+  Proxies& proxies_;
+  Timer timer_;
+  Time startedAt_{};
+  std::size_t nextStep_ = 0;
+};
+
+}  // namespace stonebay::testbed
--- /dev/null
+++ b/testbed/text_number.hpp
@@ -0,0 +1,17 @@
+// Numbers as reports write them.
+#pragma once
+
+#include <array>
+#include <cstdio>
+#include <string>
+
+namespace stonebay::testbed {
+
+/// Six significant digits.
+inline std::string numberText(double value) {
+  std::array<char, 32> text{};
+  std::snprintf(text.data(), text.size(), "%.6g", value);
+  return text.data();
+}
+
+}  // namespace stonebay::testbed
--- /dev/null
+++ b/testbed/timer.hpp
@@ -0,0 +1,35 @@
+// A one-shot timer of the event loop.
+#pragma once
+
+#include <event2/event.h>
+
+#include <functional>
+
+#include "testbed/run_context.hpp"
+
+namespace stonebay::testbed {
+
+/// Calls a function once for each start. The call is cancelled when the timer is destroyed.
+class Timer {
+ public:
+  Timer(const RunContext& context, std::function<void()> onExpiry)
+      : onExpiry_(std::move(onExpiry)),
+        event_(event_new(
+            context.eventBase(), -1, 0,
+            [](evutil_socket_t /*fd*/, short /*events*/, void* self) {
+              static_cast<Timer*>(self)->onExpiry_();
+            },
+            this)) {}
+  Timer(const Timer&) = delete;
+  Timer& operator=(const Timer&) = delete;
+
+  /// (Re)starts the timer; a delay of zero or less expires in the next pass of the loop.
+  void startIn(Time delay) { startTimer(event_.get(), delay); }
+  void stop() { event_del(event_.get()); }
+
+ private:
+  std::function<void()> onExpiry_;
+  Event event_;
+};
+
+}  // namespace stonebay::testbed
