testbed: clang-tidy clean, warnings as in the rest

Cause: tools/lint on testbed/*.cpp reported raw string literals, a copy, a concatenation, two short names and an exception that could leave main.

--- a/testbed/connection_io.cpp
+++ b/testbed/connection_io.cpp
@@ -11,8 +11,8 @@
 }
 
 void disableNagle(evutil_socket_t fd) {
-  const int on = 1;
-  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  const int enabled = 1;
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof enabled);
 }
 
 }  // namespace stonebay::testbed
--- a/testbed/discovery_stand_in.cpp
+++ b/testbed/discovery_stand_in.cpp
@@ -2,6 +2,7 @@
 
 #include <map>
 
+#include "testbed/json_text.hpp"
 #include "testbed/registry_server.hpp"
 #include "testbed/socket_address.hpp"
 
@@ -62,11 +63,12 @@
     const Time startedAt = endpoint.startedAt();
     const std::int64_t startedAtMs = startedAt > Time(0) ? environment_.context.unixMs(startedAt) : 0;
     const std::string json =
-        "\"instanceId\":\"" + endpoint.name() + "\",\"hostPort\":\"" + addressText(address) +
-        "\",\"zone\":\"" + endpoint.zone() +
-        "\",\"machineType\":\"m\",\"cell\":" + std::to_string(endpoint.group().number()) +
-        ",\"lifecycle\":\"" + (isLeaving ? "leaving" : "active") +
-        "\",\"weight\":1.0,\"startedAtMs\":" + std::to_string(startedAtMs);
+        jsonMember("instanceId", jsonString(endpoint.name())) + ',' +
+        jsonMember("hostPort", jsonString(addressText(address))) + ',' +
+        jsonMember("zone", jsonString(endpoint.zone())) + ',' + jsonMember("machineType", jsonString("m")) +
+        ',' + jsonMember("cell", std::to_string(endpoint.group().number())) + ',' +
+        jsonMember("lifecycle", jsonString(isLeaving ? "leaving" : "active")) + ',' +
+        jsonMember("weight", "1.0") + ',' + jsonMember("startedAtMs", std::to_string(startedAtMs));
     server_.publish(endpoint.name(), json, !isLeaving);
   }
   void withdraw(const std::string& name) override { server_.withdraw(name); }
--- a/testbed/endpoint_fleet.cpp
+++ b/testbed/endpoint_fleet.cpp
@@ -13,9 +13,9 @@
 
 }  // namespace
 
-EndpointFleet::EndpointFleet(RunContext& context, RunAudit& audit, const FleetSettings& settings,
+EndpointFleet::EndpointFleet(RunContext& context, RunAudit& audit, FleetSettings settings,
                              std::vector<RequestClass> classes)
-    : audit_(audit), settings_(settings), classes_(std::move(classes)) {
+    : audit_(audit), settings_(std::move(settings)), classes_(std::move(classes)) {
   const EndpointEnvironment environment{context, audit_, settings_, classes_};
   int number = 0;
   for (int group = 1; group <= settings_.groups; ++group) {
--- a/testbed/endpoint_fleet.hpp
+++ b/testbed/endpoint_fleet.hpp
@@ -15,7 +15,7 @@
 class EndpointFleet {
  public:
   /// Starts all endpoints. Throws std::runtime_error if an address is taken.
-  EndpointFleet(RunContext& context, RunAudit& audit, const FleetSettings& settings,
+  EndpointFleet(RunContext& context, RunAudit& audit, FleetSettings settings,
                 std::vector<RequestClass> classes);
   EndpointFleet(const EndpointFleet&) = delete;
   EndpointFleet& operator=(const EndpointFleet&) = delete;
--- a/testbed/experiment.cpp
+++ b/testbed/experiment.cpp
@@ -31,7 +31,7 @@
     std::stable_sort(experiment_.script.begin(), experiment_.script.end(),
                      [](const ScriptStep& left, const ScriptStep& right) { return left.at < right.at; });
     for (const auto& [section, lines] : proxySettings_)
-      experiment_.proxySettings += "[" + section + "]\n" + lines;
+      experiment_.proxySettings.append("[").append(section).append("]\n").append(lines);
     return std::move(experiment_);
   }
 
--- a/testbed/faulty_proxy.cpp
+++ b/testbed/faulty_proxy.cpp
@@ -136,7 +136,7 @@
   const DiscoveredEndpoint& endpoint =
       fault_ == Fault::Overload ? endpoints.back() : endpoints[request % endpoints.size()];
   if (fault_ == Fault::Hedging && endpoints.size() > 1) {
-    const DiscoveredEndpoint other = endpoints[(request + 1) % endpoints.size()];
+    const DiscoveredEndpoint& other = endpoints[(request + 1) % endpoints.size()];
     std::thread([other, statement] { attempt(other, statement); }).detach();
   }
   std::string response = attempt(endpoint, statement);
--- a/testbed/main.cpp
+++ b/testbed/main.cpp
@@ -131,11 +131,7 @@
   return runExperiment(experiment, arguments, isDemo);
 }
 
-}  // namespace
-
-int main(int argc, char** argv) {
-  signal(SIGPIPE, SIG_IGN);
-  raiseDescriptorLimit();
+int runProgram(int argc, char** argv) {
   CLI::App app{"stonebay-testbed: experiments with real proxies and stand-ins for all else",
                "stonebay-testbed"};
   app.require_subcommand(1);
@@ -153,9 +149,17 @@
   demo->add_option("--proxy", arguments.proxyProgram, "the proxy's program")->capture_default_str();
   CLI11_PARSE(app, argc, argv);
   if (seed >= 0) arguments.seed = static_cast<std::uint64_t>(seed);
+  if (list->parsed()) return listExperiments(arguments.experimentDirectory);
+  return runOrDemo(arguments, demo->parsed());
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  signal(SIGPIPE, SIG_IGN);
+  raiseDescriptorLimit();
   try {
-    if (list->parsed()) return listExperiments(arguments.experimentDirectory);
-    return runOrDemo(arguments, demo->parsed());
+    return runProgram(argc, argv);
   } catch (const std::exception& error) {
     std::fprintf(stderr, "stonebay-testbed: %s\n", error.what());
     return 1;
--- a/testbed/name_server.cpp
+++ b/testbed/name_server.cpp
@@ -25,8 +25,8 @@
 
 UniqueFd bindSocket(int type, int port) {
   UniqueFd fd(socket(AF_INET, type | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
-  const int on = 1;
-  setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  const int enabled = 1;
+  setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof enabled);
   const sockaddr_in address = loopbackAddress(port);
   if (fd.isOpen() && bind(fd.get(), asSockaddr(address), sizeof address) != 0) fd.reset();
   return fd;
--- a/testbed/registry_server.cpp
+++ b/testbed/registry_server.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "testbed/connection_io.hpp"
+#include "testbed/json_text.hpp"
 #include "testbed/socket_address.hpp"
 #include "testbed/timer.hpp"
 
@@ -138,8 +139,9 @@
     if (!isLeftOut) instances += (instances.empty() ? "{" : ",{") + entry.json + "}";
   }
   for (const auto& [name, entry] : entries_) onListing_(name, entry.listed && !entry.withdrawn);
-  return "{\"generation\":" + std::to_string(generation_) + ",\"reset\":" + (all ? "true" : "false") +
-         ",\"instances\":[" + instances + "]}\n";
+  return '{' + jsonMember("generation", std::to_string(generation_)) + ',' +
+         jsonMember("reset", all ? "true" : "false") + ',' + jsonMember("instances", '[' + instances + ']') +
+         "}\n";
 }
 
 void RegistryServer::publish(const std::string& name, const std::string& json, bool listed) {
@@ -148,7 +150,8 @@
 }
 
 void RegistryServer::withdraw(const std::string& name) {
-  const std::string json = "\"instanceId\":\"" + name + "\",\"lifecycle\":\"left\"";
+  const std::string json =
+      jsonMember("instanceId", jsonString(name)) + ',' + jsonMember("lifecycle", jsonString("left"));
   entries_[name] = {json, false, true, ++generation_};
   notifyWatches();
 }
