--- a/src/config/json_config.cpp
+++ b/src/config/json_config.cpp
@@ -6,7 +6,7 @@
 
 #include "config/config.hpp"
 #include "discovery/json.hpp"
-#include "simulator/adapter.hpp"
+#include "simulator/settings_parser.hpp"
 
 namespace stonebay {
 namespace {
--- a/src/simulator/adapter.hpp
+++ b/src/simulator/adapter.hpp
@@ -1,45 +1,55 @@
-// Framing and translation of the simulator's wire: bytes to events, actions to bytes. Decides nothing.
+// Translates the simulator's batches of events into calls of LoadBalancers, and their actions into replies.
+// Decides nothing.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
-#include <stdexcept>
-#include <string>
 #include <vector>
 
+#include "simulator/frame_reader.hpp"
+#include "simulator/frame_writer.hpp"
+#include "simulator/proxy_instance.hpp"
+#include "simulator/wire_format.hpp"
 #include "stonebay/load_balancer.hpp"
 
 namespace stonebay::simulator {
 
-// A frame that cannot be read; `at` counts bytes from the start of the input.
-struct MalformedFrame : std::runtime_error {
-  MalformedFrame(const std::string& what, std::uint64_t at)
-      : std::runtime_error(what + " at byte " + std::to_string(at)) {}
-};
-// A setting that is missing or unreadable.
-struct InvalidSetting : std::runtime_error {
-  using std::runtime_error::runtime_error;
-};
-
-Settings parseSettings(const std::string& facts);  // throws InvalidSetting with the key and the value
-
-// One process: any number of instances, each with a LoadBalancer of its own.
-class Host {
+/// All instances of one process. They share the endpoint lists that the simulator defines, and nothing else.
+class Adapter {
  public:
-  Host();
-  ~Host();
-  // Takes a batch without its length field, gives the reply with its header. `offset`: of the batch's first
-  // byte.
-  std::vector<std::uint8_t> handle(const std::uint8_t* batch, std::size_t size, std::uint64_t offset);
+  Adapter() = default;
+  Adapter(const Adapter&) = delete;  // instances refer to the reply
+  Adapter& operator=(const Adapter&) = delete;
+
+  /// Handles the events of a batch in their order and returns the reply, header included.
+  ///
+  /// The batch comes without its length field; `offset` is that of its first byte in the input, for errors.
+  /// Throws MalformedFrame; what the batch has changed until then stays.
+  std::vector<std::uint8_t> handleBatch(const std::uint8_t* batch, std::size_t size, std::uint64_t offset);
 
  private:
-  struct Instance;
-  std::map<std::uint16_t, std::unique_ptr<Instance>> instances_;
-  std::map<std::uint32_t, std::vector<EndpointUpdate>> lists_;
+  void handleEvent(EventCode code, FrameReader& record);
+  void onAttemptOutcome(FrameReader& record);
+  void onInstanceStarted(FrameReader& record);
+  void onGossip(FrameReader& record);
+  void onEndpointListDefinition(FrameReader& record);
+  void onHealthCheckResult(FrameReader& record);
+  void onRequest(FrameReader& record);
+  void onClientLeft(FrameReader& record);
+  void onTimer(FrameReader& record);
+  void onEndpointList(FrameReader& record);
+  void onInstanceStopped(FrameReader& record);
+
+  ProxyInstance* readInstance(FrameReader& record) const;
+  const std::vector<EndpointUpdate>& endpointEntries(const FrameReader& record, EndpointListKind kind,
+                                                     std::uint32_t definition) const;
+
+  Time now_{};         // of this batch
+  FrameWriter reply_;  // to this batch
+  std::map<std::uint16_t, std::unique_ptr<ProxyInstance>> instances_;
+  std::map<std::uint32_t, std::vector<EndpointUpdate>> endpointLists_;
 };
 
-// Reads batches until the input ends. 0: it ended between frames; 1: it was malformed (one line on stderr).
-int run(int in, int out);
-
 }  // namespace stonebay::simulator
--- /dev/null
+++ b/src/simulator/proxy_instance.hpp
@@ -0,0 +1,58 @@
+// One proxy of the simulated tier.
+#pragma once
+
+#include <cstdint>
+#include <exception>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "simulator/frame_writer.hpp"
+#include "stonebay/load_balancer.hpp"
+
+namespace stonebay::simulator {
+
+/// Owns the LoadBalancer of one instance and writes its actions into the reply.
+///
+/// An exception in the decisions ends this instance and no other: it is reported in the reply, and later
+/// events are ignored.
+class ProxyInstance final : public ActionSink {
+ public:
+  /// `reply` must outlive the instance. A failure to start is reported in the reply.
+  ProxyInstance(std::uint16_t number, const std::string& settings, std::uint64_t seed, FrameWriter& reply);
+
+  /// The instant from which positions on the wire are measured.
+  Time positionEpoch() const { return positionEpoch_; }
+
+  /// Calls `event` with the LoadBalancer, unless the instance has failed.
+  template <typename Event>
+  void deliver(Event&& event) {
+    if (!balancer_) return;
+    try {
+      std::forward<Event>(event)(*balancer_);
+    } catch (const std::exception& e) {
+      reportFailure(e.what());
+    }
+  }
+
+ private:
+  void send(RequestId id, EndpointId endpoint, Time until) override;
+  void reject(RequestId id, Time retryAfter) override;
+  void fail(RequestId id) override;
+  void cancel(RequestId id, int attempt) override;
+  void scheduleTimer(Time in, TimerToken token) override;
+  void checkHealth(EndpointId endpoint) override;
+  void broadcast(const GossipMessage& message) override;
+  void pollDiscovery() override;
+  void log(const std::string& line) override;
+
+  void beginRequestAction(ActionCode code, RequestId id);
+  void reportFailure(const std::string& reason);
+
+  const std::uint16_t number_;
+  FrameWriter& reply_;
+  Time positionEpoch_{};
+  std::unique_ptr<LoadBalancer> balancer_;  // none: the instance has failed
+};
+
+}  // namespace stonebay::simulator
--- a/tests/simulator_adapter_test.cpp
+++ b/tests/simulator_adapter_test.cpp
@@ -1,10 +1,18 @@
+// The simulator's wire: frames, settings, events and actions byte by byte.
 #include <gtest/gtest.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <chrono>
 #include <cstring>
+#include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "simulator/adapter.hpp"
+#include "simulator/event_decoder.hpp"
+#include "simulator/host.hpp"
 
 namespace stonebay::simulator {
 namespace {
@@ -12,31 +20,31 @@
 using Bytes = std::vector<std::uint8_t>;
 
 template <typename T>
-void put(Bytes& b, T v) {
-  const auto* p = reinterpret_cast<const std::uint8_t*>(&v);
-  for (std::size_t k = 0; k < sizeof v; ++k) b.push_back(p[k]);
+void append(Bytes& to, T value) {
+  const auto* const bytes = reinterpret_cast<const std::uint8_t*>(&value);
+  to.insert(to.end(), bytes, bytes + sizeof value);
 }
-Bytes hex(const std::string& s) {
-  Bytes b;
+Bytes fromHex(const std::string& text) {
   std::string digits;
-  for (const char c : s)
+  for (const char c : text)
     if (c != ' ' && c != '\n') digits += c;
-  for (std::size_t k = 0; k + 1 < digits.size(); k += 2)
-    b.push_back(static_cast<std::uint8_t>(std::stoi(digits.substr(k, 2), nullptr, 16)));
-  return b;
+  Bytes bytes;
+  for (std::size_t i = 0; i + 1 < digits.size(); i += 2)
+    bytes.push_back(static_cast<std::uint8_t>(std::stoi(digits.substr(i, 2), nullptr, 16)));
+  return bytes;
 }
-void record(Bytes& to, std::uint8_t code, const Bytes& fields) {
-  put(to, code);
-  put(to, static_cast<std::uint32_t>(fields.size()));
+void appendRecord(Bytes& to, std::uint8_t code, const Bytes& fields) {
+  append(to, code);
+  append(to, static_cast<std::uint32_t>(fields.size()));
   to.insert(to.end(), fields.begin(), fields.end());
 }
-Bytes batch(std::uint64_t clock = 8412250) {
-  Bytes b;
-  put(b, clock);
-  return b;
+Bytes emptyBatch(std::uint64_t clock = 8412250) {
+  Bytes bytes;
+  append(bytes, clock);
+  return bytes;
 }
 
-const char* const kFacts =
+const char* const kSettings =
     "allowed.attemptsCap=8\nallowed.cancel=true\nallowed.maxRetryAfterUs=1000000\nallowed.parallelTries="
     "false\n"
     "allowed.probing=true\nallowed.retryAfter=true\nbalancers=3\nclasses.count=2\n"
@@ -51,140 +59,192 @@
     "specifics.sessionMarks=remembered\nspecifics.stamps=false\nspecifics.synchronous=true\n"
     "specifics.zeroUs=1000\nstepUs=5000\na.key.nobody.knows=1\n";
 
-Bytes provision(const std::string& facts, std::uint16_t instance = 3) {
-  Bytes f;
-  put(f, instance);
-  put(f, std::uint64_t{42});
-  put(f, static_cast<std::uint32_t>(facts.size()));
-  f.insert(f.end(), facts.begin(), facts.end());
-  return f;
-}
-Bytes started(const std::string& facts = kFacts) {
-  Bytes b = batch();
-  record(b, 3, provision(facts));
-  record(b, 5, hex("00000000 01000000 0a124a07 431f 0000 0000 0b00 01 0000803f 0000803f 0000000000000000"));
-  record(b, 10, hex("0300 02 2900000000000000 00000000"));
-  return b;
+Bytes instanceStartedFields(const std::string& settings) {
+  Bytes fields;
+  append(fields, std::uint16_t{3});
+  append(fields, std::uint64_t{42});
+  append(fields, static_cast<std::uint32_t>(settings.size()));
+  fields.insert(fields.end(), settings.begin(), settings.end());
+  return fields;
+}
+// A batch that starts instance 3 with one endpoint in group 11.
+Bytes startingBatch(const std::string& settings = kSettings) {
+  Bytes batch = emptyBatch();
+  appendRecord(batch, 3, instanceStartedFields(settings));
+  appendRecord(
+      batch, 5,
+      fromHex("00000000 01000000 0a124a07 431f 0000 0000 0b00 01 0000803f 0000803f 0000000000000000"));
+  appendRecord(batch, 10, fromHex("0300 02 2900000000000000 00000000"));
+  return batch;
 }
 // Codes of a reply's records, after a check of its two counts.
-std::vector<int> codes(const Bytes& reply) {
-  std::vector<int> all;
-  std::uint32_t count = 0, length = 0;
+std::vector<int> recordCodes(const Bytes& reply) {
+  std::vector<int> codes;
+  std::uint32_t count = 0;
+  std::uint32_t length = 0;
   std::memcpy(&count, reply.data(), 4);
   std::memcpy(&length, reply.data() + 4, 4);
   EXPECT_EQ(length, reply.size() - 8);
   for (std::size_t at = 8; at < reply.size();) {
-    all.push_back(reply[at]);
-    std::uint32_t n = 0;
-    std::memcpy(&n, &reply[at + 1], 4);
-    at += 5 + n;
+    codes.push_back(reply[at]);
+    std::uint32_t fieldBytes = 0;
+    std::memcpy(&fieldBytes, &reply[at + 1], 4);
+    at += 5 + fieldBytes;
   }
-  EXPECT_EQ(count, all.size());
-  return all;
+  EXPECT_EQ(count, codes.size());
+  return codes;
+}
+bool contains(const std::vector<int>& codes, int code) {
+  return std::find(codes.begin(), codes.end(), code) != codes.end();
+}
+bool contains(const Bytes& reply, const Bytes& part) {
+  return std::search(reply.begin(), reply.end(), part.begin(), part.end()) != reply.end();
+}
+Bytes handle(Adapter& adapter, const Bytes& batch) {
+  return adapter.handleBatch(batch.data(), batch.size(), 4);
 }
-bool has(const std::vector<int>& v, int c) { return std::find(v.begin(), v.end(), c) != v.end(); }
 
-TEST(Wire, AnEmptyBatchGivesAnEmptyReply) {
-  Host h;
-  const Bytes b = hex("5a5c800000000000");
-  EXPECT_EQ(h.handle(b.data(), b.size(), 4), Bytes(8, 0));
+TEST(SimulatorAdapter, AnswersAnEmptyBatchWithAnEmptyReply) {
+  Adapter adapter;
+  const Bytes batch = fromHex("5a5c800000000000");
+  EXPECT_EQ(handle(adapter, batch), Bytes(8, 0));
 }
 
-TEST(Wire, ARequestBecomesADispatchInTheDocumentedLayout) {
-  Host h;
-  Bytes b = started();
+TEST(SimulatorAdapter, SendsARequestToAnEndpointInTheDocumentedLayout) {
+  Adapter adapter;
+  Bytes batch = startingBatch();
   const Bytes order =
-      hex("0300 c4913a5d 01 00000000 640ad2557c3bf091 0040ce43 da05940000000000 00003041 0000 e02e0000");
-  record(b, 7, order);
-  const Bytes reply = h.handle(b.data(), b.size(), 4);
-  const Bytes dispatch = hex("41 14000000 0300 c4913a5d da05940000000000 0a124a07 431f");
-  EXPECT_NE(std::search(reply.begin(), reply.end(), dispatch.begin(), dispatch.end()), reply.end());
-  codes(reply);
-  Bytes next = batch(8500000);
-  record(next, 1, hex("0300 c4913a5d 00 0a124a07 431f 0000 44480000 01 8e630000 00"));
-  record(next, 2, hex("0300 c4913a5d 00 0a124a07 431f 22240000"));
-  record(next, 4, hex("0300 02000000 0400 68692037"));
-  record(next, 6, hex("0300 0a124a07 431f 78050000 0000 02 2b87c640 00000000"));
-  record(next, 8, hex("0300 192b6f0e"));
-  record(next, 9, hex("0300 4d00000000000000"));
-  record(next, 200, hex("0102"));  // a later version's record
-  record(next, 11, hex("0300"));
-  record(next, 9, hex("0300 4d00000000000000"));  // for an instance that is no more
-  codes(h.handle(next.data(), next.size(), 4));
-}
-
-TEST(Wire, WordsBetweenProxiesGoOutAndComeBackInOneLayout) {
-  const std::string facts = std::string(kFacts) + "allowed.peers=true\n";
-  Host h;
-  Bytes b = started(facts);
-  // 7 s after zero, a replica by its own report
-  record(b, 6, hex("0300 0a124a07 431f 78050000 0000 02 0000e040 00000000"));
-  const Bytes reply = h.handle(b.data(), b.size(), 4);
-  const Bytes say = hex("48 12000000 0300 ffff 0c00 0a124a07 431f 571b0000 00 00");
-  EXPECT_NE(std::search(reply.begin(), reply.end(), say.begin(), say.end()), reply.end());
-  Host other;
-  Bytes heard = started(facts);
-  record(heard, 4, hex("0300 02000000 0c00 0a124a07 431f 571b0000 01 00"));
-  record(heard, 4, hex("0300 02000000 0300 0a124a"));
-  record(heard, 7,
-         hex("0300 c4913a5d 05 00000000 640ad2557c3bf091 00000000 da05940000000000 00003041 0100 e02e0000"));
-  const auto all = codes(other.handle(heard.data(), heard.size(), 4));
-  EXPECT_TRUE(has(all, 65)) << "the write goes to the primary that a peer named";
-}
-TEST(Wire, EveryRecordCutAtEveryByteIsMalformed) {
+      fromHex("0300 c4913a5d 01 00000000 640ad2557c3bf091 0040ce43 da05940000000000 00003041 0000 e02e0000");
+  appendRecord(batch, 7, order);
+  const Bytes reply = handle(adapter, batch);
+  const Bytes dispatch = fromHex("41 14000000 0300 c4913a5d da05940000000000 0a124a07 431f");
+  EXPECT_TRUE(contains(reply, dispatch));
+  recordCodes(reply);
+  Bytes next = emptyBatch(8500000);
+  appendRecord(next, 1, fromHex("0300 c4913a5d 00 0a124a07 431f 0000 44480000 01 8e630000 00"));
+  appendRecord(next, 2, fromHex("0300 c4913a5d 00 0a124a07 431f 22240000"));
+  appendRecord(next, 4, fromHex("0300 02000000 0400 68692037"));
+  appendRecord(next, 6, fromHex("0300 0a124a07 431f 78050000 0000 02 2b87c640 00000000"));
+  appendRecord(next, 8, fromHex("0300 192b6f0e"));
+  appendRecord(next, 9, fromHex("0300 4d00000000000000"));
+  appendRecord(next, 200, fromHex("0102"));  // a later version's record
+  appendRecord(next, 11, fromHex("0300"));
+  appendRecord(next, 9, fromHex("0300 4d00000000000000"));  // for an instance that has been stopped
+  recordCodes(handle(adapter, next));
+}
+
+TEST(SimulatorAdapter, BroadcastsAndReceivesGossipInOneLayout) {
+  const std::string settings = std::string(kSettings) + "allowed.peers=true\n";
+  Adapter adapter;
+  Bytes batch = startingBatch(settings);
+  // 7 s after the epoch, a replica by its own report
+  appendRecord(batch, 6, fromHex("0300 0a124a07 431f 78050000 0000 02 0000e040 00000000"));
+  const Bytes reply = handle(adapter, batch);
+  const Bytes broadcast = fromHex("48 12000000 0300 ffff 0c00 0a124a07 431f 571b0000 00 00");
+  EXPECT_TRUE(contains(reply, broadcast));
+  Adapter other;
+  Bytes received = startingBatch(settings);
+  appendRecord(received, 4, fromHex("0300 02000000 0c00 0a124a07 431f 571b0000 01 00"));
+  appendRecord(received, 4, fromHex("0300 02000000 0300 0a124a"));
+  appendRecord(
+      received, 7,
+      fromHex("0300 c4913a5d 05 00000000 640ad2557c3bf091 00000000 da05940000000000 00003041 0100 e02e0000"));
+  const std::vector<int> codes = recordCodes(handle(other, received));
+  EXPECT_TRUE(contains(codes, 65)) << "the write goes to the primary that the gossip named";
+}
+TEST(SimulatorAdapter, RejectsRecordsThatAreCutAtAnyByte) {
   const std::vector<std::pair<int, Bytes>> records{
-      {3, provision(kFacts)},
-      {5, hex("00000000 01000000 0a124a07 431f 0000 0000 0b00 01 0000803f 0000803f 0000000000000000")},
-      {10, hex("0300 02 2900000000000000 00000000")},
-      {7, hex("0300 c4913a5d 01 00000000 640ad2557c3bf091 0040ce43 da05940000000000 00003041 0000 e02e0000")},
-      {1, hex("0300 c4913a5d 00 0a124a07 431f 0000 44480000 01 8e630000 01 00000000")},
-      {6, hex("0300 0a124a07 431f 78050000 0000 02 2b87c640 00000000")},
-      {4, hex("0300 02000000 0c00 0a124a07 431f 571b0000 01 00")},
-      {8, hex("0300 192b6f0e")},
-      {9, hex("0300 4d00000000000000")},
-      {11, hex("0300")}};
+      {3, instanceStartedFields(kSettings)},
+      {5, fromHex("00000000 01000000 0a124a07 431f 0000 0000 0b00 01 0000803f 0000803f 0000000000000000")},
+      {10, fromHex("0300 02 2900000000000000 00000000")},
+      {7, fromHex(
+              "0300 c4913a5d 01 00000000 640ad2557c3bf091 0040ce43 da05940000000000 00003041 0000 e02e0000")},
+      {1, fromHex("0300 c4913a5d 00 0a124a07 431f 0000 44480000 01 8e630000 01 00000000")},
+      {6, fromHex("0300 0a124a07 431f 78050000 0000 02 2b87c640 00000000")},
+      {4, fromHex("0300 02000000 0c00 0a124a07 431f 571b0000 01 00")},
+      {8, fromHex("0300 192b6f0e")},
+      {9, fromHex("0300 4d00000000000000")},
+      {11, fromHex("0300")}};
   for (const auto& [code, fields] : records) {
     for (std::size_t n = 0; n < fields.size(); ++n) {
-      Host h;
-      const Bytes ready = started();
-      h.handle(ready.data(), ready.size(), 4);
-      Bytes b = batch();
-      record(b, static_cast<std::uint8_t>(code),
-             Bytes(fields.begin(), fields.begin() + static_cast<long>(n)));
-      EXPECT_THROW(h.handle(b.data(), b.size(), 4), MalformedFrame) << code << " cut at " << n;
+      Adapter adapter;
+      handle(adapter, startingBatch());
+      Bytes batch = emptyBatch();
+      appendRecord(batch, static_cast<std::uint8_t>(code),
+                   Bytes(fields.begin(), fields.begin() + static_cast<long>(n)));
+      EXPECT_THROW(handle(adapter, batch), MalformedFrame) << code << " cut at " << n;
     }
   }
-  Bytes whole = started();
-  for (std::size_t n = 0; n < whole.size(); ++n) {  // the batch itself
-    Host h;
-    const Bytes part(whole.begin(), whole.begin() + static_cast<long>(n));
+  const Bytes complete = startingBatch();
+  for (std::size_t n = 0; n < complete.size(); ++n) {  // the batch itself; some cuts fall between records
+    Adapter adapter;
+    const Bytes part(complete.begin(), complete.begin() + static_cast<long>(n));
     try {
-      h.handle(part.data(), part.size(), 4);
+      handle(adapter, part);
     } catch (const MalformedFrame& e) {
       EXPECT_NE(std::string(e.what()).find("at byte"), std::string::npos);
     }
   }
 }
 
-TEST(Wire, BadSettingsAreToldByKeyAndValue) {
-  const auto dies = [](std::string facts, const std::string& from, const std::string& to) {
-    facts.replace(facts.find(from), from.size(), to);
-    Host h;
-    const Bytes b = started(facts);
-    const Bytes reply = h.handle(b.data(), b.size(), 4);
-    EXPECT_EQ(codes(reply), std::vector<int>{74});
+TEST(SimulatorAdapter, StartsANewReplyAfterAMalformedBatch) {
+  Adapter adapter;
+  Bytes batch = startingBatch();
+  appendRecord(batch, 8, {});
+  EXPECT_THROW(handle(adapter, batch), MalformedFrame);
+  EXPECT_EQ(handle(adapter, emptyBatch()), Bytes(8, 0));
+}
+
+// The note of an outcome: 4 x the position in ms after the epoch, + 1 from a primary or + 2 from a replica.
+TEST(SimulatorAdapter, DecodesTheNoteOfAnOutcomeToRoleAndPosition) {
+  const Time epoch = std::chrono::seconds(100);
+  const auto outcomeWith = [&](std::uint32_t note) {
+    Bytes fields = fromHex("c4913a5d 00 0a124a07 431f 0000 44480000 01");
+    append(fields, note);
+    append(fields, std::uint8_t{0});  // no load report
+    FrameReader record(fields.data(), fields.size(), 0);
+    return decodeAttemptOutcome(record, epoch);
+  };
+  const auto after = [&](std::int64_t ms) {
+    return std::optional<Time>(epoch + std::chrono::milliseconds(ms));
+  };
+
+  EXPECT_EQ(outcomeWith(4 * 6371 + 1).role, Role::Primary);
+  EXPECT_EQ(outcomeWith(4 * 6371 + 1).position, after(6371));
+  EXPECT_EQ(outcomeWith(4 * 6371 + 2).role, Role::Replica);
+  EXPECT_EQ(outcomeWith(4 * 6371 + 2).position, after(6371));
+  EXPECT_EQ(outcomeWith(4 * 6371).role, Role::Unknown);
+  EXPECT_EQ(outcomeWith(4 * 6371 + 3).role, Role::Unknown) << "a role of a later version";
+  EXPECT_EQ(outcomeWith(4 * 6371 + 3).position, after(6371));
+  EXPECT_EQ(outcomeWith(1).role, Role::Primary);
+  EXPECT_EQ(outcomeWith(1).position, std::nullopt) << "no position";
+  EXPECT_EQ(outcomeWith(0).role, Role::Unknown);
+  EXPECT_EQ(outcomeWith(0).position, std::nullopt);
+  EXPECT_EQ(outcomeWith(0xffffffff).position, after(0x3fffffff)) << "the latest that the note can carry";
+}
+
+TEST(SimulatorAdapter, ReportsInvalidSettingsWithKeyAndValue) {
+  const auto failureWith = [](std::string settings, const std::string& from, const std::string& to) {
+    settings.replace(settings.find(from), from.size(), to);
+    Adapter adapter;
+    const Bytes reply = handle(adapter, startingBatch(settings));
+    EXPECT_EQ(recordCodes(reply), std::vector<int>{74});
     return std::string(reply.begin() + 17, reply.end());
   };
-  EXPECT_NE(dies(kFacts, "balancers=3\n", "").find("balancers is missing"), std::string::npos);
-  EXPECT_NE(dies(kFacts, "balancers=3", "balancers=few").find("'few'"), std::string::npos);
-  EXPECT_NE(dies(kFacts, "checks=silent", "checks=maybe").find("specifics.checks"), std::string::npos);
-  EXPECT_NE(dies(kFacts, "any,write", "any").find("specifics.consistency"), std::string::npos);
-  EXPECT_NE(dies(kFacts, "attemptsCap=8", "attemptsCap=0").find("'0'"), std::string::npos);
-  EXPECT_NE(dies(kFacts, "startCapacity=0.26", "startCapacity=nan").find("'nan'"), std::string::npos);
+  EXPECT_NE(failureWith(kSettings, "balancers=3\n", "").find("balancers is missing"), std::string::npos);
+  EXPECT_NE(failureWith(kSettings, "balancers=3", "balancers=few").find("'few'"), std::string::npos);
+  EXPECT_NE(failureWith(kSettings, "checks=silent", "checks=maybe").find("specifics.checks"),
+            std::string::npos);
+  EXPECT_NE(failureWith(kSettings, "any,write", "any").find("specifics.consistency"), std::string::npos);
+  EXPECT_NE(failureWith(kSettings, "attemptsCap=8", "attemptsCap=0").find("'0'"), std::string::npos);
+  EXPECT_NE(failureWith(kSettings, "startCapacity=0.26", "startCapacity=nan").find("'nan'"),
+            std::string::npos);
 }
 
+// Runs the host's loop on the input; returns its exit status and appends what it wrote to `output`.
 int runOn(const Bytes& input, Bytes* output = nullptr) {
-  int in[2], out[2];
+  int in[2];
+  int out[2];
   EXPECT_EQ(pipe(in), 0);
   EXPECT_EQ(pipe(out), 0);
   EXPECT_EQ(write(in[1], input.data(), input.size()), static_cast<ssize_t>(input.size()));
@@ -193,33 +253,38 @@
   close(in[0]);
   close(out[1]);
   std::uint8_t buffer[4096];
-  for (ssize_t n; (n = read(out[0], buffer, sizeof buffer)) > 0;)
+  ssize_t n = read(out[0], buffer, sizeof buffer);
+  while (n > 0) {
     if (output) output->insert(output->end(), buffer, buffer + n);
+    n = read(out[0], buffer, sizeof buffer);
+  }
   close(out[0]);
   return status;
 }
-TEST(Wire, TheInputMayEndBetweenFramesOnly) {
-  const Bytes frame = hex("08000000 5a5c800000000000");
+TEST(SimulatorHost, AcceptsTheEndOfTheInputBetweenFramesOnly) {
+  const Bytes frame = fromHex("08000000 5a5c800000000000");
   EXPECT_EQ(runOn({}), 0);
   Bytes reply;
   EXPECT_EQ(runOn(frame, &reply), 0);
   EXPECT_EQ(reply, Bytes(8, 0));
   for (std::size_t n = 1; n < frame.size(); ++n)
     EXPECT_EQ(runOn(Bytes(frame.begin(), frame.begin() + static_cast<long>(n))), 1);
-  EXPECT_EQ(runOn(hex("03000000 000000")), 1);
-  EXPECT_EQ(runOn(hex("ffffffff 000000")), 1);
-}
-
-TEST(Wire, UnknownClassesAndGroupsOutOfRange) {
-  Host h;
-  Bytes b = started();
-  record(b, 7,
-         hex("0300 c4913a5d 01 00000000 0000000000000000 00000000 da05940000000000 00003041 6300 00000000"));
-  EXPECT_TRUE(has(codes(h.handle(b.data(), b.size(), 4)), 66));
-  Bytes c = batch();
-  record(c, 7,
-         hex("0300 c5913a5d 01 00000000 0000000000000000 00000000 da05940000000000 0000c07f 0000 00000000"));
-  EXPECT_THROW(h.handle(c.data(), c.size(), 4), MalformedFrame);
+  EXPECT_EQ(runOn(fromHex("03000000 000000")), 1);
+  EXPECT_EQ(runOn(fromHex("ffffffff 000000")), 1);
+}
+
+TEST(SimulatorAdapter, RejectsUnknownClassesAndMalformedGroups) {
+  Adapter adapter;
+  Bytes batch = startingBatch();
+  appendRecord(
+      batch, 7,
+      fromHex("0300 c4913a5d 01 00000000 0000000000000000 00000000 da05940000000000 00003041 6300 00000000"));
+  EXPECT_TRUE(contains(recordCodes(handle(adapter, batch)), 66));
+  Bytes malformed = emptyBatch();
+  appendRecord(
+      malformed, 7,
+      fromHex("0300 c5913a5d 01 00000000 0000000000000000 00000000 da05940000000000 0000c07f 0000 00000000"));
+  EXPECT_THROW(handle(adapter, malformed), MalformedFrame);
 }
 
 }  // namespace
