--- a/src/codec/gossip/message.cpp
+++ b/src/codec/gossip/message.cpp
@@ -6,54 +6,73 @@
 namespace {
 
 constexpr char kVersion = 1;
-constexpr std::size_t kKeyBytes = kKeyBits / 8, kPositionBytes = 4;
-constexpr std::size_t kWord = kKeyBytes + kPositionBytes + 2;  // and its role, and what it holds
-constexpr std::size_t kMostWords = (kLongest - 1) / kWord;
-constexpr int kMostInflight = 255;
+constexpr std::size_t kVersionBytes = 1;
+constexpr std::size_t kByteBits = 8;
+constexpr std::size_t kKeyBytes = kKeyBits / kByteBits;
+constexpr std::size_t kPositionBytes = 4;
+constexpr std::size_t kPrimaryBytes = 1;
+constexpr std::size_t kInFlightBytes = 1;
+constexpr std::size_t kEntryBytes = kKeyBytes + kPositionBytes + kPrimaryBytes + kInFlightBytes;
+constexpr std::size_t kMaxEntries = (kMaxDatagramBytes - kVersionBytes) / kEntryBytes;
 
-void put(std::string& to, std::uint64_t v, std::size_t bytes) {
-  for (std::size_t k = bytes; k-- > 0;) to.push_back(static_cast<char>(v >> (8 * k)));
+// Appends the low bytes of a value, the highest of them first.
+void append(std::string& datagram, std::uint64_t value, std::size_t size) {
+  for (std::size_t i = size; i > 0; --i)
+    datagram.push_back(static_cast<char>(value >> (kByteBits * (i - 1))));
 }
-std::uint64_t take(std::string_view& from, std::size_t bytes) {
-  std::uint64_t v = 0;
-  for (std::size_t k = 0; k < bytes; ++k) v = v << 8 | static_cast<unsigned char>(from[k]);
-  from.remove_prefix(bytes);
-  return v;
+
+// Reads a value that append has written, and passes over it.
+std::uint64_t consume(std::string_view& datagram, std::size_t size) {
+  std::uint64_t value = 0;
+  for (std::size_t i = 0; i < size; ++i) value = value << kByteBits | static_cast<unsigned char>(datagram[i]);
+  datagram.remove_prefix(size);
+  return value;
+}
+
+bool isWellFormed(std::string_view datagram) {
+  if (datagram.empty() || datagram.size() > kMaxDatagramBytes || datagram[0] != kVersion) return false;
+  return (datagram.size() - kVersionBytes) % kEntryBytes == 0;
+}
+
+// The difference of the low 32 bits, taken with its sign, leads from the present to the nearest such instant.
+std::int64_t restorePosition(std::uint32_t lowBits, std::int64_t nowMs) {
+  const std::uint32_t difference = lowBits - static_cast<std::uint32_t>(nowMs);
+  return nowMs + static_cast<std::int32_t>(difference);
+}
+
+void appendEntry(std::string& datagram, const Message& message) {
+  append(datagram, message.key, kKeyBytes);
+  append(datagram, static_cast<std::uint64_t>(message.positionMs), kPositionBytes);
+  append(datagram, message.primary ? 1 : 0, kPrimaryBytes);
+  append(datagram, static_cast<std::uint64_t>(std::clamp(message.inFlight, 0, kMaxInFlight)), kInFlightBytes);
 }
 
 }  // namespace
 
-std::vector<std::string> encode(const std::vector<Message>& words) {
-  std::vector<std::string> all;
-  for (std::size_t k = 0; k < words.size(); ++k) {
-    if (k % kMostWords == 0) all.emplace_back(1, kVersion);
-    const Message& w = words[k];
-    put(all.back(), w.key, kKeyBytes);
-    put(all.back(), static_cast<std::uint64_t>(w.positionMs), kPositionBytes);
-    put(all.back(), w.primary, 1);
-    put(all.back(), static_cast<std::uint64_t>(std::clamp(w.inFlight, 0, kMostInflight)), 1);
+std::vector<std::string> encode(const std::vector<Message>& messages) {
+  std::vector<std::string> datagrams;
+  for (std::size_t i = 0; i < messages.size(); ++i) {
+    if (i % kMaxEntries == 0) datagrams.emplace_back(kVersionBytes, kVersion);
+    appendEntry(datagrams.back(), messages[i]);
   }
-  return all;
+  return datagrams;
 }
 
-std::vector<Message> parse(std::string_view bytes, std::int64_t nowMs) {
-  if (bytes.empty() || bytes.size() > kLongest || bytes[0] != kVersion || (bytes.size() - 1) % kWord != 0)
-    return {};
-  bytes.remove_prefix(1);
-  std::vector<Message> words;
-  while (!bytes.empty()) {
-    Message w;
-    w.key = take(bytes, kKeyBytes);
-    const auto low = static_cast<std::uint32_t>(take(bytes, kPositionBytes));
-    // The difference in 32 bits, with its sign, is the way from the present to the nearest such instant.
-    w.positionMs = nowMs + static_cast<std::int32_t>(low - static_cast<std::uint32_t>(nowMs));
-    const std::uint64_t primary = take(bytes, 1);
+std::vector<Message> parse(std::string_view datagram, std::int64_t nowMs) {
+  if (!isWellFormed(datagram)) return {};
+  datagram.remove_prefix(kVersionBytes);
+  std::vector<Message> messages;
+  while (!datagram.empty()) {
+    Message& message = messages.emplace_back();
+    message.key = consume(datagram, kKeyBytes);
+    const auto lowBits = static_cast<std::uint32_t>(consume(datagram, kPositionBytes));
+    message.positionMs = restorePosition(lowBits, nowMs);
+    const std::uint64_t primary = consume(datagram, kPrimaryBytes);
     if (primary > 1) return {};
-    w.primary = primary == 1;
-    w.inFlight = static_cast<int>(take(bytes, 1));
-    words.push_back(w);
+    message.primary = primary == 1;
+    message.inFlight = static_cast<int>(consume(datagram, kInFlightBytes));
   }
-  return words;
+  return messages;
 }
 
 }  // namespace stonebay::gossip
--- a/src/gossip/gossip_socket.cpp
+++ b/src/gossip/gossip_socket.cpp
@@ -4,64 +4,77 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <cerrno>
-#include <cstring>
-#include <stdexcept>
-
-#include "log/log.hpp"
+#include <chrono>
+#include <string>
+#include <string_view>
+#include <system_error>
 
 namespace stonebay {
 namespace {
 
-constexpr int kAtOnce = 64;  // datagrams read before others have their turn
+// Datagrams read in one pass, so that a flood of them does not keep other events waiting.
+constexpr int kMaxDatagramsPerPass = 64;
+
+int openSocket(const Address& address) {
+  const int fd = socket(address.data()->sa_family, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd >= 0 && bind(fd, address.data(), address.size()) == 0) return fd;
+  const int error = errno;
+  if (fd >= 0) close(fd);
+  throw std::system_error(error, std::generic_category(), "key peer_listen");
+}
 
 }  // namespace
 
 GossipSocket::GossipSocket(event_base* base, Dispatcher& dispatcher, const Config& config)
     : dispatcher_(dispatcher), config_(config) {
-  const Address& at = config.gossipListen;
-  if (at.none()) return;
-  fd_ = socket(at.data()->sa_family, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  if (fd_ < 0 || bind(fd_, at.data(), at.size()) != 0) {
-    const std::string why = std::strerror(errno);
-    if (fd_ >= 0) close(fd_);
-    throw std::runtime_error("key peer_listen: " + why);
-  }
-  readable_.reset(event_new(
-      base, fd_, EV_READ | EV_PERSIST,
-      [](evutil_socket_t, short, void* self) { static_cast<GossipSocket*>(self)->read(); }, this));
+  if (config.gossipListen.none()) return;
+  fd_ = openSocket(config.gossipListen);
+  const auto onReadable = [](evutil_socket_t, short, void* self) {
+    static_cast<GossipSocket*>(self)->onReadable();
+  };
+  readable_.reset(event_new(base, fd_, EV_READ | EV_PERSIST, onReadable, this));
   event_add(readable_.get(), nullptr);
 }
+
 GossipSocket::~GossipSocket() {
   readable_.reset();
   if (fd_ >= 0) close(fd_);
 }
 
-// A datagram that cannot go out now is lost like any other: the next one brings newer words.
-void GossipSocket::broadcast(const std::vector<gossip::Message>& words) {
+// A datagram that cannot be sent now is lost like any other: the next broadcast brings newer messages.
+void GossipSocket::broadcast(const std::vector<gossip::Message>& messages) {
   if (fd_ < 0) return;
-  for (const std::string& bytes : gossip::encode(words))
-    sendto(fd_, bytes.data(), bytes.size(), MSG_DONTWAIT, config_.gossipBroadcast.data(),
-           config_.gossipBroadcast.size());
+  const Address& to = config_.gossipBroadcast;
+  for (const std::string& datagram : gossip::encode(messages))
+    sendto(fd_, datagram.data(), datagram.size(), MSG_DONTWAIT, to.data(), to.size());
+}
+
+void GossipSocket::onReadable() {
+  for (int i = 0; i < kMaxDatagramsPerPass; ++i)
+    if (!receiveDatagram()) return;
+}
+
+// Reads one datagram; false if there is none.
+bool GossipSocket::receiveDatagram() {
+  std::array<char, gossip::kMaxDatagramBytes + 1> datagram;  // one more: longer ones are not well-formed
+  sockaddr_storage from{};
+  socklen_t fromSize = sizeof from;
+  const ssize_t size = recvfrom(fd_, datagram.data(), datagram.size(), MSG_DONTWAIT,
+                                reinterpret_cast<sockaddr*>(&from), &fromSize);
+  if (size < 0) return false;
+  // Messages of a stranger must not count: a position that is too new would let reads return stale data.
+  if (!isPeer(Address::fromSocket(reinterpret_cast<const sockaddr*>(&from)))) return true;
+  const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(dispatcher_.now());
+  const std::string_view bytes(datagram.data(), static_cast<std::size_t>(size));
+  for (const gossip::Message& message : gossip::parse(bytes, now.count())) dispatcher_.onGossip(message);
+  return true;
 }
 
-// Guards against words of anyone else: a position that is too new makes reads stale.
-void GossipSocket::read() {
-  for (int k = 0; k < kAtOnce; ++k) {
-    char bytes[gossip::kLongest + 1];
-    sockaddr_storage from{};
-    socklen_t length = sizeof from;
-    const ssize_t n =
-        recvfrom(fd_, bytes, sizeof bytes, MSG_DONTWAIT, reinterpret_cast<sockaddr*>(&from), &length);
-    if (n < 0) return;
-    const Address sender = Address::fromSocket(reinterpret_cast<const sockaddr*>(&from));
-    if (std::find(config_.gossipPeers.begin(), config_.gossipPeers.end(), sender) ==
-        config_.gossipPeers.end())
-      continue;
-    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(dispatcher_.now()).count();
-    for (const gossip::Message& w : gossip::parse({bytes, static_cast<std::size_t>(n)}, ms))
-      dispatcher_.onGossip(w);
-  }
+bool GossipSocket::isPeer(const Address& sender) const {
+  const std::vector<Address>& peers = config_.gossipPeers;
+  return std::find(peers.begin(), peers.end(), sender) != peers.end();
 }
 
 }  // namespace stonebay
--- a/src/gossip/gossip_socket.hpp
+++ b/src/gossip/gossip_socket.hpp
@@ -1,23 +1,35 @@
-// The other proxies of the tier: datagrams to them and from them.
+// The transport of the gossip between the proxies of a tier: UDP.
 #pragma once
 
+#include <event2/util.h>
+
 #include <vector>
 
+#include "codec/gossip/message.hpp"
+#include "config/config.hpp"
+#include "discovery/address.hpp"
 #include "dispatch/dispatcher.hpp"
+#include "dispatch/gossip_channel.hpp"
 #include "util/event.hpp"
 
 namespace stonebay {
 
+/// Sends datagrams to the broadcast address of the configuration, and hands the messages of those that come
+/// from its peers to the dispatcher. Does nothing where the configuration has no address to listen at.
 class GossipSocket final : public GossipChannel {
  public:
-  GossipSocket(event_base*, Dispatcher&, const Config&);  // throws std::runtime_error where it cannot listen
+  /// The references must outlive the socket. Throws std::system_error if it cannot listen.
+  GossipSocket(event_base* base, Dispatcher& dispatcher, const Config& config);
   ~GossipSocket() override;
   GossipSocket(const GossipSocket&) = delete;
+  GossipSocket& operator=(const GossipSocket&) = delete;
 
-  void broadcast(const std::vector<gossip::Message>&) override;
+  void broadcast(const std::vector<gossip::Message>& messages) override;
 
  private:
-  void read();
+  void onReadable();
+  bool receiveDatagram();
+  bool isPeer(const Address& sender) const;
 
   Dispatcher& dispatcher_;
   const Config& config_;
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -87,7 +87,7 @@
   ASSERT_EQ(all.size(), 3u);
   std::size_t at = 0;
   for (const std::string& bytes : all) {
-    EXPECT_LE(bytes.size(), gossip::kLongest);
+    EXPECT_LE(bytes.size(), gossip::kMaxDatagramBytes);
     for (const gossip::Message& w : gossip::parse(bytes, now + 30)) {
       EXPECT_EQ(w.key, words[at].key);
       EXPECT_EQ(w.positionMs, words[at].positionMs);
