--- a/src/dispatch/dispatcher.hpp
+++ b/src/dispatch/dispatcher.hpp
@@ -1,198 +1,126 @@
-// The turn: what has come in is gathered, handed to the LoadBalancer in one go, and what it decided is
-// carried out. Knows requests, answers and members; of the protocols on both sides it knows nothing.
+// Joins the network and the LoadBalancer: events are gathered, handed over in one batch, and the decisions
+// are carried out at its end. Knows requests, responses and endpoints, but no protocol.
 #pragma once
 
+#include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
-#include <queue>
 #include <string>
 #include <unordered_map>
-#include <variant>
 #include <vector>
 
 #include "codec/gossip/message.hpp"
 #include "config/config.hpp"
+#include "discovery/endpoint_list.hpp"
+#include "dispatch/attempt_result.hpp"
+#include "dispatch/endpoint_ids.hpp"
+#include "dispatch/endpoint_pool.hpp"
+#include "dispatch/endpoint_watcher.hpp"
+#include "dispatch/events.hpp"
+#include "dispatch/forwarded_request.hpp"
+#include "dispatch/gossip_channel.hpp"
+#include "dispatch/in_flight_request.hpp"
+#include "dispatch/position.hpp"
+#include "dispatch/request_log.hpp"
+#include "dispatch/response_handler.hpp"
+#include "dispatch/timer_queue.hpp"
 #include "stonebay/load_balancer.hpp"
 #include "util/clock.hpp"
 #include "util/event.hpp"
 
 namespace stonebay {
 
-// A request as it goes on to a member; between the two parts stands what is left of its time, in ms.
-struct ForwardedRequest {
-  Buffer before, after;
-  std::string id;  // as its client named it, for the log
-};
-
-// Whoever asked. It says so by Dispatcher::onClientLeft when it goes before it got one of these, once.
-class ResponseHandler {
- public:
-  virtual ~ResponseHandler() = default;
-  virtual void onResponse(Buffer answer) = 0;
-  virtual void onRejected(Time retryAfter) = 0;  // 0: no word on when to come back
-  virtual void onFailed() = 0;
-};
-
-// The way to the members. Each send ends in one Dispatcher::onAttemptEnded, each probe in one
-// Dispatcher::onHealthCheck; both come after the call has returned.
-class EndpointPool {
- public:
-  virtual ~EndpointPool() = default;
-  virtual void updateEndpoint(EndpointId, const Address&, bool ready) = 0;
-  virtual void send(RequestId, int attempt, EndpointId, Time until,
-                    std::shared_ptr<const ForwardedRequest>) = 0;
-  virtual void resumeAttempt(RequestId, int attempt, bool eligible) = 0;  // answers Dispatcher::onConnected
-  virtual void cancel(RequestId, int attempt) = 0;
-  virtual void checkHealth(EndpointId) = 0;
-  virtual void removeEndpoint(EndpointId) = 0;  // nothing is out there, and nothing will be sent
-};
-
-// Where the list comes from. Each watch brings Dispatcher::onEndpointList time and again, or
-// Dispatcher::onListFailure once.
-class EndpointWatcher {
- public:
-  virtual ~EndpointWatcher() = default;
-  virtual void watch(std::uint64_t after) = 0;
-};
-
-// The way to the other proxies; what they say comes back through Dispatcher::onGossip.
-class GossipChannel {
- public:
-  virtual ~GossipChannel() = default;
-  virtual void broadcast(const std::vector<gossip::Message>&) = 0;
-};
-
-// How an attempt ended.
-struct AttemptResult {
-  AttemptStatus status = AttemptStatus::Reset;
-  Role role = Role::Unknown;
-  std::int64_t positionMs = 0;    // Unix time; 0: not told
-  bool invalidStatement = false;  // the endpoint turned the statement away for what it says
-  std::vector<double> report;     // that came with the answer, positions in Unix seconds; may be empty
-  Buffer response;                // AttemptStatus::Ok only
-};
-
-// Positions as the module takes them: after a zero that is near, rounded down, 0 where there is none.
-float secondsSince(Time zero, double unixSeconds);
-std::uint32_t millisecondsSince(Time zero, std::int64_t unixMs);  // below 2^30
-
+/// Owns the LoadBalancer and the requests that have no final response yet.
+///
+/// The on... functions and submit() only record an event, so they may be called from anywhere, the
+/// interfaces' callees included. processEvents() handles what was recorded; it has to be called after each
+/// pass of the event loop. Not thread-safe.
 class Dispatcher final : public EndpointListHandler, ActionSink {
  public:
-  Dispatcher(event_base*, const Config&);
+  /// The configuration must outlive the dispatcher.
+  Dispatcher(event_base* base, const Config& config);
   ~Dispatcher() override;
-  void start(EndpointPool&, EndpointWatcher&,
-             GossipChannel* = nullptr);  // tells the LoadBalancer the list that the configuration holds
-
-  // What has come in; it waits for the turn.
-  RequestId submit(ResponseHandler&, Request, ForwardedRequest);  // its id is given here
-  void onClientLeft(RequestId);
-  void onConnected(RequestId, int attempt);  // a new connection stands: may the attempt still go out?
-  void onAttemptEnded(RequestId, int attempt, EndpointId, AttemptResult);
-  void onHealthCheck(EndpointId, bool ok, const std::vector<double>& report);  // positions in Unix seconds
-  void onGossip(const gossip::Message&);
-  void onEndpointList(InstanceList) override;
+  Dispatcher(const Dispatcher&) = delete;
+  Dispatcher& operator=(const Dispatcher&) = delete;
+
+  /// Must be called once, before the first processEvents(); the interfaces must outlive the dispatcher's use.
+  /// Records the endpoint list that the configuration holds. No gossip: the other proxies are not reached.
+  void start(EndpointPool& endpoints, EndpointWatcher& watcher, GossipChannel* gossip = nullptr);
+
+  /// Records a request; returns the id that it gets here. The handler must stay valid until its final
+  /// response or onClientLeft().
+  RequestId submit(ResponseHandler& handler, Request request, ForwardedRequest message);
+  void onClientLeft(RequestId id);
+  /// An attempt has got its new connection; answered by EndpointPool::resumeAttempt.
+  void onConnected(RequestId id, int attempt);
+  void onAttemptEnded(RequestId id, int attempt, EndpointId endpoint, AttemptResult result);
+  /// The load report has its positions in Unix seconds.
+  void onHealthCheck(EndpointId endpoint, bool ok, const std::vector<double>& report);
+  void onGossip(const gossip::Message& message);
+  void onEndpointList(InstanceList list) override;
   void onListFailure(const std::string& why) override;
 
-  std::uint64_t generation() const override { return generation_; }  // of the list as it is known
+  /// Of the latest endpoint list that has been processed.
+  std::uint64_t generation() const override { return generation_; }
   bool hasPendingEvents() const { return !events_.empty(); }
+  /// Hands the recorded events and the timers that are due to the LoadBalancer, then carries out its
+  /// decisions.
   void processEvents();
-  void removeDeparted(Time now);  // forgets what is gone and quiet; the turn does it now and then
+  /// Drops the endpoints that have been gone and idle for long. processEvents() does so from time to time.
+  void removeDeparted(Time now);
   Time now() const { return clock_.now(); }
   const Clock& clock() const { return clock_; }
 
  private:
-  struct Arrived {
-    Request request;
-  };
-  struct Left {
-    RequestId id;
-  };
-  struct Connected {
-    RequestId id;
-    int attempt;
-  };
-  struct Ended {
-    RequestId id;
-    int attempt;
-    EndpointId endpoint;
-    AttemptResult result;
-  };
-  struct Probed {
-    EndpointId endpoint;
-    bool ok;
-    std::vector<double> report;
-  };
-  struct Listed {
-    bool failed;
-    InstanceList list;
-  };
-  struct Heard {
-    gossip::Message message;
-  };
-  using Incoming = std::variant<Arrived, Left, Connected, Ended, Probed, Listed, Heard>;
-  struct AttemptRecord {
-    EndpointId endpoint;
-    Time sentAt, endedAt{};
-    const char* how = "out";
-  };
-  struct InFlightRequest {
-    ResponseHandler* handler;
-    std::shared_ptr<const ForwardedRequest> message;
-    Request request;
-    Time arrivedAt;
-    std::vector<AttemptRecord> attempts{};  // by attempt
-  };
-  struct Timer {
-    Time due;
-    std::uint64_t order;
-    TimerToken token;
-    bool operator>(const Timer& o) const { return due != o.due ? due > o.due : order > o.order; }
-  };
-
-  void deliver(Arrived&);
-  void deliver(Left&);
-  void deliver(Connected&);
-  void deliver(Ended&);
-  void deliver(Probed&);
-  void deliver(Listed&);
-  void deliver(Heard&);
-  void deliverList(EndpointListKind, const InstanceList&);
-  std::vector<float> reportValues(const std::vector<double>& report) const;
-  void advanceEpoch();
-  EndpointId idOf(const std::string& name);
-  const std::string& nameOf(EndpointId) const;
-  void logRequestEnd(const InFlightRequest&, const char* how) const;
-
-  void send(RequestId, EndpointId, Time until) override;
-  void reject(RequestId, Time retryAfter) override;
-  void fail(RequestId) override;
-  void cancel(RequestId, int attempt) override;
-  void scheduleTimer(Time in, TimerToken) override;
-  void checkHealth(EndpointId) override;
-  void broadcast(const GossipMessage&) override;
+  using InFlightRequests = std::unordered_map<RequestId, InFlightRequest>;
+
+  // Events, during a batch.
+  void deliver(const RequestArrived& event);
+  void deliver(const ClientLeft& event);
+  void deliver(const AttemptConnected& event);
+  void deliver(AttemptEnded& event);
+  void deliver(const HealthCheckEnded& event);
+  void deliver(const EndpointListReceived& event);
+  void deliver(const EndpointListFailed& event);
+  void deliver(const GossipReceived& event);
+  void deliverTimers();
+
+  void finish(RequestId id, RequestEnd end, std::function<void(ResponseHandler&)> notify);
+  void respond(InFlightRequests::iterator entry, AttemptResult& result);
+  EndpointListKind listKind(const InstanceList& list) const;
+  void retireUnlisted(const std::vector<EndpointUpdate>& listed);
+  void runActions();
+  void scheduleWakeUp();
+
+  // Decisions of the LoadBalancer: recorded, and carried out at the end of the batch.
+  void send(RequestId id, EndpointId endpoint, Time until) override;
+  void reject(RequestId id, Time retryAfter) override;
+  void fail(RequestId id) override;
+  void cancel(RequestId id, int attempt) override;
+  void scheduleTimer(Time in, TimerToken token) override;
+  void checkHealth(EndpointId endpoint) override;
+  void broadcast(const GossipMessage& message) override;
   void pollDiscovery() override;
   void log(const std::string& line) override;
 
   const Config& config_;
   Clock clock_;
-  Time now_;            // of this turn
-  Time positionEpoch_;  // positions are told to the LoadBalancer from here on
+  Time now_;  // of this batch
+  PositionEpoch epoch_;
   EndpointPool* endpoints_ = nullptr;
   EndpointWatcher* watcher_ = nullptr;
   GossipChannel* gossip_ = nullptr;
-  std::vector<gossip::Message> gossipMessages_;  // to be broadcast at the end of this batch
-  std::vector<Incoming> events_;
-  std::vector<std::function<void()>> actions_;  // recorded in the order in which they take effect
-  std::unordered_map<RequestId, InFlightRequest> inFlight_;
-  std::unordered_map<std::string, EndpointId> ids_;
-  std::unordered_map<std::uint64_t, EndpointId> keys_;  // what peers call them; 0: two are called the same
+  std::vector<DispatchEvent> events_;
+  std::vector<std::function<void()>> actions_;  // in the order in which they take effect
+  std::vector<gossip::Message> gossipMessages_;
+  InFlightRequests inFlight_;
+  EndpointIds ids_;
   std::uint64_t generation_ = 0;
-  EndpointId lastEndpointId_ = 0;
   RequestId lastRequestId_ = 0;
   Time departedRemovedAt_{};
-  std::priority_queue<Timer, std::vector<Timer>, std::greater<Timer>> timers_;
-  std::uint64_t timersScheduled_ = 0;
-  Event alarm_;  // wakes the loop for the first timer
+  TimerQueue timers_;
+  Event wakeUp_;  // ends a pass of the event loop when the next timer is due
   std::unique_ptr<LoadBalancer> balancer_;
 };
 
--- /dev/null
+++ b/src/dispatch/request_log.cpp
@@ -0,0 +1,93 @@
+#include "dispatch/request_log.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <cstdlib>
+#include <optional>
+#include <string>
+
+#include "log/log.hpp"
+
+namespace stonebay {
+namespace {
+
+const char* name(RequestEnd end) {
+  switch (end) {
+    case RequestEnd::Late:
+      return "late";
+    case RequestEnd::Rejected:
+      return "refused";
+    case RequestEnd::Failed:
+      return "failed";
+  }
+  return "unknown";
+}
+
+const char* name(AttemptStatus status) {
+  switch (status) {
+    case AttemptStatus::Ok:
+      return "ok";
+    case AttemptStatus::Error:
+      return "error";
+    case AttemptStatus::Rejected:
+      return "full";
+    case AttemptStatus::Timeout:
+      return "timeout";
+    case AttemptStatus::ConnectFailed:
+      return "connect_failed";
+    case AttemptStatus::Reset:
+      return "reset";
+    case AttemptStatus::Cancelled:
+      return "cancelled";
+    case AttemptStatus::NotSent:
+      return "moot";
+    case AttemptStatus::TooStale:
+      return "miss";
+  }
+  return "unknown";
+}
+
+const char* name(const std::optional<AttemptStatus>& status) { return status ? name(*status) : "out"; }
+
+// Milliseconds with one decimal, rounded towards zero.
+std::string millisecondsText(Time time) {
+  constexpr std::int64_t kMicrosecondsPerTenth = 100;
+  constexpr std::int64_t kTenths = 10;
+  const std::int64_t tenths = time.count() / kMicrosecondsPerTenth;
+  const std::int64_t magnitude = std::abs(tenths);
+  const std::string sign = tenths < 0 ? "-" : "";
+  return sign + std::to_string(magnitude / kTenths) + "." + std::to_string(magnitude % kTenths);
+}
+
+// "endpoint@sent:end@ended", in the order of the sends; without the last part while the attempt is out.
+std::string attemptsText(const InFlightRequest& request, const EndpointIds& endpoints) {
+  std::string text;
+  for (const AttemptRecord& attempt : request.attempts) {
+    if (!text.empty()) text += ' ';
+    text += endpoints.nameOf(attempt.endpoint);
+    text += '@';
+    text += millisecondsText(attempt.sentAt - request.arrivedAt);
+    text += ':';
+    text += name(attempt.status);
+    if (!attempt.status) continue;
+    text += '@';
+    text += millisecondsText(attempt.endedAt - request.arrivedAt);
+  }
+  return text;
+}
+
+}  // namespace
+
+void logRequestEnd(const InFlightRequest& request, RequestEnd end, Time now, const Config& config,
+                   const EndpointIds& endpoints) {
+  logEvent(LogLevel::Info, "request_ended",
+           {{"id", request.message->id},
+            {"class", config.classes[static_cast<std::size_t>(request.request.classIndex)]},
+            {"group", request.request.group},
+            {"how", name(end)},
+            {"after_ms", millisecondsText(now - request.arrivedAt)},
+            {"of_ms", millisecondsText(request.request.deadline - request.arrivedAt)},
+            {"attempts", attemptsText(request, endpoints)}});
+}
+
+}  // namespace stonebay
--- /dev/null
+++ b/src/dispatch/timer_queue.cpp
@@ -0,0 +1,22 @@
+#include "dispatch/timer_queue.hpp"
+
+namespace stonebay {
+
+void TimerQueue::schedule(Time due, TimerToken token) {
+  ++scheduled_;
+  timers_.push(Timer{due, scheduled_, token});
+}
+
+std::optional<TimerToken> TimerQueue::popDue(Time now) {
+  if (timers_.empty() || timers_.top().due > now) return std::nullopt;
+  const TimerToken token = timers_.top().token;
+  timers_.pop();
+  return token;
+}
+
+std::optional<Time> TimerQueue::nextDue() const {
+  if (timers_.empty()) return std::nullopt;
+  return timers_.top().due;
+}
+
+}  // namespace stonebay
