dispatch: name attempt and request ends in the log by the field's terms

The values full, moot, miss, refused and out in request_ended become rejected, not_sent, too_stale, rejected and in_flight. No test, tool or page reads the old ones.

--- a/src/dispatch/request_log.cpp
+++ b/src/dispatch/request_log.cpp
@@ -16,7 +16,7 @@
     case RequestEnd::Late:
       return "late";
     case RequestEnd::Rejected:
-      return "refused";
+      return "rejected";
     case RequestEnd::Failed:
       return "failed";
   }
@@ -30,7 +30,7 @@
     case AttemptStatus::Error:
       return "error";
     case AttemptStatus::Rejected:
-      return "full";
+      return "rejected";
     case AttemptStatus::Timeout:
       return "timeout";
     case AttemptStatus::ConnectFailed:
@@ -40,14 +40,14 @@
     case AttemptStatus::Cancelled:
       return "cancelled";
     case AttemptStatus::NotSent:
-      return "moot";
+      return "not_sent";
     case AttemptStatus::TooStale:
-      return "miss";
+      return "too_stale";
   }
   return "unknown";
 }
 
-const char* name(const std::optional<AttemptStatus>& status) { return status ? name(*status) : "out"; }
+const char* name(const std::optional<AttemptStatus>& status) { return status ? name(*status) : "in_flight"; }
 
 // Milliseconds with one decimal, rounded towards zero.
 std::string millisecondsText(Time time) {
@@ -59,7 +59,7 @@
   return sign + std::to_string(magnitude / kTenths) + "." + std::to_string(magnitude % kTenths);
 }
 
-// "endpoint@sent:end@ended", in the order of the sends; without the last part while the attempt is out.
+// "endpoint@sent:end@ended", in the order of the sends; without the last part while the attempt is in flight.
 std::string attemptsText(const InFlightRequest& request, const EndpointIds& endpoints) {
   std::string text;
   for (const AttemptRecord& attempt : request.attempts) {
