--- a/tests/gossip_message_test.cpp
+++ b/tests/gossip_message_test.cpp
@@ -19,7 +19,7 @@
   ASSERT_EQ(all.size(), 3u);
   std::size_t at = 0;
   for (const std::string& bytes : all) {
-    EXPECT_LE(bytes.size(), gossip::kLongest);
+    EXPECT_LE(bytes.size(), gossip::kMaxDatagramBytes);
     for (const gossip::Message& parsed : gossip::parse(bytes, now + 30)) {
       EXPECT_EQ(parsed.key, messages[at].key);
       EXPECT_EQ(parsed.positionMs, messages[at].positionMs);
