--- a/src/dispatch/request_log.cpp
+++ b/src/dispatch/request_log.cpp
@@ -3,7 +3,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <cstdlib>
-#include <optional>
 #include <string>
 
 #include "log/log.hpp"
@@ -11,19 +10,7 @@
 namespace stonebay {
 namespace {
 
-const char* name(RequestEnd end) {
-  switch (end) {
-    case RequestEnd::Late:
-      return "late";
-    case RequestEnd::Rejected:
-      return "rejected";
-    case RequestEnd::Failed:
-      return "failed";
-  }
-  return "unknown";
-}
-
-const char* name(AttemptStatus status) {
+const char* attemptStatusName(AttemptStatus status) {
   switch (status) {
     case AttemptStatus::Ok:
       return "ok";
@@ -47,8 +34,6 @@
   return "unknown";
 }
 
-const char* name(const std::optional<AttemptStatus>& status) { return status ? name(*status) : "in_flight"; }
-
 // Milliseconds with one decimal, rounded towards zero.
 std::string millisecondsText(Time time) {
   constexpr std::int64_t kMicrosecondsPerTenth = 100;
@@ -59,7 +44,20 @@
   return sign + std::to_string(magnitude / kTenths) + "." + std::to_string(magnitude % kTenths);
 }
 
-// "endpoint@sent:end@ended", in the order of the sends; without the last part while the attempt is in flight.
+}  // namespace
+
+const char* requestEndName(RequestEnd end) {
+  switch (end) {
+    case RequestEnd::Late:
+      return "late";
+    case RequestEnd::Rejected:
+      return "rejected";
+    case RequestEnd::Failed:
+      return "failed";
+  }
+  return "unknown";
+}
+
 std::string attemptsText(const InFlightRequest& request, const EndpointIds& endpoints) {
   std::string text;
   for (const AttemptRecord& attempt : request.attempts) {
@@ -68,7 +66,7 @@
     text += '@';
     text += millisecondsText(attempt.sentAt - request.arrivedAt);
     text += ':';
-    text += name(attempt.status);
+    text += attempt.status ? attemptStatusName(*attempt.status) : "in_flight";
     if (!attempt.status) continue;
     text += '@';
     text += millisecondsText(attempt.endedAt - request.arrivedAt);
@@ -76,15 +74,13 @@
   return text;
 }
 
-}  // namespace
-
 void logRequestEnd(const InFlightRequest& request, RequestEnd end, Time now, const Config& config,
                    const EndpointIds& endpoints) {
   logEvent(LogLevel::Info, "request_ended",
            {{"id", request.message->id},
             {"class", config.classes[static_cast<std::size_t>(request.request.classIndex)]},
             {"group", request.request.group},
-            {"how", name(end)},
+            {"how", requestEndName(end)},
             {"after_ms", millisecondsText(now - request.arrivedAt)},
             {"of_ms", millisecondsText(request.request.deadline - request.arrivedAt)},
             {"attempts", attemptsText(request, endpoints)}});
--- a/tests/simulator_adapter_test.cpp
+++ b/tests/simulator_adapter_test.cpp
@@ -223,6 +223,16 @@
   EXPECT_EQ(outcomeWith(0xffffffff).position, after(0x3fffffff)) << "the latest that the note can carry";
 }
 
+TEST(SimulatorFrameWriter, CutsLongText) {
+  FrameWriter writer;
+  writer.beginRecord(ActionCode::Log, 3);
+  writer.putText(std::string(FrameWriter::kMaxTextBytes + 1, 'x'));
+  const Bytes reply = writer.finish();
+  EXPECT_EQ(recordCodes(reply), std::vector<int>{73});
+  EXPECT_EQ(Bytes(reply.begin() + 8, reply.begin() + 17), fromHex("49 64ea0000 0300 60ea"));
+  EXPECT_EQ(reply.size(), 17 + FrameWriter::kMaxTextBytes);
+}
+
 TEST(SimulatorAdapter, ReportsInvalidSettingsWithKeyAndValue) {
   const auto failureWith = [](std::string settings, const std::string& from, const std::string& to) {
     settings.replace(settings.find(from), from.size(), to);
