--- a/src/upstream/pg/connection_set.hpp
+++ b/src/upstream/pg/connection_set.hpp
@@ -23,7 +23,7 @@
   Time connectAgainAt{};  ///< no connection is opened in advance before then
 
   /// Ends the wait of a request, if it waits.
-  void removeWaiting(const UpstreamRequest&);
+  void removeWaiting(const UpstreamRequest& request);
 };
 
 /// Owns the connections and keeps the records of their endpoints.
