Scenario: the program's configuration and process apart, one function a kind of step

Steps in the field's terms: retry-after, malformed, health-checks. Every test keeps its steps and assertions.

--- a/tests/downstream_test.cpp
+++ b/tests/downstream_test.cpp
@@ -48,7 +48,7 @@
     c2 expect error 40003
     s2 send row one
     c1 expect row one
-    c1 expect told to come back
+    c1 expect retry-after
     s2 expect query id=3
     s2 send row three
     c1 expect row three
@@ -79,7 +79,7 @@
     s1 close idle
     s2 close idle
     c1 send query SELECT 1 /* id=1,c=read,d=600,cluster=3 */
-    c1 expect told to come back
+    c1 expect retry-after
   )");
 }
 TEST(Downstream, DisconnectingClientCancelsItsAttempt) {
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -1,11 +1,9 @@
 #include "scenario.hpp"
 
 #include <arpa/inet.h>
-#include <fcntl.h>
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
-#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -70,75 +68,31 @@
   return pg::message('S', name + '\0' + text + '\0');
 }
 
-}  // namespace
+const std::string kOneRow("SELECT 1\0", 9);  // the tag of a CommandComplete
 
-std::string configuration(const Setting& setting, int discoveryPort, const std::vector<int>& ports) {
-  std::ostringstream s;
-  s << R"({"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:)" << discoveryPort
-    << R"(","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":)" << setting.memoryMb
-    << R"(,"sockets":)" << setting.sockets << R"(},"known":{"generation":5,"reset":true,"instances":[)";
-  for (std::size_t k = 0; k < ports.size(); ++k)
-    s << (k ? "," : "") << R"({"instanceId":"s-)" << k + 1 << R"(","hostPort":"127.0.0.1:)" << ports[k]
-      << R"(","zone":"a","machineType":"m","cell":3,"lifecycle":"active","weight":1.0,"startedAtMs":0})";
-  s << R"(]},"settings":{"allowed":{"attemptsCap":8,"cancel":true,"dialTimeoutUs":250000,"idleCloseUs":)"
-    << setting.idleCloseUs
-    << R"(,"maxRetryAfterUs":1000000,"parallelTries":false,"probing":true,"retryAfter":)"
-    << (setting.retryAfterAllowed ? "true" : "false") << R"(},"balancers":)" << setting.proxyCount << R"(,
-"classes":[{"deadlineUs":9000000,"effect":"safe","lateWorth":0.0,"name":"read","promiseUs":8000000,"worth":1.0},
-{"deadlineUs":9000000,"effect":"keyed","group":"cell","lateWorth":0.5,"memorySpanUs":9000000,"name":"write",
-"promiseUs":8000000,"worth":6.0}],"discovery":"subscribe","goal":{"whole":0.55,"worstClass":0.3},
-"obligations":{"coldUs":18000000,"drainGraceUs":1000000,"fallMultiple":2.5,"fallUs":1500000,
-"mustAskInUs":10000000,"startCapacity":0.21},"report":{"how":")"
-    << setting.reports << R"(","names":["x0","x1","inflight"]},
-"specifics":{"checks":"silent","classBoundUs":[5000000,0],"consistency":["bounded","write"],"holdsForUs":0,
-"roleListed":"silent","sessionMarks":"carried","stamps":true,"synchronous":false,"zeroUs":5},
-"stepUs":5000,"zones":["a","b"]}})";
-  return s.str();
-}
-
-std::string settingsFile(const Setting& setting, int discoveryPort, const std::vector<int>& ports,
-                         const std::string& domain) {
-  std::ostringstream s;
-  s << "[proxy]\nname = n0\nlisten = 127.0.0.1:0\nproxies = 3\nzones = a, b\nseed = "
-       "8c1f30d27a5be964\n[limits]\nmemory = "
-    << setting.memoryMb << "MB\ndescriptors = " << setting.sockets << "\nidle_close = " << setting.idleCloseUs
-    << "us\n[discovery]\n";
-  if (setting.dnssd)
-    s << "source = dnssd\n[dnssd]\ndomain = " << domain << "\nname_servers = 127.0.0.1:" << discoveryPort
-      << "\nrefresh_least = 100ms\nrefresh_most = 200ms\ngroup = 3\n";
-  else
-    s << "registry = 127.0.0.1:" << discoveryPort << "\n";
-  for (std::size_t k = 0; !setting.dnssd && k < ports.size(); ++k)
-    s << "[member s-" << k + 1 << "]\naddress = 127.0.0.1:" << ports[k] << "\ngroup = 3\nzone = a\n";
-  s << "[class read]\ndata = bounded\nmax_age = 5s\nrepeats = safe\naim = 8s\ngive_up = 9s\n"
-       "[class write]\ndata = write\nrepeats = keyed\nrepeats_dropped_for = 9s\naim = 8s\ngive_up = 9s\n"
-       "worth = 6\nlate_worth = 50%\n";
-  return s.str();
+// What an endpoint should not send. `parameters` are the ParameterStatus messages of a response.
+std::string malformedResponse(const std::string& kind, const std::string& parameters) {
+  const std::string good = row("other");
+  const std::string done = pg::message('C', kOneRow);
+  const std::string end = done + parameters + pg::readyForQuery();
+  const std::string description = good.substr(0, good.size() - 16);
+  const std::string cell = good.substr(good.size() - 16);
+  const std::map<std::string, std::string> kinds{
+      {"noise", "\x80\x01 no message"},
+      {"huge", description + "D" + number(0xc0000000u) + "\1"},
+      {"column", description + pg::message('D', std::string("\0\1\0\0\1\0other", 11)) + end},
+      {"columns", description + pg::message('D', std::string("\0\2\0\0\0\5other", 11)) + end},
+      {"endless", description + "D" + number(15) + std::string("\0\1\0\0\0\5ot", 8)},
+      {"rows", good + cell + end},
+      {"order", description + done + cell + parameters + pg::readyForQuery()},
+      {"none", description + end},
+      {"count", good + pg::message('C', std::string("SELECT 2\0", 9)) + parameters + pg::readyForQuery()},
+      {"twice", good + end + good + end},
+      {"behind", good + end + description + "D"}};
+  return kinds.at(kind);
 }
 
-int spawn(const std::string& configPath, int descriptors, int& err,
-          const std::vector<std::string>& arguments) {
-  int ends[2];
-  if (pipe2(ends, O_CLOEXEC) != 0) abort();
-  const int pid = fork();
-  if (pid == 0) {
-    dup2(ends[1], 1);
-    dup2(ends[1], 2);
-    if (descriptors > 0) {
-      const rlimit limit{static_cast<rlim_t>(descriptors), static_cast<rlim_t>(descriptors)};
-      setrlimit(RLIMIT_NOFILE, &limit);
-    }
-    setenv("NODE_CONFIG", configPath.c_str(), 1);
-    std::vector<char*> argv{const_cast<char*>("stonebay")};
-    for (const std::string& a : arguments) argv.push_back(const_cast<char*>(a.c_str()));
-    argv.push_back(nullptr);
-    execv(STONEBAY_PROGRAM, argv.data());
-    _exit(127);
-  }
-  close(ends[1]);
-  err = ends[0];
-  return pid;
-}
+}  // namespace
 
 Scenario::Scenario(const Setting& setting)
     : setting_(setting), servers_(static_cast<std::size_t>(setting.servers)) {
@@ -286,10 +240,10 @@
   } else if (what == "empty") {
     expectMessage(c, 'I', "");
     expectMessage(c, 'Z', "");
-  } else if (what == "told") {  // by a number in the field D
+  } else if (what == "retry-after") {  // a rejection with a number in the field D
     char type = 0;
     std::string body;
-    until([&] { return message(c, type, body); }, "a refusal");
+    until([&] { return message(c, type, body); }, "a rejection");
     EXPECT_EQ(type, 'E');
     EXPECT_NE(body.find("C53300"), std::string::npos) << body;
     const std::size_t detail = body.find(std::string("\0D", 2));
@@ -307,111 +261,92 @@
 
 void Scenario::server(Server& s, const std::string& verb, const std::string& what, const std::string& rest) {
   if (verb == "expect" && what == "query") {
-    Connection* found = nullptr;
-    std::string statement;
-    until(
-        [&] {
-          for (Connection& c : s.all) {
-            char type = 0;
-            if (!found && c.greeted && !c.busy && message(c, type, statement)) found = &c;
-          }
-          return found != nullptr;
-        },
-        "a query");
-    if (!found) return;
-    EXPECT_NE(statement.find(rest), std::string::npos) << at_ << ": got " << statement;
-    s.current = found;
-    found->busy = true;
-    return;
-  }
-  if (verb == "expect" && what == "connections") {
+    expectQuery(s, rest);
+  } else if (verb == "expect" && what == "connections") {
     EXPECT_EQ(s.accepted, std::stoi(rest)) << at_;
-    return;
-  }
-  if (verb == "drop") {
-    s.dropProbes = std::stoi(rest);
-    return;
-  }
-  if (verb == "report") {
+  } else if (verb == "expect" && what == "drained") {
+    until([&] { return s.all.empty(); }, "the end of all connections");
+  } else if (verb == "drop") {
+    s.healthChecksToDrop = std::stoi(rest);
+  } else if (verb == "report") {
     s.report = what;
-    return;
-  }
-  if (verb == "load") {
+  } else if (verb == "load") {
     s.load = what;
-    return;
-  }
-  if (verb == "wait" && what == "speak") {  // it is back: what waits is greeted now
+  } else if (verb == "wait" && what == "speak") {  // it is back: what waits is greeted now
     s.silent = false;
-    return;
-  }
-  if (verb == "wait" && what == "silent") {  // cut off: its connections stay open and say nothing more
+  } else if (verb == "wait" && what == "silent") {  // cut off: its connections stay open and say nothing more
     s.silent = true;
-    return;
-  }
-  if (verb == "wait") {  // for so many connections that are up and idle
-    const auto n = std::stoul(rest);
-    return until(
-        [&] {
-          std::size_t idle = 0;
-          for (const Connection& c : s.all) idle += c.greeted && !c.busy && !c.ended;
-          return idle >= n;
-        },
-        "idle connections");
-  }
-  if (what == "all") {  // its process dies
+  } else if (verb == "wait") {
+    waitForIdle(s, std::stoul(rest));
+  } else if (verb == "close" && what == "all") {  // its process dies
     close(s.listener);
     s.listener = -1;
     for (Connection& c : s.all) reset(c);
-    return s.all.clear();
-  }
-  if (what == "idle") {  // closes what stands idle
+    s.all.clear();
+  } else if (verb == "close" && what == "idle") {
     for (Connection& c : s.all)
       if (!c.busy) shutdown(c.fd, SHUT_RDWR);
+  } else {
+    ASSERT_NE(s.current, nullptr) << at_;
+    respond(s, *s.current, verb, what, rest);
+  }
+}
+
+// The next query on any of its connections; later steps are about that connection.
+void Scenario::expectQuery(Server& s, const std::string& within) {
+  Connection* found = nullptr;
+  std::string statement;
+  until(
+      [&] {
+        for (Connection& c : s.all) {
+          char type = 0;
+          if (!found && c.greeted && !c.busy && message(c, type, statement)) found = &c;
+        }
+        return found != nullptr;
+      },
+      "a query");
+  if (!found) return;
+  EXPECT_NE(statement.find(within), std::string::npos) << at_ << ": got " << statement;
+  s.current = found;
+  found->busy = true;
+}
+
+void Scenario::waitForIdle(const Server& s, std::size_t count) {
+  until(
+      [&] {
+        std::size_t idle = 0;
+        for (const Connection& c : s.all) idle += c.greeted && !c.busy && !c.ended;
+        return idle >= count;
+      },
+      "idle connections");
+}
+
+void Scenario::respond(const Server& s, Connection& c, const std::string& verb, const std::string& what,
+                       const std::string& rest) {
+  if (what == "closed") return until([&] { return c.ended; }, "the end of the connection");
+  if (what == "gone") {
+    EXPECT_TRUE(c.ended) << at_;
     return;
   }
-  if (what == "drained") return until([&] { return s.all.empty(); }, "the end of all connections");
-  Connection* const c = s.current;
-  ASSERT_NE(c, nullptr) << at_;
   const bool primary = s.load.empty() ? s.primary : s.load.find("x1=1") != std::string::npos;
-  const std::string role =
+  const std::string parameters =
       parameter("role", primary ? "primary" : "replica") +
       (s.load.empty() ? parameter("applied_ms", std::to_string(unixMs())) : parameter("load", s.load));
-  if (what == "closed") return until([&] { return c->ended; }, "the end of the connection");
-  if (what == "gone") {
-    EXPECT_TRUE(c->ended) << at_;
-    return;
-  }
   if (verb == "close") {
-    shutdown(c->fd, SHUT_RDWR);
+    shutdown(c.fd, SHUT_RDWR);
   } else if (what == "row") {
-    put(c->fd,
-        row(value(rest)) + pg::message('C', std::string("SELECT 1\0", 9)) + role + pg::readyForQuery());
+    put(c.fd, row(value(rest)) + pg::message('C', kOneRow) + parameters + pg::readyForQuery());
   } else if (what == "part") {
-    const std::string whole = row(value(rest));
-    put(c->fd, whole.substr(0, whole.size() - 2));
-  } else if (what == "spoilt") {
-    const std::string good = row("other"), done = pg::message('C', std::string("SELECT 1\0", 9)),
-                      end = done + role + pg::readyForQuery();
-    const std::string description = good.substr(0, good.size() - 16), cell = good.substr(good.size() - 16);
-    const std::map<std::string, std::string> kinds{
-        {"noise", "\x80\x01 no message"},
-        {"huge", description + "D" + number(0xc0000000u) + "\1"},
-        {"column", description + pg::message('D', std::string("\0\1\0\0\1\0other", 11)) + end},
-        {"columns", description + pg::message('D', std::string("\0\2\0\0\0\5other", 11)) + end},
-        {"endless", description + "D" + number(15) + std::string("\0\1\0\0\0\5ot", 8)},
-        {"rows", good + cell + end},
-        {"order", description + done + cell + role + pg::readyForQuery()},
-        {"none", description + end},
-        {"count", good + pg::message('C', std::string("SELECT 2\0", 9)) + role + pg::readyForQuery()},
-        {"twice", good + end + good + end},
-        {"behind", good + end + description + "D"}};
-    put(c->fd, kinds.at(rest));
+    const std::string complete = row(value(rest));
+    put(c.fd, complete.substr(0, complete.size() - 2));
+  } else if (what == "malformed") {
+    put(c.fd, malformedResponse(rest, parameters));
   } else if (what == "error") {
-    put(c->fd, pg::error("ERROR", rest.c_str(), "scripted") + role + pg::readyForQuery());
+    put(c.fd, pg::error("ERROR", rest.c_str(), "scripted") + parameters + pg::readyForQuery());
   } else {
     FAIL() << "no such step: " << at_;
   }
-  if (what != "part" && what != "spoilt") c->busy = false;
+  if (what != "part" && what != "malformed") c.busy = false;
 }
 
 void Scenario::discovery(const std::string& verb, const std::string& what, const std::string& rest) {
@@ -616,8 +551,8 @@
   const std::string show = pg::query("SHOW load");
   if (!c.greeted || c.in.compare(0, show.size(), show) != 0) return;
   c.in.erase(0, show.size());
-  if (s.dropProbes > 0) {
-    --s.dropProbes;
+  if (s.healthChecksToDrop > 0) {
+    --s.healthChecksToDrop;
     shutdown(c.fd, SHUT_RDWR);
     return;
   }
--- a/tests/scenario.hpp
+++ b/tests/scenario.hpp
@@ -1,21 +1,21 @@
-// A small language for what clients, data servers and discovery do to a real stonebay process. A step a
-// line:
+// A small language for what clients, endpoints and discovery do to a real stonebay process. A step a line:
 //
 //   c1 send query TEXT     c1 expect row TEXT     c1 expect error CODE     c1 expect closed     c1 close
-//   s2 expect query TEXT   s2 send row TEXT       s2 send error CODE       s2 close             s2 wait idle
-//   2 s2 wait silent         list expect watch TEXT list send line JSON      list close
+//   s2 expect query TEXT   s2 send row TEXT       s2 send error CODE       s2 close
+//   s2 wait idle 2         s2 wait silent
+//   list expect watch TEXT list send line JSON    list close
 //   proxy send TERM|STOP|CONT  proxy expect exit 0   proxy expect log TEXT        proxy reload moved|broken
 //   c1 cancel [wrongly|begins]   c1 expect cancelled
 //   c1 open (sends its startup, waits for nothing)   c1 expect greeted            time passes MS
-//   proxy expect quiet       s2 send spoilt KIND      s2 report TEXT
-//   list expect endless TEXT (answers with neither chunks nor a length)      list send raw TEXT
+//   proxy expect quiet       s2 send malformed KIND      s2 report TEXT
+//   list expect endless TEXT (responds with neither chunks nor a length)      list send raw TEXT
 //   list send indented JSON  list reset      list expect calls N (since the start, wherever it is)
-//   c1 expect told to come back (a refusal with a number in the field D)
-//   s2 drop probes N         s2 load TEXT (comes with its answers, in place of applied_ms)
+//   c1 expect retry-after (a rejection with a number in the field D)
+//   s2 drop health-checks N  s2 load TEXT (comes with its responses, in place of applied_ms)
 //   s2 expect connections N (since its start)     s2 expect gone (closed by now, no wait)
 //   dns publish s2 [KEY=VALUE ...]   dns withdraw s2   dns mood NAME   dns move DOMAIN
 //
-// c1, c2 ... are clients; s1 (the primary), s2 ... data servers that greet and report by themselves. A
+// c1, c2 ... are clients; s1 (the primary), s2 ... endpoints that greet and report by themselves. A
 // reload replaces the file and sends SIGHUP: `moved` names another discovery, which `list` is from then on.
 // All are played by the test on loopback, at ports of the system's choice. An expect waits for what must
 // come; the watchdog only ends a test that has failed.
@@ -30,32 +30,13 @@
 #include <string>
 #include <vector>
 
+#include "proxy_process.hpp"
+
 namespace stonebay::testbed {
 class NameServer;
 }
 namespace stonebay::test {
 
-struct Setting {  // what a scenario's configuration may choose
-  int servers = 2;
-  std::string idleCloseUs = "15000000";
-  int sockets = 1024, memoryMb = 192;
-  std::string reports = "pull";
-  int proxyCount = 3;
-  bool retryAfterAllowed = true;
-  bool dnssd = false;   // found by service records; in our form
-  bool ini = false;     // settings in our form, by `serve --config`
-  int descriptors = 0;  // RLIMIT_NOFILE of the process; 0: as it is
-};
-
-std::string configuration(const Setting&, int discoveryPort, const std::vector<int>& serverPorts);
-// The same as INI; a domain: found by service records there.
-std::string settingsFile(const Setting&, int discoveryPort, const std::vector<int>& serverPorts,
-                         const std::string& domain = "ruwi.example.org");
-// Runs the program: with arguments, or with this file as NODE_CONFIG. What it writes to standard output and
-// standard error comes from `err`.
-int spawn(const std::string& configPath, int descriptors, int& err,
-          const std::vector<std::string>& arguments = {});
-
 class Scenario {
  public:
   explicit Scenario(const Setting& = {});
@@ -73,10 +54,10 @@
   struct Server {
     int listener = -1, port = 0;
     bool primary = false, silent = false;
-    std::string report;  // in place of its own
-    std::string load;    // in its answers
-    int accepted = 0;    // connections
-    int dropProbes = 0;  // so many are answered by the end of their connection
+    std::string report;          // in place of its own
+    std::string load;            // in its responses
+    int accepted = 0;            // connections
+    int healthChecksToDrop = 0;  // answered by the end of their connection
     std::list<Connection> all;
     Connection* current = nullptr;
   };
@@ -84,6 +65,10 @@
   void step(const std::string& line);
   void client(Connection&, const std::string& verb, const std::string& what, const std::string& rest);
   void server(Server&, const std::string& verb, const std::string& what, const std::string& rest);
+  void expectQuery(Server&, const std::string& within);
+  void waitForIdle(const Server&, std::size_t count);
+  void respond(const Server&, Connection&, const std::string& verb, const std::string& what,
+               const std::string& rest);
   void discovery(const std::string& verb, const std::string& what, const std::string& rest);
   void dns(const std::string& verb, const std::string& what, const std::string& rest);
   void proxy(const std::string& verb, const std::string& rest);
--- a/tests/shutdown_test.cpp
+++ b/tests/shutdown_test.cpp
@@ -38,8 +38,8 @@
     c1 send query SELECT 3 /* id=3,c=read,d=60000,cluster=3 */
     s2 send row big
     c1 expect row big
-    c1 expect told to come back
-    c1 expect told to come back
+    c1 expect retry-after
+    c1 expect retry-after
     c1 expect closed
     proxy expect exit 0
   )");
@@ -56,7 +56,7 @@
     time passes 600
     proxy send CONT
     c1 expect greeted
-    c1 expect told to come back
+    c1 expect retry-after
     c1 expect closed
     proxy expect exit 0
   )");
--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -40,7 +40,7 @@
     t.run(R"(
       c1 send query SELECT 1 /* id=1,c=read,d=7000,cluster=3 */
       s2 expect query id=1
-      s2 send spoilt )" +
+      s2 send malformed )" +
           kind + R"(
       s2 expect closed
       s1 expect query id=1
@@ -56,7 +56,7 @@
     t.run(R"(
       c1 send query SELECT 1 /* id=1,c=read,d=7000,cluster=3 */
       s2 expect query id=1
-      s2 send spoilt )" +
+      s2 send malformed )" +
           kind + R"(
       c1 expect row other
       s2 expect closed
@@ -171,7 +171,7 @@
   Scenario t;
   t.run(R"(
     s2 wait idle 2
-    s2 drop probes 2
+    s2 drop health-checks 2
     c1 send query SELECT 1 /* id=1,c=read,d=7000,cluster=3 */
     s2 expect query id=1
     s2 send row v
