--- a/src/downstream/pg/client_session.cpp
+++ b/src/downstream/pg/client_session.cpp
@@ -16,7 +16,6 @@
 constexpr Time kMinStartupTime = std::chrono::milliseconds(25);
 constexpr Time kLingerTimeout = std::chrono::milliseconds(500);
 constexpr std::size_t kMaxLingerBytes = 1 << 20;
-constexpr std::size_t kMaxUnsentOutput = 16 << 10;  // no message is taken while so much output waits
 
 }  // namespace
 
@@ -41,26 +40,24 @@
 }
 
 void ClientSession::onRejected(Time retryAfter) {
-  request_ = 0;
   const auto ms = (retryAfter.count() + 999) / 1000;
   const std::string detail = ms > 0 ? std::to_string(ms) : std::string();
-  append(connection_.output(),
-         pg::error("ERROR", "53300", "no data server can take this request now", detail));
-  finishResponse();
+  failRequest(pg::error("ERROR", "53300", "no data server can take this request now", detail));
 }
 
 void ClientSession::onFailed() {
-  request_ = 0;
-  append(connection_.output(),
-         pg::error("ERROR", "40003", "the request may have run; its outcome is unknown"));
-  finishResponse();
+  failRequest(pg::error("ERROR", "40003", "the request may have run; its outcome is unknown"));
 }
 
 void ClientSession::cancelRequest() {
   if (request_ == 0) return;
   context_.dispatcher.onClientLeft(request_);
+  failRequest(pg::error("ERROR", "57014", "canceled by its client"));
+}
+
+void ClientSession::failRequest(const std::string& errorResponse) {
   request_ = 0;
-  append(connection_.output(), pg::error("ERROR", "57014", "canceled by its client"));
+  append(connection_.output(), errorResponse);
   finishResponse();
 }
 
@@ -117,8 +114,6 @@
 }
 
 // ---- state -----------------------------------------------------------------------------------------------
-bool ClientSession::idle() const { return request_ == 0 && !closing() && !connection_.hasInput(); }
-
 EvictionPriority ClientSession::evictionPriority(Time now) const {
   if (closing()) return EvictionPriority::Closing;
   if (request_ != 0) return EvictionPriority::Never;
@@ -148,8 +143,6 @@
 }
 
 // ---- input -----------------------------------------------------------------------------------------------
-void ClientSession::onDisconnected() { owner_.onSessionClosed(*this); }
-
 void ClientSession::onOutputFlushed() {
   if (closing())
     connection_.closeOutput();
@@ -162,8 +155,7 @@
     discardInput();
     return;
   }
-  const Time now = context_.dispatcher.now();
-  arrivals_.record(connection_.unread(), now);
+  arrivals_.record(connection_.unread(), context_.dispatcher.now());
   if (!connection_.reading() && connection_.peerClosed()) {
     owner_.onSessionClosed(*this);
     return;
@@ -176,10 +168,6 @@
   connection_.updateReading();
 }
 
-bool ClientSession::canTakeMessage() const {
-  return request_ == 0 && !closing() && !paused_ && connection_.unsent() < kMaxUnsentOutput;
-}
-
 void ClientSession::discardInput() {
   discarded_ += connection_.discardInput();
   if (discarded_ > kMaxLingerBytes) owner_.onSessionClosed(*this);
--- a/src/downstream/pg/client_session.hpp
+++ b/src/downstream/pg/client_session.hpp
@@ -48,7 +48,7 @@
   bool active() const { return active_; }
   /// Whether it is between requests. A request that has reached this machine counts, even if it is still to
   /// be read.
-  bool idle() const;
+  bool idle() const { return request_ == 0 && !closing() && !connection_.hasInput(); }
   EvictionPriority evictionPriority(Time now) const;
   /// When its client connected, got its last response, or began to be closed.
   Time lastActiveAt() const { return lastActiveAt_; }
@@ -63,15 +63,20 @@
   bool checkTimeouts(Time now);
 
  private:
+  // No message is taken while so much output waits.
+  static constexpr std::size_t kMaxUnsentOutput = 16 << 10;
+
   enum class State { Startup, Ready, LingeringClose };
 
   bool closing() const { return state_ == State::LingeringClose; }
 
   void onReadable() override;
   void onOutputFlushed() override;
-  void onDisconnected() override;
+  void onDisconnected() override { owner_.onSessionClosed(*this); }
 
-  bool canTakeMessage() const;
+  bool canTakeMessage() const {
+    return request_ == 0 && !closing() && !paused_ && connection_.unsent() < kMaxUnsentOutput;
+  }
   void discardInput();
   bool takeStartup();
   void greet();
@@ -80,6 +85,7 @@
   void handleStatement(Buffer body);
 
   void submit(ClientStatement& statement, int classIndex);
+  void failRequest(const std::string& errorResponse);
   void rejectMessage(const ClientError& error);
   void finishResponse();
   void releaseRequestId();
--- a/src/downstream/pg/session_context.hpp
+++ b/src/downstream/pg/session_context.hpp
@@ -34,6 +34,7 @@
   explicit StatementMemory(std::size_t capacity) : capacity_(capacity) {}
   /// False, and without effect, where so many bytes are not left.
   bool reserve(std::size_t bytes);
+  /// Gives back what has been reserved.
   void release(std::size_t bytes) { reserved_ -= bytes; }
 
  private:
@@ -41,6 +42,7 @@
   std::size_t reserved_ = 0;
 };
 
+/// Belongs to the listener, and outlives its sessions.
 struct SessionContext {
   event_base* base;
   Dispatcher& dispatcher;
