--- a/src/downstream/pg/client_statement.cpp
+++ b/src/downstream/pg/client_statement.cpp
@@ -48,9 +48,9 @@
   request.classIndex = classIndex;
   request.group = comment_.group;
   const bool hasDeadline = comment_.deadlineLength > 0;
-  const Time timeAllowed = hasDeadline
-                               ? Time(std::chrono::milliseconds(std::min(comment_.deadlineMs, kMaxDeadlineMs)))
-                               : config.settings.classes[static_cast<std::size_t>(classIndex)].deadline;
+  const Time timeAllowed =
+      hasDeadline ? Time(std::chrono::milliseconds(std::min(comment_.deadlineMs, kMaxDeadlineMs)))
+                  : config.settings.classes[static_cast<std::size_t>(classIndex)].deadline;
   request.deadline = arrivedAt + timeAllowed;
   if (comment_.sessionTokenMs > 0) {
     const double nowMs = static_cast<double>(now.count()) / kMicrosecondsPerMillisecond;
--- a/src/downstream/pg/startup_message.hpp
+++ b/src/downstream/pg/startup_message.hpp
@@ -30,8 +30,8 @@
   std::optional<CancelKey> cancelKey;  ///< of a CancelRequest; nothing: it is malformed
 };
 
-/// `start` holds the input's first bytes, pg::kCancelRequestSize of them or all that there are; `available` is the
-/// number of all bytes of the input.
+/// `start` holds the input's first bytes, pg::kCancelRequestSize of them or all that there are; `available`
+/// is the number of all bytes of the input.
 StartupMessage parseStartupMessage(std::string_view start, std::size_t available);
 
 }  // namespace stonebay
--- a/src/upstream/pg/response_parser.cpp
+++ b/src/upstream/pg/response_parser.cpp
@@ -68,7 +68,8 @@
 }
 
 bool ResponseParser::accepts(const pg::MessageHeader& head) const {
-  const std::size_t maxBody = head.type == 'D' ? pg::kRowHeaderSize + pg::kMaxValueSize : pg::kMaxServerMessageSize;
+  const std::size_t maxBody =
+      head.type == 'D' ? pg::kRowHeaderSize + pg::kMaxValueSize : pg::kMaxServerMessageSize;
   return expects(head.type) && head.bodySize <= maxBody;
 }
 
--- a/src/upstream/pg/upstream_connection.cpp
+++ b/src/upstream/pg/upstream_connection.cpp
@@ -127,7 +127,8 @@
     return ReadStatus::NeedMoreInput;
   const auto head = pg::parseMessageHeader(bytes);
   if (!head || !parser_.accepts(*head)) return fail(ProtocolError::UnexpectedMessage);
-  if (evbuffer_get_length(input()) < pg::kMessageHeaderSize + head->bodySize) return ReadStatus::NeedMoreInput;
+  if (evbuffer_get_length(input()) < pg::kMessageHeaderSize + head->bodySize)
+    return ReadStatus::NeedMoreInput;
   if (head->type == 'D' && !request_->isHealthCheck()) return moveRow(*head);
   return parseMessage(*head);
 }
@@ -139,7 +140,8 @@
       evbuffer_copyout(input(), bytes, sizeof bytes) == static_cast<ev_ssize_t>(sizeof bytes);
   char columns[pg::kRowHeaderSize];
   std::copy(bytes + pg::kMessageHeaderSize, bytes + sizeof bytes, columns);
-  if (!complete || !parser_.parseRowHead(columns, head.bodySize)) return fail(ProtocolError::MalformedDataRow);
+  if (!complete || !parser_.parseRowHead(columns, head.bodySize))
+    return fail(ProtocolError::MalformedDataRow);
   evbuffer_remove_buffer(input(), responseMessages_.get(), pg::kMessageHeaderSize + head.bodySize);
   return ReadStatus::Progress;
 }
--- a/tests/upstream_load_report_test.cpp
+++ b/tests/upstream_load_report_test.cpp
@@ -1,7 +1,7 @@
-#include "upstream/pg/load_report.hpp"
-
 #include <gtest/gtest.h>
 
+#include "upstream/pg/load_report.hpp"
+
 namespace stonebay::test {
 namespace {
 
