--- a/include/stonebay/load_balancer.hpp
+++ b/include/stonebay/load_balancer.hpp
@@ -15,8 +15,18 @@
 
 namespace stonebay {
 
-/// An instant on the caller's clock, or an interval, in microseconds; never negative.
-using Time = std::chrono::microseconds;
+/// A span of time.
+using Duration = std::chrono::microseconds;
+/// The clock of the embedding program; it never goes back. Only its instants are used here.
+struct CallerClock {
+  using duration = Duration;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<CallerClock>;
+  static constexpr bool is_steady = true;
+};
+/// An instant on the caller's clock, in microseconds after an epoch of the caller's choice.
+using TimePoint = CallerClock::time_point;
 /// Opaque; the same for as long as the endpoint keeps its address.
 using EndpointId = std::uint64_t;
 /// Never used twice during the life of a LoadBalancer.
@@ -46,10 +56,11 @@
   Consistency consistency = Consistency::Eventual;
   Idempotency idempotency = Idempotency::Idempotent;
   DeduplicationScope deduplicationScope = DeduplicationScope::All;  ///< IdempotencyKey only
-  Time deduplicationWindow{};  ///< IdempotencyKey only: how long repeats are dropped, from the first attempt
-  Time maxStaleness{};         ///< BoundedStaleness only: greatest age of the data when an attempt is sent
-  Time latencyObjective{};     ///< a response within this earns the whole priority weight
-  Time deadline{};             ///< how long a client waits at most
+  Duration
+      deduplicationWindow{};    ///< IdempotencyKey only: how long repeats are dropped, from the first attempt
+  Duration maxStaleness{};      ///< BoundedStaleness only: greatest age of the data when an attempt is sent
+  Duration latencyObjective{};  ///< a response within this earns the whole priority weight
+  Duration deadline{};          ///< how long a client waits at most
   double priorityWeight = 1;
   double latePriorityShare = 0;  ///< share of the priority weight that a response after the objective earns
 };
@@ -74,14 +85,14 @@
   bool removedEndpointsServe = false;  ///< only draining forbids new requests, removal from the list does not
   int maxAttempts = 1;                 ///< attempts for one request
   int proxyCount = 1;                  ///< proxies in front of the same endpoints, this one included
-  Time staleReadWait{};                ///< StaleReadPolicy::Wait: how long an endpoint waits to catch up
-  Time positionEpoch{};                ///< positions in responses and reports count from here
-  Time maxRetryAfter{};
-  Time drainGracePeriod{};
-  Time slowStartWindow{};      ///< how long an endpoint warms up after its start
-  Time overloadWindow{};       ///< in which the requests that overload a warming endpoint are counted
-  Time maxPollInterval{};      ///< DiscoveryMode::Poll: discovery has to be polled at least so often
-  Time timeStep{};             ///< resolution of the caller's clock
+  Duration staleReadWait{};            ///< StaleReadPolicy::Wait: how long an endpoint waits to catch up
+  TimePoint positionEpoch{};           ///< positions in responses and reports count from here
+  Duration maxRetryAfter{};
+  Duration drainGracePeriod{};
+  Duration slowStartWindow{};  ///< how long an endpoint warms up after its start
+  Duration overloadWindow{};   ///< in which the requests that overload a warming endpoint are counted
+  Duration maxPollInterval{};  ///< DiscoveryMode::Poll: discovery has to be polled at least so often
+  Duration timeStep{};         ///< resolution of the caller's clock
   double initialCapacity = 1;  ///< of an endpoint that has just started, as a share of a warm one's
   double overloadFactor = 1;   ///< multiple of its capacity at which a warming endpoint fails
   double totalServedGoal = 1;  ///< weight in the goal of the share of all priority weight that is served
@@ -98,7 +109,7 @@
   Lifecycle state = Lifecycle::Ready;
   bool primary = false;  ///< see Settings::listedRole
   double weight = 1;     ///< size, comparable among endpoints
-  Time started{};        ///< latest start; 0: long ago
+  TimePoint started{};   ///< latest start; 0: long ago
 };
 
 /// Full and Cached lists are complete: what they lack is gone. Failed: discovery could not be polled.
@@ -111,7 +122,7 @@
   GroupId group = 0;
   std::uint64_t session = 0;    ///< 0: none
   float sessionTokenAgeMs = 0;  ///< Settings::sessionTokensCarried: age of the session's last commit; 0: none
-  Time deadline{};              ///< the client leaves then
+  TimePoint deadline{};         ///< the client leaves then
 };
 
 /// How an attempt ended. NotSent: no byte of it went out. TooStale: the endpoint's data is too old for it.
@@ -126,10 +137,10 @@
   int attempt = 0;  ///< counted from 0 in the order of the sends of this request
   EndpointId endpoint = 0;
   AttemptStatus status = AttemptStatus::Ok;
-  Time latency{};
+  Duration latency{};
   bool requestClosed = false;  ///< the client has its final response
   Role role = Role::Unknown;   ///< that the endpoint gave itself with its answer
-  std::optional<Time>
+  std::optional<TimePoint>
       position;               ///< that came with the answer: the endpoint has applied all commits up to here
   std::vector<float> report;  ///< values in the order of Settings::reportFields; may be empty
 };
@@ -138,14 +149,14 @@
 struct HealthCheckResult {
   EndpointId endpoint = 0;
   bool ok = false;
-  Time latency{};
+  Duration latency{};
   std::vector<float> report;  ///< as in AttemptOutcome
 };
 
 /// What one proxy tells all others of an endpoint, from that endpoint's own report.
 struct GossipMessage {
   EndpointId endpoint = 0;
-  Time position{};  ///< the endpoint has applied all commits up to here
+  TimePoint position{};  ///< the endpoint has applied all commits up to here
   bool primary = false;
   int inFlight = 0;  ///< requests that it held
 };
@@ -171,15 +182,15 @@
  public:
   virtual ~ActionSink() = default;
   /// Sends an attempt; `until` 0: it ends when the client leaves. Answered by LoadBalancer::onAttemptOutcome.
-  virtual void send(RequestId request, EndpointId endpoint, Time until) = 0;
+  virtual void send(RequestId request, EndpointId endpoint, TimePoint until) = 0;
   /// Final: a new request is harmless. `retryAfter` 0: nothing is said about when to come back.
-  virtual void reject(RequestId request, Time retryAfter) = 0;
+  virtual void reject(RequestId request, Duration retryAfter) = 0;
   /// Final: the request may have run.
   virtual void fail(RequestId request) = 0;
   /// Cancels an attempt; its AttemptOutcome still has to come.
   virtual void cancel(RequestId request, int attempt) = 0;
   /// Answered by LoadBalancer::onTimer, never early.
-  virtual void scheduleTimer(Time in, TimerToken token) = 0;
+  virtual void scheduleTimer(Duration in, TimerToken token) = 0;
   /// Answered by LoadBalancer::onHealthCheck.
   virtual void checkHealth(EndpointId endpoint) = 0;
   /// To all other proxies; may be late or lost.
@@ -204,26 +215,26 @@
   LoadBalancer& operator=(LoadBalancer&& other) = delete;
 
   /// The first one comes right after construction.
-  void onEndpointList(Time now, EndpointListKind kind, const std::vector<EndpointUpdate>& updates);
+  void onEndpointList(TimePoint now, EndpointListKind kind, const std::vector<EndpointUpdate>& updates);
   /// From here on one final response is owed.
-  void onRequest(Time now, const Request& request);
+  void onRequest(TimePoint now, const Request& request);
   /// Exactly one for each send, the client's timeout included.
-  void onAttemptOutcome(Time now, const AttemptOutcome& outcome);
+  void onAttemptOutcome(TimePoint now, const AttemptOutcome& outcome);
   /// Nothing is owed any more; outcomes still come.
-  void onClientLeft(Time now, RequestId id);
+  void onClientLeft(TimePoint now, RequestId id);
   /// Exactly one for each health check.
-  void onHealthCheck(Time now, const HealthCheckResult& result);
-  void onTimer(Time now, TimerToken token);
+  void onHealthCheck(TimePoint now, const HealthCheckResult& result);
+  void onTimer(TimePoint now, TimerToken token);
   /// From another proxy.
-  void onGossip(Time now, const GossipMessage& message);
+  void onGossip(TimePoint now, const GossipMessage& message);
 
   /// Whether a send that had to wait for its connection may still go out: since it was decided the endpoint
   /// may have drained, or its data grown too old. If not, its outcome is AttemptStatus::NotSent.
-  bool isStillEligible(Time now, RequestId id, EndpointId to);
+  bool isStillEligible(TimePoint now, RequestId id, EndpointId to);
   /// Removes the endpoints that have been gone and quiet for long, and names them: their ids may be dropped.
-  std::vector<EndpointId> removeDeparted(Time now);
+  std::vector<EndpointId> removeDeparted(TimePoint now);
   /// Positions in later responses and reports count from here.
-  void setPositionEpoch(Time epoch);
+  void setPositionEpoch(TimePoint epoch);
 
  private:
   class Core;
--- a/src/app/members.hpp
+++ b/src/app/members.hpp
@@ -6,6 +6,7 @@
 
 #include "config/config.hpp"
 #include "discovery/endpoint_tracker.hpp"
+#include "util/clock.hpp"
 
 namespace stonebay {
 
--- a/src/balancer/admission_control.cpp
+++ b/src/balancer/admission_control.cpp
@@ -20,21 +20,22 @@
   if (status == AttemptStatus::Ok && isInTime) demand_[index(pending.request.classIndex)].servedInTime += 1;
 }
 
-Time AdmissionControl::waitLimit(const PendingRequest& pending) const {
-  const Time end = std::min(giveUpAt(pending), pending.request.deadline);
-  return std::max(end - context_.now, Time(1));
+Duration AdmissionControl::waitLimit(const PendingRequest& pending) const {
+  const TimePoint end = std::min(giveUpAt(pending), pending.request.deadline);
+  return std::max(end - context_.now, Duration(1));
 }
 
-Time AdmissionControl::giveUpAt(const PendingRequest& pending) const {
+TimePoint AdmissionControl::giveUpAt(const PendingRequest& pending) const {
   const ClassSettings& requestClass = context_.classOf(pending);
-  const Time arrived = pending.arrivedAt;
-  const Time deadline = pending.request.deadline;
-  const Time expected = latencies_.meanLatency(pending.request.classIndex);
-  Time end = deadline;
+  const TimePoint arrived = pending.arrivedAt;
+  const TimePoint deadline = pending.request.deadline;
+  const Duration expected = latencies_.meanLatency(pending.request.classIndex);
+  TimePoint end = deadline;
   if (requestClass.latePriorityShare <= 0) end = std::min(end, arrived + requestClass.latencyObjective);
   if (!pending.reachedEndpoint && pending.outstandingAttempts == 0)
     end = std::min(end, arrived + scaled(deadline - arrived, kMaxQueueingShare) + expected);
-  const Time earliest = pending.attempts.empty() ? std::min(arrived + Time(1), deadline) : Time(0);
+  const TimePoint earliest =
+      pending.attempts.empty() ? std::min(arrived + Duration(1), deadline) : TimePoint();
   return std::max(end - expected, earliest);
 }
 
@@ -61,8 +62,8 @@
   return gain / std::max(latencies_.baselineLatency(classIndex), 1.0);
 }
 
-double AdmissionControl::probabilityInTime(const Endpoint& endpoint, int classIndex, Time budget) const {
-  if (budget <= Time(0)) return 0;
+double AdmissionControl::probabilityInTime(const Endpoint& endpoint, int classIndex, Duration budget) const {
+  if (budget <= Duration(0)) return 0;
   const MissScope scope = MissScope::QueueingOnly;
   return 1 - latencies_.estimate(endpoint, endpoint.freshSamples, classIndex, budget, scope).missProbability;
 }
@@ -70,12 +71,12 @@
 bool AdmissionControl::isLikelyToEarn(const PendingRequest& pending, const Endpoint& endpoint) const {
   const ClassSettings& requestClass = context_.classOf(pending);
   const int classIndex = pending.request.classIndex;
-  const Time untilDeadline = std::max(pending.request.deadline - context_.now, Time(1));
-  const Time untilObjective =
+  const Duration untilDeadline = std::max(pending.request.deadline - context_.now, Duration(1));
+  const Duration untilObjective =
       std::min(pending.arrivedAt + requestClass.latencyObjective - context_.now, untilDeadline);
   const double inTime = probabilityInTime(endpoint, classIndex, untilObjective);
   const double late = probabilityInTime(endpoint, classIndex, untilDeadline) - inTime;
-  const double achievable = untilObjective > Time(0) ? 1 : requestClass.latePriorityShare;
+  const double achievable = untilObjective > Duration(0) ? 1 : requestClass.latePriorityShare;
   return inTime + requestClass.latePriorityShare * late >= kMinExpectedValue * achievable;
 }
 
@@ -101,9 +102,9 @@
          requestClass.deduplicationScope == DeduplicationScope::All;
 }
 
-Time AdmissionControl::retryAfter(const PendingRequest& pending) const {
-  if (!context_.settings.retryAfterAllowed) return Time(0);
-  const Time timeout = latencies_.silenceTimeout(pending.request.classIndex);
+Duration AdmissionControl::retryAfter(const PendingRequest& pending) const {
+  if (!context_.settings.retryAfterAllowed) return Duration(0);
+  const Duration timeout = latencies_.silenceTimeout(pending.request.classIndex);
   return std::min(context_.settings.maxRetryAfter, scaled(timeout, kRetryAfterShare));
 }
 
--- a/src/balancer/consistency.cpp
+++ b/src/balancer/consistency.cpp
@@ -6,13 +6,13 @@
 namespace stonebay::balancer {
 namespace {
 
-Time tightestStalenessOf(const Settings& settings) {
-  Time tightest = never;
+Duration tightestStalenessOf(const Settings& settings) {
+  Duration tightest = Duration::max();
   for (const ClassSettings& requestClass : settings.classes) {
     if (requestClass.consistency != Consistency::BoundedStaleness) continue;
-    if (tightest == never || requestClass.maxStaleness < tightest) tightest = requestClass.maxStaleness;
+    tightest = std::min(tightest, requestClass.maxStaleness);
   }
-  return tightest == never ? seconds(1) : tightest;
+  return tightest == Duration::max() ? seconds(1) : tightest;
 }
 
 }  // namespace
@@ -20,7 +20,7 @@
 ConsistencyPolicy::ConsistencyPolicy(const Context& context, EndpointTable& table)
     : context_(context), table_(table), tightestStaleness_(tightestStalenessOf(context.settings)) {}
 
-Time ConsistencyPolicy::requiredPosition(const PendingRequest& pending) const {
+TimePoint ConsistencyPolicy::requiredPosition(const PendingRequest& pending) const {
   const ClassSettings& requestClass = context_.classOf(pending);
   const bool isBounded = requestClass.consistency == Consistency::BoundedStaleness;
   return isBounded ? context_.now - requestClass.maxStaleness : pending.requiredCommit;
@@ -32,14 +32,14 @@
   if (consistency != Consistency::ReadYourWrites) return;
   const Request& request = pending.request;
   if (!context_.settings.sessionTokensCarried) {
-    const Time evicted = table_.group(request.group).evictedCommit;
+    const TimePoint evicted = table_.group(request.group).evictedCommit;
     pending.requiredCommit = commits_.find(request.session).value_or(evicted);
   } else if (request.sessionTokenAgeMs > 0) {
     // The age may have been rounded up: the next f32 below it makes the required position err on the new
     // side.
     const double age = static_cast<double>(std::nextafterf(request.sessionTokenAgeMs, 0.0F)) * 1e3;
-    const double bounded = std::min(age, static_cast<double>(context_.now.count()));
-    pending.requiredCommit = context_.now - Time(static_cast<std::int64_t>(bounded));
+    const double bounded = std::min(age, static_cast<double>(context_.now.time_since_epoch().count()));
+    pending.requiredCommit = context_.now - Duration(static_cast<std::int64_t>(bounded));
   }
 }
 
@@ -52,18 +52,19 @@
 
 // Forgetting must not make a read stale: one commit stands for all.
 void ConsistencyPolicy::evictSessions() {
-  const Time latest = commits_.evictAll();
+  const TimePoint latest = commits_.evictAll();
   for (auto& [id, group] : table_.groups()) group.evictedCommit = std::max(group.evictedCommit, latest);
 }
 
-bool ConsistencyPolicy::isKnownStale(const Endpoint& endpoint, Time required) const {
+bool ConsistencyPolicy::isKnownStale(const Endpoint& endpoint, TimePoint required) const {
   return required != never && !table_.isPrimary(endpoint) && endpoint.position < required;
 }
 
-std::optional<double> ConsistencyPolicy::freshnessProbability(const Endpoint& endpoint, Time required) const {
+std::optional<double> ConsistencyPolicy::freshnessProbability(const Endpoint& endpoint,
+                                                              TimePoint required) const {
   if (!isKnownStale(endpoint, required)) return 1;
   if (context_.settings.staleReadPolicy == StaleReadPolicy::Serve) return std::nullopt;
-  const Time tolerated = context_.now - required;
+  const Duration tolerated = context_.now - required;
   double fresh = 0;
   double observed = 0;
   for (const PositionLag& lag : endpoint.positionLags) {
--- a/src/balancer/consistency.hpp
+++ b/src/balancer/consistency.hpp
@@ -14,17 +14,17 @@
   ConsistencyPolicy(const Context& context, EndpointTable& table);
 
   /// The instant that an endpoint's data must reach if the request is sent now; never: any data will do.
-  Time requiredPosition(const PendingRequest& pending) const;
+  TimePoint requiredPosition(const PendingRequest& pending) const;
   void setRequiredCommit(PendingRequest& pending);
   void recordCommit(const PendingRequest& pending, const AttemptOutcome& outcome);
 
   /// Whether the endpoint's known position falls short of the required one.
-  bool isKnownStale(const Endpoint& endpoint, Time required) const;
+  bool isKnownStale(const Endpoint& endpoint, TimePoint required) const;
   /// The staleness factor of the paper: the share of recent position samples that were new enough, 1 where
   /// the position proves it. Nothing: the endpoint would answer from old data, so that only a proof will do.
-  std::optional<double> freshnessProbability(const Endpoint& endpoint, Time required) const;
+  std::optional<double> freshnessProbability(const Endpoint& endpoint, TimePoint required) const;
   /// The tightest bound on staleness of any class; 1 s where there is none.
-  Time tightestStaleness() const { return tightestStaleness_; }
+  Duration tightestStaleness() const { return tightestStaleness_; }
 
  private:
   void evictSessions();
@@ -32,7 +32,7 @@
   const Context& context_;
   EndpointTable& table_;
   SessionCommits commits_;
-  Time tightestStaleness_;
+  Duration tightestStaleness_;
 };
 
 }  // namespace stonebay::balancer
--- a/src/balancer/context.hpp
+++ b/src/balancer/context.hpp
@@ -16,7 +16,7 @@
   Settings settings;
   ActionSink& sink;
   SeededHash hash;
-  Time now{};
+  TimePoint now{};
 
   const ClassSettings& classOf(const PendingRequest& pending) const {
     return settings.classes[index(pending.request.classIndex)];
--- a/src/balancer/core.cpp
+++ b/src/balancer/core.cpp
@@ -29,7 +29,7 @@
   balancer::validate(settings);
 }
 
-LoadBalancer::Core& LoadBalancer::Core::at(Time now) {
+LoadBalancer::Core& LoadBalancer::Core::at(TimePoint now) {
   context_.now = now;
   return *this;
 }
@@ -54,7 +54,7 @@
   const bool isKnownClass =
       request.classIndex >= 0 && index(request.classIndex) < context_.settings.classes.size();
   if (!isKnownClass) {
-    context_.sink.reject(request.id, Time(0));
+    context_.sink.reject(request.id, Duration(0));
     return;
   }
   admission_.recordArrival(request.classIndex);
@@ -116,7 +116,7 @@
   const PendingRequest* const pending = findPending(id);
   const Endpoint* const endpoint = table_.find(to);
   if (!pending || !endpoint || !table_.isRoutable(*endpoint)) return false;
-  const Time required = consistency_.requiredPosition(*pending);
+  const TimePoint required = consistency_.requiredPosition(*pending);
   return consistency_.freshnessProbability(*endpoint, required).has_value();
 }
 
@@ -159,7 +159,7 @@
   context_.sink.send(request.id, endpoint.info.id, request.deadline);
 }
 
-void LoadBalancer::Core::wait(PendingRequest& pending, Time limit) {
+void LoadBalancer::Core::wait(PendingRequest& pending, Duration limit) {
   if (pending.waiting) return;
   pending.waiting = true;
   context_.sink.scheduleTimer(limit, {TimerKind::Wake, pending.request.id});
@@ -243,7 +243,7 @@
 void LoadBalancer::Core::scheduleTick() {
   if (tickScheduled_) return;
   tickScheduled_ = true;
-  const Time interval = std::max(context_.settings.timeStep, balancer::kTickInterval);
+  const Duration interval = std::max(context_.settings.timeStep, balancer::kTickInterval);
   context_.sink.scheduleTimer(interval, {TimerKind::Tick, 0});
 }
 
--- a/src/balancer/core.hpp
+++ b/src/balancer/core.hpp
@@ -20,7 +20,7 @@
   Core& operator=(const Core&) = delete;
 
   /// Sets the present of the event that follows.
-  Core& at(Time now);
+  Core& at(TimePoint now);
 
   void onEndpointList(EndpointListKind kind, const std::vector<EndpointUpdate>& updates);
   void onRequest(const Request& request);
@@ -31,7 +31,7 @@
   void onGossip(const GossipMessage& message);
   bool isStillEligible(RequestId id, EndpointId to);
   std::vector<EndpointId> removeDeparted() { return table_.removeDeparted(); }
-  void setPositionEpoch(Time epoch) { context_.settings.positionEpoch = epoch; }
+  void setPositionEpoch(TimePoint epoch) { context_.settings.positionEpoch = epoch; }
 
  private:
   using PendingRequest = balancer::PendingRequest;
@@ -43,7 +43,7 @@
   void advance(PendingRequest& pending);
   void send(PendingRequest& pending, Endpoint& endpoint);
   /// Until something changes in the group, for `limit` at most.
-  void wait(PendingRequest& pending, Time limit);
+  void wait(PendingRequest& pending, Duration limit);
   void serveWaiting(balancer::ReplicaGroup& group);
   void onWaitOver(RequestId id);
   void giveUp(PendingRequest& pending);
--- a/src/balancer/discovery_polling.cpp
+++ b/src/balancer/discovery_polling.cpp
@@ -17,7 +17,7 @@
   if (kind != EndpointListKind::Failed) backoff_ = jitter();
   if (!polling_) return;
   schedule(backoff_);
-  const Time longest = std::max(context_.settings.maxPollInterval / 4, kMinPollBackoff);
+  const Duration longest = std::max(context_.settings.maxPollInterval / 4, kMinPollBackoff);
   backoff_ = std::min({2 * backoff_, longest, kMaxPollBackoff});
 }
 
@@ -25,22 +25,22 @@
   if (polling_ && generation == generation_) poll();
 }
 
-Time DiscoveryPoller::jitter() const {
-  return std::clamp<Time>(context_.settings.proxyCount * kPollJitterPerProxy, kMinPollBackoff,
-                          kMaxPollBackoff);
+Duration DiscoveryPoller::jitter() const {
+  return std::clamp<Duration>(context_.settings.proxyCount * kPollJitterPerProxy, kMinPollBackoff,
+                              kMaxPollBackoff);
 }
 
-void DiscoveryPoller::schedule(Time longest) {
+void DiscoveryPoller::schedule(Duration longest) {
   polling_ = true;
   ++generation_;
-  const Time delay = scaled(longest, 0.5 + context_.hash.fraction(generation_) / 2);
+  const Duration delay = scaled(longest, 0.5 + context_.hash.fraction(generation_) / 2);
   context_.sink.scheduleTimer(delay, {TimerKind::Poll, generation_});
 }
 
 void DiscoveryPoller::poll() {
   polling_ = true;
   context_.sink.pollDiscovery();
-  if (context_.settings.maxPollInterval <= Time(0)) return;
+  if (context_.settings.maxPollInterval <= Duration(0)) return;
   ++generation_;
   context_.sink.scheduleTimer(context_.settings.maxPollInterval / 2, {TimerKind::Poll, generation_});
 }
--- a/src/balancer/discovery_polling.hpp
+++ b/src/balancer/discovery_polling.hpp
@@ -22,13 +22,13 @@
   void onTimer(std::uint64_t generation);
 
  private:
-  Time jitter() const;
-  void schedule(Time longest);
+  Duration jitter() const;
+  void schedule(Duration longest);
   void poll();
 
   const Context& context_;
   bool polling_ = false;
-  Time backoff_ = kMinPollBackoff;
+  Duration backoff_ = kMinPollBackoff;
   std::uint64_t generation_ = 0;
 };
 
--- a/src/balancer/duration_math.hpp
+++ b/src/balancer/duration_math.hpp
@@ -14,13 +14,13 @@
 inline std::size_t index(int number) { return static_cast<std::size_t>(number); }
 
 /// How many times `divisor` goes into `dividend`.
-inline double ratio(Time dividend, Time divisor) {
+inline double ratio(Duration dividend, Duration divisor) {
   return static_cast<double>(dividend.count()) / static_cast<double>(divisor.count());
 }
 
 /// The duration times the factor, rounded towards zero.
-inline Time scaled(Time duration, double factor) {
-  return Time(static_cast<std::int64_t>(static_cast<double>(duration.count()) * factor));
+inline Duration scaled(Duration duration, double factor) {
+  return Duration(static_cast<std::int64_t>(static_cast<double>(duration.count()) * factor));
 }
 
 /// An average that follows its values: each moves it by `weight` of the difference. 0: no value has come.
--- a/src/balancer/endpoint_table.cpp
+++ b/src/balancer/endpoint_table.cpp
@@ -28,11 +28,11 @@
 }
 
 bool EndpointTable::hasFreshLoadReport(const Endpoint& endpoint) const {
-  const Time reportedAt = endpoint.load.reportedAt;
+  const TimePoint reportedAt = endpoint.load.reportedAt;
   return reportedAt != never && context_.now - reportedAt < kMaxLoadReportAge;
 }
 
-void EndpointTable::observeRole(Endpoint& endpoint, Role role, Time observedAt) {
+void EndpointTable::observeRole(Endpoint& endpoint, Role role, TimePoint observedAt) {
   if (observedAt < endpoint.roleObservedAt) return;
   ReplicaGroup& group = groupOf(endpoint);
   const bool wasPrimary = group.primary == endpoint.info.id;
@@ -47,20 +47,21 @@
   endpoint.roleObservedAt = observedAt;
 }
 
-void EndpointTable::observePosition(Endpoint& endpoint, Time position) {
+void EndpointTable::observePosition(Endpoint& endpoint, TimePoint position) {
   endpoint.position = std::max(endpoint.position, position);
   endpoint.positionLags.push({context_.now, context_.now - endpoint.position});
 }
 
 void EndpointTable::observeOutcome(Endpoint& endpoint, const AttemptOutcome& outcome, bool isWrite) {
-  constexpr Time kRounding = milliseconds(1);  // positions are whole milliseconds; a commit was rounded up
+  constexpr Duration kRounding =
+      milliseconds(1);  // positions are whole milliseconds; a commit was rounded up
   const AttemptStatus status = outcome.status;
   const bool isAnswer =
       status == AttemptStatus::Ok || status == AttemptStatus::TooStale || status == AttemptStatus::Rejected;
   const bool knowsRole = outcome.role != Role::Unknown && (isAnswer || status == AttemptStatus::Error);
   if (knowsRole) observeRole(endpoint, outcome.role, context_.now);
   if (outcome.position && *outcome.position <= context_.now + kRounding) {
-    const Time proven = isWrite ? *outcome.position - kRounding : *outcome.position;
+    const TimePoint proven = isWrite ? *outcome.position - kRounding : *outcome.position;
     observePosition(endpoint, std::min(context_.now, proven));
   }
   if (!isAnswer) return;
@@ -92,7 +93,7 @@
   endpoint.info = update;
   if (restarted) {
     endpoint.forgetFormerProcess();
-    const Time startedAt = std::min(update.started, context_.now);
+    const TimePoint startedAt = std::min(update.started, context_.now);
     if (wasKnown) observeRole(endpoint, Role::Unknown, std::max(endpoint.roleObservedAt, startedAt));
   }
   if (update.state != Lifecycle::Gone)
@@ -122,7 +123,7 @@
   const bool listsRoles = context_.settings.listedRole != ListedRole::Never;
   if (!listsRoles || !endpoint.info.primary || endpoint.roleObservedAt != never || group.primary != 0) return;
   group.primary = endpoint.info.id;
-  endpoint.roleObservedAt = Time(0);
+  endpoint.roleObservedAt = TimePoint();
 }
 
 bool EndpointTable::isForgettable(const Endpoint& endpoint) const {
--- a/src/balancer/endpoint_table.hpp
+++ b/src/balancer/endpoint_table.hpp
@@ -39,8 +39,8 @@
   bool hasFreshLoadReport(const Endpoint& endpoint) const;
 
   /// The newest evidence of a role wins, however it came. A report is as old as the position in it.
-  void observeRole(Endpoint& endpoint, Role role, Time observedAt);
-  void observePosition(Endpoint& endpoint, Time position);
+  void observeRole(Endpoint& endpoint, Role role, TimePoint observedAt);
+  void observePosition(Endpoint& endpoint, TimePoint position);
   /// What the end of an attempt says of its endpoint's role and position, and when it answered.
   void observeOutcome(Endpoint& endpoint, const AttemptOutcome& outcome, bool isWrite);
   void recordFault(const Endpoint& endpoint) { groupOf(endpoint).lastFaultAt = context_.now; }
--- a/src/balancer/gossip_policy.cpp
+++ b/src/balancer/gossip_policy.cpp
@@ -19,8 +19,10 @@
 
 bool GossipPolicy::mayBroadcast(const Endpoint& endpoint) const {
   if (!context_.settings.gossipAllowed) return false;
-  const auto isOver = [&](Time since, Time pause) { return since == never || context_.now - since >= pause; };
-  const Time ownPause = kBroadcastInterval * context_.settings.proxyCount / 2;
+  const auto isOver = [&](TimePoint since, Duration pause) {
+    return since == never || context_.now - since >= pause;
+  };
+  const Duration ownPause = kBroadcastInterval * context_.settings.proxyCount / 2;
   return isOver(endpoint.broadcast.last, kBroadcastInterval) && isOver(endpoint.broadcast.lastOwn, ownPause);
 }
 
--- a/src/balancer/health_checker.cpp
+++ b/src/balancer/health_checker.cpp
@@ -23,7 +23,7 @@
     return false;
   const bool isWrite = context_.isWrite(pending);
   if (!loadIsReported_ && !isWrite) return true;
-  const Time maxAge = isWrite ? context_.classOf(pending).latencyObjective : kMaxLoadReportAge;
+  const Duration maxAge = isWrite ? context_.classOf(pending).latencyObjective : kMaxLoadReportAge;
   return endpoint.lastResponseAt != never && context_.now - endpoint.lastResponseAt < maxAge;
 }
 
@@ -38,7 +38,7 @@
   const auto isKnown = [&](const Endpoint* endpoint) { return hasRecentEvidence(pending, *endpoint); };
   if (std::any_of(next.begin(), next.end(), isKnown)) return false;
   next.resize(std::min(next.size(), kHealthChecksPerSend));
-  const Time interval = loadIsReported_ ? kTickInterval : consistency_.tightestStaleness() / 4;
+  const Duration interval = loadIsReported_ ? kTickInterval : consistency_.tightestStaleness() / 4;
   for (Endpoint* endpoint : next) {
     const HealthCheck& last = endpoint->healthCheck;
     const bool isDue = last.sentAt == never || context_.now - last.sentAt >= interval;
@@ -48,15 +48,15 @@
   return pending.healthChecksSent;
 }
 
-Time HealthChecker::waitLimit(const PendingRequest& pending) const {
-  const Time objective = context_.classOf(pending).latencyObjective;
+Duration HealthChecker::waitLimit(const PendingRequest& pending) const {
+  const Duration objective = context_.classOf(pending).latencyObjective;
   return std::max(context_.settings.timeStep, objective / kHealthCheckWaitDivisor);
 }
 
 void HealthChecker::recordAnswer(Endpoint& endpoint) const {
   endpoint.lastResponseAt = context_.now;
   // Guards against checking the same lagging endpoints for ever: a check in vain counts as use.
-  const Time tolerated = context_.now - consistency_.tightestStaleness();
+  const TimePoint tolerated = context_.now - consistency_.tightestStaleness();
   if (endpoint.position < tolerated) endpoint.lastUsedAt = context_.now;
 }
 
--- a/src/balancer/health_checker.hpp
+++ b/src/balancer/health_checker.hpp
@@ -20,7 +20,7 @@
   /// are outdated, loads and failures that nobody has reported. Checks the endpoints that are next in turn.
   /// True: the request has to wait for the answers, for waitLimit at most.
   bool checkBeforeSend(PendingRequest& pending, std::vector<Endpoint*> next);
-  Time waitLimit(const PendingRequest& pending) const;
+  Duration waitLimit(const PendingRequest& pending) const;
   void recordAnswer(Endpoint& endpoint) const;
   /// Whether requests that wait may be served: a choice by load wants all answers that may still come in
   /// time.
--- a/src/balancer/latency_model.cpp
+++ b/src/balancer/latency_model.cpp
@@ -7,8 +7,8 @@
 
 namespace stonebay::balancer {
 
-Time LatencyModel::meanLatency(int classIndex) const {
-  return Time(static_cast<std::int64_t>(classes_[index(classIndex)].mean));
+Duration LatencyModel::meanLatency(int classIndex) const {
+  return Duration(static_cast<std::int64_t>(classes_[index(classIndex)].mean));
 }
 
 double LatencyModel::costShare(int classIndex) const {
@@ -22,14 +22,14 @@
   return own > 0 ? std::min(1.0, total / observed / own) : 1.0;
 }
 
-Time LatencyModel::silenceTimeout(int classIndex) const {
-  const Time mean = meanLatency(classIndex);
-  if (mean > Time(0)) return scaled(mean, kSilenceFactor);
+Duration LatencyModel::silenceTimeout(int classIndex) const {
+  const Duration mean = meanLatency(classIndex);
+  if (mean > Duration(0)) return scaled(mean, kSilenceFactor);
   return context_.settings.classes[index(classIndex)].latencyObjective;
 }
 
 bool LatencyModel::isPresumedLost(const Endpoint& endpoint, const InFlightAttempt& attempt) const {
-  const Time age = context_.now - attempt.sentAt;
+  const Duration age = context_.now - attempt.sentAt;
   const bool overdue = age > silenceTimeout(attempt.classIndex);
   return overdue && endpoint.latestAnsweredSentAt > attempt.sentAt + age / 2;
 }
@@ -84,7 +84,7 @@
 
 void LatencyModel::recordFailure(Endpoint& endpoint, const InFlightAttempt& attempt, AttemptStatus status) {
   const bool byLoad = status == AttemptStatus::Timeout && !isPresumedLost(endpoint, attempt);
-  const Time deadline = context_.settings.classes[index(attempt.classIndex)].deadline;
+  const Duration deadline = context_.settings.classes[index(attempt.classIndex)].deadline;
   addSample(endpoint, attempt, byLoad ? static_cast<double>(deadline.count()) : kNeverAnswered);
 }
 
@@ -95,7 +95,7 @@
 }
 
 LatencyEstimate LatencyModel::estimate(const Endpoint& endpoint, const LatencyWindow& samples, int classIndex,
-                                       Time budget, MissScope scope) const {
+                                       Duration budget, MissScope scope) const {
   const double load = std::max(kEndpointConcurrency, loadOf(endpoint) + 1.0);
   const auto limit = static_cast<double>(budget.count());
   MissTally tally(limit);
--- a/src/balancer/latency_model.hpp
+++ b/src/balancer/latency_model.hpp
@@ -26,14 +26,14 @@
       : context_(context), table_(table), slowStart_(slowStart), classes_(context.settings.classes.size()) {}
 
   /// Of a class of requests, smoothed; 0: not observed yet.
-  Time meanLatency(int classIndex) const;
+  Duration meanLatency(int classIndex) const;
   /// The low latency of a class, microseconds; 0: not observed yet.
   double baselineLatency(int classIndex) const { return classes_[index(classIndex)].baseline; }
   /// The mean latency of all classes as a share of this one's, at most 1: the part of a request count that a
   /// class of heavy requests may use.
   double costShare(int classIndex) const;
   /// No answer for so long is a symptom.
-  Time silenceTimeout(int classIndex) const;
+  Duration silenceTimeout(int classIndex) const;
   /// Whether an attempt is lost rather than queued: it is out for far longer than usual, and what was sent in
   /// the younger half of its age has been answered already. Such attempts say nothing of an endpoint's load.
   bool isPresumedLost(const Endpoint& endpoint, const InFlightAttempt& attempt) const;
@@ -55,7 +55,7 @@
   /// stands in where the window is thin. Attempts that are out for longer than the budget count as misses
   /// already: an endpoint that hangs keeps its good samples, its silence is the evidence.
   LatencyEstimate estimate(const Endpoint& endpoint, const LatencyWindow& samples, int classIndex,
-                           Time budget, MissScope scope) const;
+                           Duration budget, MissScope scope) const;
 
  private:
   struct ClassLatency {
--- a/src/balancer/load_balancer.cpp
+++ b/src/balancer/load_balancer.cpp
@@ -9,24 +9,26 @@
 LoadBalancer::~LoadBalancer() = default;
 LoadBalancer::LoadBalancer(LoadBalancer&&) noexcept = default;
 
-void LoadBalancer::onEndpointList(Time now, EndpointListKind kind,
+void LoadBalancer::onEndpointList(TimePoint now, EndpointListKind kind,
                                   const std::vector<EndpointUpdate>& updates) {
   core_->at(now).onEndpointList(kind, updates);
 }
-void LoadBalancer::onRequest(Time now, const Request& request) { core_->at(now).onRequest(request); }
-void LoadBalancer::onAttemptOutcome(Time now, const AttemptOutcome& outcome) {
+void LoadBalancer::onRequest(TimePoint now, const Request& request) { core_->at(now).onRequest(request); }
+void LoadBalancer::onAttemptOutcome(TimePoint now, const AttemptOutcome& outcome) {
   core_->at(now).onAttemptOutcome(outcome);
 }
-void LoadBalancer::onClientLeft(Time now, RequestId id) { core_->at(now).onClientLeft(id); }
-void LoadBalancer::onHealthCheck(Time now, const HealthCheckResult& result) {
+void LoadBalancer::onClientLeft(TimePoint now, RequestId id) { core_->at(now).onClientLeft(id); }
+void LoadBalancer::onHealthCheck(TimePoint now, const HealthCheckResult& result) {
   core_->at(now).onHealthCheck(result);
 }
-void LoadBalancer::onTimer(Time now, TimerToken token) { core_->at(now).onTimer(token); }
-void LoadBalancer::onGossip(Time now, const GossipMessage& message) { core_->at(now).onGossip(message); }
-bool LoadBalancer::isStillEligible(Time now, RequestId id, EndpointId to) {
+void LoadBalancer::onTimer(TimePoint now, TimerToken token) { core_->at(now).onTimer(token); }
+void LoadBalancer::onGossip(TimePoint now, const GossipMessage& message) { core_->at(now).onGossip(message); }
+bool LoadBalancer::isStillEligible(TimePoint now, RequestId id, EndpointId to) {
   return core_->at(now).isStillEligible(id, to);
 }
-std::vector<EndpointId> LoadBalancer::removeDeparted(Time now) { return core_->at(now).removeDeparted(); }
-void LoadBalancer::setPositionEpoch(Time epoch) { core_->setPositionEpoch(epoch); }
+std::vector<EndpointId> LoadBalancer::removeDeparted(TimePoint now) {
+  return core_->at(now).removeDeparted();
+}
+void LoadBalancer::setPositionEpoch(TimePoint epoch) { core_->setPositionEpoch(epoch); }
 
 }  // namespace stonebay
--- a/src/balancer/load_report.cpp
+++ b/src/balancer/load_report.cpp
@@ -11,10 +11,10 @@
 constexpr float kMaxInFlight = 1e6F;
 constexpr double kMicrosecondsPerSecond = 1e6;
 
-std::optional<Time> decodePosition(float seconds, Time epoch) {
+std::optional<TimePoint> decodePosition(float seconds, TimePoint epoch) {
   if (!(seconds > 0 && seconds < kMaxPositionSeconds)) return std::nullopt;
   const auto proven = static_cast<double>(std::nextafterf(seconds, 0.0F));
-  return epoch + Time(static_cast<std::int64_t>(std::floor(proven * kMicrosecondsPerSecond)));
+  return epoch + Duration(static_cast<std::int64_t>(std::floor(proven * kMicrosecondsPerSecond)));
 }
 
 }  // namespace
--- a/src/balancer/load_report.hpp
+++ b/src/balancer/load_report.hpp
@@ -10,7 +10,7 @@
 
 /// What an endpoint says of itself.
 struct LoadReport {
-  std::optional<Time> position;  ///< proven: it has applied all commits up to here
+  std::optional<TimePoint> position;  ///< proven: it has applied all commits up to here
   Role role = Role::Unknown;
   std::optional<int> inFlight;  ///< requests that it holds
 };
--- a/src/balancer/outlier_detection.cpp
+++ b/src/balancer/outlier_detection.cpp
@@ -6,7 +6,7 @@
 
 bool OutlierDetector::isHealthy(const Endpoint& endpoint) const {
   if (endpoint.healthCheck.pending && !healthChecker_.isAwaited(endpoint)) return false;
-  const Time until = endpoint.ejection.until;
+  const TimePoint until = endpoint.ejection.until;
   if (until == never) return true;
   if (context_.now < until) return false;
   return std::none_of(endpoint.inFlight.begin(), endpoint.inFlight.end(),
@@ -66,10 +66,10 @@
 }
 
 bool OutlierDetector::detectSilence(Endpoint& endpoint, const InFlightAttempt& attempt) {
-  const Time due = attempt.sentAt + latencies_.silenceTimeout(attempt.classIndex);
+  const TimePoint due = attempt.sentAt + latencies_.silenceTimeout(attempt.classIndex);
   if (endpoint.lastAnswerAt >= attempt.sentAt || context_.now < due) return false;
   const bool canCheck = context_.canCheckHealth();
-  const Time until = endpoint.ejection.until;
+  const TimePoint until = endpoint.ejection.until;
   const bool sentBeforeEjection = until != never && attempt.sentAt < until;
   const bool isSilent = endpoint.lastResponseAt < due;
   if (!sentBeforeEjection && !canCheck) eject(endpoint, false);
--- a/src/balancer/replica_selection.cpp
+++ b/src/balancer/replica_selection.cpp
@@ -63,8 +63,8 @@
 ReplicaSelector::Candidate ReplicaSelector::evaluate(const PendingRequest& pending, Endpoint& endpoint,
                                                      double freshness) const {
   const int classIndex = pending.request.classIndex;
-  Time budget = pending.arrivedAt + context_.classOf(pending).latencyObjective - context_.now;
-  if (budget <= Time(0)) budget = std::max(pending.request.deadline - context_.now, Time(1));
+  Duration budget = pending.arrivedAt + context_.classOf(pending).latencyObjective - context_.now;
+  if (budget <= Duration(0)) budget = std::max(pending.request.deadline - context_.now, Duration(1));
   const LatencyEstimate fresh =
       latencies_.estimate(endpoint, endpoint.freshSamples, classIndex, budget, MissScope::All);
   Candidate candidate{&endpoint, fresh.missProbability * freshness, fresh.expectedLatency};
@@ -79,7 +79,7 @@
 // Endpoints that are too loaded for the read are passed over: the next in turn may be idle.
 void ReplicaSelector::select(const PendingRequest& pending, Pool pool, ReadSet& set) {
   const ReplicaGroup& group = table_.group(pending.request.group);
-  const Time required = consistency_.requiredPosition(pending);
+  const TimePoint required = consistency_.requiredPosition(pending);
   std::vector<Candidate> replicas;
   std::optional<Candidate> primary;
   for (Endpoint* endpoint : eligibleEndpoints(pending, pool)) {
--- a/src/balancer/retry_policy.hpp
+++ b/src/balancer/retry_policy.hpp
@@ -40,7 +40,7 @@
   EndpointTable& table_;
   TokenBudget retryBudget_{1};
   TokenBudget hedgingBudget_{0};
-  Time lastArrivalAt_{};
+  TimePoint lastArrivalAt_{};
 };
 
 }  // namespace stonebay::balancer
--- a/src/balancer/session_commits.hpp
+++ b/src/balancer/session_commits.hpp
@@ -15,26 +15,26 @@
 class SessionCommits {
  public:
   /// The later of this commit and those recorded before stands for the session.
-  void record(std::uint64_t session, Time commit) {
-    Time& last = commits_[session];
+  void record(std::uint64_t session, TimePoint commit) {
+    TimePoint& last = commits_[session];
     last = std::max(last, commit);
   }
-  std::optional<Time> find(std::uint64_t session) const {
+  std::optional<TimePoint> find(std::uint64_t session) const {
     const auto it = commits_.find(session);
     if (it == commits_.end()) return std::nullopt;
     return it->second;
   }
   std::size_t size() const { return commits_.size(); }
   /// Forgets all sessions; the latest of their commits, or 0 where there are none.
-  Time evictAll() {
-    Time latest{};
+  TimePoint evictAll() {
+    TimePoint latest{};
     for (const auto& [session, commit] : commits_) latest = std::max(latest, commit);
     commits_.clear();
     return latest;
   }
 
  private:
-  std::unordered_map<std::uint64_t, Time> commits_;
+  std::unordered_map<std::uint64_t, TimePoint> commits_;
 };
 
 }  // namespace stonebay::balancer
--- a/src/balancer/slow_start.cpp
+++ b/src/balancer/slow_start.cpp
@@ -6,8 +6,8 @@
 
 double SlowStart::warmUpCapacity(const Endpoint& endpoint) const {
   const Settings& settings = context_.settings;
-  const Time age = std::max(context_.now - endpoint.info.started, Time(0));
-  if (endpoint.info.started == Time(0) || age >= settings.slowStartWindow) return 1;
+  const Duration age = std::max(context_.now - endpoint.info.started, Duration(0));
+  if (endpoint.info.started == TimePoint() || age >= settings.slowStartWindow) return 1;
   return settings.initialCapacity + (1 - settings.initialCapacity) * ratio(age, settings.slowStartWindow);
 }
 
--- a/src/balancer/state.hpp
+++ b/src/balancer/state.hpp
@@ -11,14 +11,14 @@
 namespace stonebay::balancer {
 
 /// An instant that has not come.
-constexpr Time never{-1};
+constexpr TimePoint never{Duration(-1)};
 
 /// The latency of one attempt.
 struct LatencySample {
   double latency;  ///< microseconds; infinite: never answered
   int classIndex;
-  double load;  ///< requests at the endpoint when the attempt was sent
-  Time at;      ///< when it ended
+  double load;   ///< requests at the endpoint when the attempt was sent
+  TimePoint at;  ///< when it ended
 };
 
 using LatencyWindow = FixedWindow<LatencySample, kLatencyWindowSize>;
@@ -29,57 +29,57 @@
   int attempt;
   int classIndex;
   double load;  ///< requests at the endpoint when it was sent
-  Time sentAt;
+  TimePoint sentAt;
   bool knownStale;  ///< the endpoint's known position was older than the request requires
 };
 
 /// How old an endpoint's data was at some instant.
 struct PositionLag {
-  Time observedAt;
-  Time age;
+  TimePoint observedAt;
+  Duration age;
 };
 
 /// Whether an endpoint is ejected; owned by OutlierDetector.
 struct Ejection {
   int consecutiveFailures = 0;
-  Time until = never;  ///< ejected until then, afterwards one trial request at a time
-  Time backoff{};
+  TimePoint until = never;  ///< ejected until then, afterwards one trial request at a time
+  Duration backoff{};
   bool failingFast = false;  ///< ejected for errors alone: it answers
 };
 
 /// The health check of an endpoint; owned by HealthChecker.
 struct HealthCheck {
   bool pending = false;
-  Time sentAt = never;
+  TimePoint sentAt = never;
 };
 
 /// The load that an endpoint reported.
 struct ReportedLoad {
   int inFlight = 0;
-  Time reportedAt = never;
+  TimePoint reportedAt = never;
 };
 
 /// When the proxies last heard of an endpoint by gossip; owned by GossipPolicy.
 struct BroadcastTimes {
-  Time last = never;     ///< from this proxy or another
-  Time lastOwn = never;  ///< from this one
+  TimePoint last = never;     ///< from this proxy or another
+  TimePoint lastOwn = never;  ///< from this one
 };
 
 /// An endpoint, and what is known of it.
 struct Endpoint {
   EndpointUpdate info;
   bool drainingObserved = false;
-  Time departedAt = never;      ///< when the list first lacked it
-  Time roleObservedAt = never;  ///< when the newest evidence of its role was true
-  Time position = never;        ///< it has applied all commits up to here; a lower bound that only grows
+  TimePoint departedAt = never;      ///< when the list first lacked it
+  TimePoint roleObservedAt = never;  ///< when the newest evidence of its role was true
+  TimePoint position = never;        ///< it has applied all commits up to here; a lower bound that only grows
   FixedWindow<PositionLag, kPositionWindowSize> positionLags;
   LatencyWindow freshSamples;  ///< of attempts that were not known stale
   LatencyWindow staleSamples;  ///< of those that were
   std::vector<InFlightAttempt> inFlight;
-  Time lastUsedAt = never;
-  Time lastAnswerAt = never;          ///< to a request
-  Time lastResponseAt = never;        ///< of any kind: answers to health checks and gossip included
-  Time latestAnsweredSentAt = never;  ///< when the youngest of the answered attempts was sent
+  TimePoint lastUsedAt = never;
+  TimePoint lastAnswerAt = never;          ///< to a request
+  TimePoint lastResponseAt = never;        ///< of any kind: answers to health checks and gossip included
+  TimePoint latestAnsweredSentAt = never;  ///< when the youngest of the answered attempts was sent
   Ejection ejection;
   HealthCheck healthCheck;
   ReportedLoad load;
@@ -98,11 +98,11 @@
 struct ReplicaGroup {
   std::vector<EndpointId> endpoints;  ///< ascending: the order in which writes look for a primary
   EndpointId primary = 0;             ///< 0: none known
-  Time lastFaultAt = never;
-  Time primaryWantedAt = never;
+  TimePoint lastFaultAt = never;
+  TimePoint primaryWantedAt = never;
   RequestId discoveryRequest = 0;   ///< the one write that looks for the primary; 0: none
   bool discoveryExhausted = false;  ///< it has tried all endpoints in vain
-  Time evictedCommit = never;       ///< sessions that are no longer remembered may have written until then
+  TimePoint evictedCommit = never;  ///< sessions that are no longer remembered may have written until then
   std::vector<RequestId> waiting;
 
   /// Nothing of it has to be kept.
@@ -114,7 +114,7 @@
 /// One attempt of a pending request.
 struct Attempt {
   EndpointId endpoint;
-  Time sentAt;
+  TimePoint sentAt;
   bool open = true;
   bool cancelled = false;
 };
@@ -122,14 +122,14 @@
 /// A request that is owed its final response.
 struct PendingRequest {
   Request request;
-  Time arrivedAt{};
-  Time requiredCommit = never;  ///< ReadYourWrites and Strong: data must reach this
+  TimePoint arrivedAt{};
+  TimePoint requiredCommit = never;  ///< ReadYourWrites and Strong: data must reach this
   std::vector<Attempt> attempts;
   std::vector<EndpointId> attemptedEndpoints;
   int outstandingAttempts = 0;
   bool reachedEndpoint = false;  ///< some endpoint has had it, whatever came of it
   bool maybeExecuted = false;    ///< some attempt may have run
-  Time maybeExecutedAt{};        ///< when the earliest such attempt was sent, and where
+  TimePoint maybeExecutedAt{};   ///< when the earliest such attempt was sent, and where
   EndpointId maybeExecutedOn = 0;
   bool waiting = false;
   bool healthChecksSent = false;  ///< for its next attempt
--- a/src/balancer/write_routing.cpp
+++ b/src/balancer/write_routing.cpp
@@ -55,7 +55,7 @@
   for (const EndpointId id : group.endpoints) {
     Endpoint& endpoint = table_.at(id);
     if (!table_.isRoutable(endpoint) || endpoint.healthCheck.pending) continue;
-    const Time lastContact = std::max(endpoint.healthCheck.sentAt, endpoint.lastResponseAt);
+    const TimePoint lastContact = std::max(endpoint.healthCheck.sentAt, endpoint.lastResponseAt);
     if (context_.now - lastContact >= kPrimaryDiscoveryInterval) healthChecker_.check(endpoint);
   }
 }
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -29,17 +29,17 @@
   std::string domain;                   ///< such as "ruwi.example.org"
   std::string service;                  ///< such as "_postgresql._tcp"
   std::vector<Address> servers;         ///< name servers, in the order in which they are tried
-  Time minRefresh{};                    ///< records are queried again after their TTL, but not before this
-  Time maxRefresh{};                    ///< and not after this
+  Duration minRefresh{};                ///< records are queried again after their TTL, but not before this
+  Duration maxRefresh{};                ///< and not after this
   double jitter = 0;                    ///< greatest share by which an interval is shortened at random
-  Time queryTimeout{};                  ///< of one query to one name server
+  Duration queryTimeout{};              ///< of one query to one name server
   double queriesPerSecond = 50;         ///< for the records of single instances that the answer lacks
   int udpPayload = 0;                   ///< EDNS0 payload size in bytes
   std::optional<GroupId> defaultGroup;  ///< of instances whose TXT record names none
   std::string defaultGroupName;         ///< the same as the file has it
-  Time maxListAge{};                    ///< the last list is used for so long without answers; 0: for ever
-  Time flapHalfLife{};                  ///< flap damping, see EndpointTrackerPolicy
-  Time maxSuppression{};
+  Duration maxListAge{};                ///< the last list is used for so long without answers; 0: for ever
+  Duration flapHalfLife{};              ///< flap damping, see EndpointTrackerPolicy
+  Duration maxSuppression{};
   double flapSuppress = 0;
   double flapReuse = 0;
   friend bool operator==(const DnsSdSettings& left, const DnsSdSettings& right);
@@ -63,8 +63,8 @@
   std::vector<std::string> classes;  ///< names, in the order of settings.classes
   std::vector<std::string> zones;
   std::vector<std::string> reportNames;  ///< in the order of settings.reportFields
-  Time connectTimeout{};
-  Time idleTimeout{};           ///< after which endpoints close idle connections
+  Duration connectTimeout{};
+  Duration idleTimeout{};       ///< after which endpoints close idle connections
   bool tracksSessions = false;  ///< some class reads its own writes
   Source source = Source::Registry;
   DnsSdSettings dnssd;  ///< Source::DnsSd
--- a/src/config/ini_config.cpp
+++ b/src/config/ini_config.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr std::int64_t kMaxGroupId = 65535;
-constexpr Time kTimeStep = std::chrono::milliseconds(5);
+constexpr Duration kTimeStep = std::chrono::milliseconds(5);
 
 ValueError unknownGroup(const std::string& text) {
   return {"'" + text + "' is neither a [group] nor a number up to " + std::to_string(kMaxGroupId),
@@ -66,10 +66,10 @@
   void checkClass(const IniSection& section, const ClassSettings& settings) {
     if (settings.deadline < settings.latencyObjective)
       reader_.addKeyError(section, "give_up", {"it is shorter than the aim", "make it at least the aim"});
-    if (settings.consistency == Consistency::BoundedStaleness && settings.maxStaleness == Time(0))
+    if (settings.consistency == Consistency::BoundedStaleness && settings.maxStaleness == Duration(0))
       reader_.addKeyError(section, "max_age",
                           {"data = bounded needs it", "say how old data may be, such as max_age = 200ms"});
-    if (settings.idempotency == Idempotency::IdempotencyKey && settings.deduplicationWindow == Time(0))
+    if (settings.idempotency == Idempotency::IdempotencyKey && settings.deduplicationWindow == Duration(0))
       reader_.addKeyError(section, "repeats_dropped_for",
                           {"repeats = keyed needs it", "say how long a key is known, such as 2s"});
     if (settings.consistency == Consistency::Write && settings.idempotency == Idempotency::Idempotent)
@@ -182,7 +182,7 @@
     settings.cancellationAllowed = true;
     settings.timeStep = kTimeStep;
     settings.discovery = config_.source == Source::Registry ? DiscoveryMode::Poll : DiscoveryMode::Push;
-    if (config_.source != Source::Registry) settings.maxPollInterval = Time(0);
+    if (config_.source != Source::Registry) settings.maxPollInterval = Duration(0);
     if (settings.reports == LoadReports::None) {
       settings.reportFields.clear();
       config_.reportNames.clear();
--- a/src/config/json_config.cpp
+++ b/src/config/json_config.cpp
@@ -174,14 +174,15 @@
   const std::string path = "settings.allowed.";
   const auto allowed = jsonField<element>(settings, "allowed", "settings.");
   config.connectTimeout =
-      Time(readInteger(allowed, "dialTimeoutUs", path, kMinConnectTimeoutUs, kMaxConnectTimeoutUs));
-  config.idleTimeout = Time(readInteger(allowed, "idleCloseUs", path, kMinIdleTimeoutUs, kMaxIdleTimeoutUs));
+      Duration(readInteger(allowed, "dialTimeoutUs", path, kMinConnectTimeoutUs, kMaxConnectTimeoutUs));
+  config.idleTimeout =
+      Duration(readInteger(allowed, "idleCloseUs", path, kMinIdleTimeoutUs, kMaxIdleTimeoutUs));
 }
 
 void checkSettings(const Settings& settings) {
   for (std::size_t i = 0; i < settings.classes.size(); ++i) {
     const ClassSettings& requestClass = settings.classes[i];
-    if (requestClass.latencyObjective <= Time(0) || requestClass.deadline < requestClass.latencyObjective)
+    if (requestClass.latencyObjective <= Duration(0) || requestClass.deadline < requestClass.latencyObjective)
       throw InvalidInput("key settings.classes[" + std::to_string(i) + "].promiseUs: 0 or past deadlineUs");
   }
   if (settings.initialCapacity <= 0 || settings.initialCapacity > 1)
--- a/src/config/setting_values.cpp
+++ b/src/config/setting_values.cpp
@@ -127,7 +127,7 @@
     {ValueKind::Text, "text", parseText},
     {ValueKind::Address, "address", parseAddressValue},
     {ValueKind::Addresses, "addresses", parseAddressList},
-    {ValueKind::Duration, "time", parsePlain<Time, parseDuration>},
+    {ValueKind::TimeSpan, "time", parsePlain<Duration, parseDuration>},
     {ValueKind::Size, "size", parsePlain<std::uint64_t, parseSize>},
     {ValueKind::Count, "whole number", parsePlain<std::int64_t, parseCount>},
     {ValueKind::Number, "number", parsePlain<double, parseNumber>},
@@ -146,7 +146,7 @@
 
 // A value as its bounds count it; a visitor of SettingValue. Kinds without bounds give 0.
 struct Magnitude {
-  double operator()(Time duration) const { return static_cast<double>(duration.count()); }
+  double operator()(Duration duration) const { return static_cast<double>(duration.count()); }
   double operator()(std::uint64_t number) const { return static_cast<double>(number); }
   double operator()(std::int64_t number) const { return static_cast<double>(number); }
   double operator()(double number) const { return number; }
@@ -171,7 +171,7 @@
 }
 
 std::string formatBound(ValueKind kind, double bound) {
-  if (kind == ValueKind::Duration) return formatDuration(Time(static_cast<std::int64_t>(bound)));
+  if (kind == ValueKind::TimeSpan) return formatDuration(Duration(static_cast<std::int64_t>(bound)));
   if (kind == ValueKind::Size) return formatSize(static_cast<std::uint64_t>(bound));
   std::ostringstream text;
   if (kind == ValueKind::Share)
--- a/src/config/settings_schema.hpp
+++ b/src/config/settings_schema.hpp
@@ -18,7 +18,7 @@
   Text,
   Address,    ///< IP address and port
   Addresses,  ///< the same, separated by commas
-  Duration,
+  TimeSpan,
   Size,    ///< of memory
   Count,   ///< integer
   Number,  ///< decimal number
@@ -32,7 +32,7 @@
 
 /// A parsed value: Text, Choice and Domain are strings, Size and Hex unsigned, Count signed, Number and Share
 /// doubles.
-using SettingValue = std::variant<std::string, Address, std::vector<Address>, Time, std::uint64_t,
+using SettingValue = std::variant<std::string, Address, std::vector<Address>, Duration, std::uint64_t,
                                   std::int64_t, double, bool, std::vector<std::string>>;
 
 /// What the keys of a section set: the Config itself, and what is made of the named section at hand.
--- a/src/discovery/dnssd/directory.hpp
+++ b/src/discovery/dnssd/directory.hpp
@@ -13,6 +13,7 @@
 #include "discovery/dnssd/instance_assembler.hpp"
 #include "discovery/dnssd/query_budget.hpp"
 #include "discovery/dnssd/record_cache.hpp"
+#include "util/clock.hpp"
 
 namespace stonebay {
 
--- a/src/discovery/dnssd/query_budget.hpp
+++ b/src/discovery/dnssd/query_budget.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "stonebay/load_balancer.hpp"
+#include "util/clock.hpp"
 
 namespace stonebay {
 
--- a/src/discovery/dnssd/record_cache.hpp
+++ b/src/discovery/dnssd/record_cache.hpp
@@ -10,6 +10,7 @@
 #include "codec/dns/message.hpp"
 #include "config/config.hpp"
 #include "discovery/dnssd/response.hpp"
+#include "util/clock.hpp"
 
 namespace stonebay {
 
--- a/src/discovery/registry/registry_watch.cpp
+++ b/src/discovery/registry/registry_watch.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "log/log.hpp"
+#include "util/clock.hpp"
 
 namespace stonebay {
 namespace {
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -12,13 +12,13 @@
 namespace stonebay {
 namespace {
 
-constexpr Time kDepartedRemovalInterval = std::chrono::seconds(1);
+constexpr Duration kDepartedRemovalInterval = std::chrono::seconds(1);
 
 }  // namespace
 
 Dispatcher::Dispatcher(event_base* base, const Config& config)
     : config_(config),
-      now_(clock_.now()),
+      now_(now()),
       epoch_(now_),
       wakeUp_(event_new(
           base, -1, 0, [](evutil_socket_t, short, void*) {}, nullptr)) {
@@ -42,7 +42,7 @@
   entry.handler = &handler;
   entry.message = std::make_shared<const ForwardedRequest>(std::move(message));
   entry.request = request;
-  entry.arrivedAt = clock_.now();
+  entry.arrivedAt = now();
   events_.emplace_back(RequestArrived{request});
   return request.id;
 }
@@ -75,7 +75,7 @@
 void Dispatcher::onListFailure(const std::string& /*why*/) { events_.emplace_back(EndpointListFailed{}); }
 
 void Dispatcher::processEvents() {
-  now_ = std::max(now_, clock_.now());
+  now_ = std::max(now_, now());
   if (epoch_.advance(now_)) balancer_->setPositionEpoch(epoch_.value());
   std::vector<DispatchEvent> events;
   events.swap(events_);
@@ -90,7 +90,7 @@
 
 // Without this the tables would grow for as long as endpoints are replaced, since each new one has a new
 // name.
-void Dispatcher::removeDeparted(Time now) {
+void Dispatcher::removeDeparted(TimePoint now) {
   now_ = std::max(now_, now);
   departedRemovedAt_ = now_;
   for (const EndpointId id : balancer_->removeDeparted(now_)) {
@@ -107,8 +107,8 @@
 }
 
 void Dispatcher::scheduleWakeUp() {
-  if (const std::optional<Time> due = timers_.nextDue())
-    startTimer(wakeUp_.get(), *due - clock_.now());
+  if (const std::optional<TimePoint> due = timers_.nextDue())
+    startTimer(wakeUp_.get(), *due - now());
   else
     event_del(wakeUp_.get());
 }
@@ -152,7 +152,7 @@
 void Dispatcher::respond(InFlightRequests::iterator entry, AttemptResult& result) {
   const InFlightRequest& request = entry->second;
   const auto classIndex = static_cast<std::size_t>(request.request.classIndex);
-  const Time latencyObjective = config_.settings.classes[classIndex].latencyObjective;
+  const Duration latencyObjective = config_.settings.classes[classIndex].latencyObjective;
   if (result.invalidStatement)
     logRequestEnd(request, RequestEnd::Failed, now_, config_, ids_);
   else if (now_ - request.arrivedAt > latencyObjective)
@@ -220,7 +220,7 @@
 
 // ---- decisions -------------------------------------------------------------------------------------------
 
-void Dispatcher::send(RequestId id, EndpointId endpoint, Time until) {
+void Dispatcher::send(RequestId id, EndpointId endpoint, TimePoint until) {
   const auto it = inFlight_.find(id);
   if (it == inFlight_.end()) return;
   InFlightRequest& request = it->second;
@@ -233,7 +233,7 @@
   });
 }
 
-void Dispatcher::reject(RequestId id, Time retryAfter) {
+void Dispatcher::reject(RequestId id, Duration retryAfter) {
   finish(id, RequestEnd::Rejected,
          [retryAfter](ResponseHandler& handler) { handler.onRejected(retryAfter); });
 }
@@ -256,7 +256,7 @@
   actions_.emplace_back([this, id, attempt] { endpoints_->cancel(id, attempt); });
 }
 
-void Dispatcher::scheduleTimer(Time in, TimerToken token) { timers_.schedule(now_ + in, token); }
+void Dispatcher::scheduleTimer(Duration in, TimerToken token) { timers_.schedule(now_ + in, token); }
 
 void Dispatcher::checkHealth(EndpointId endpoint) {
   actions_.emplace_back([this, endpoint] { endpoints_->checkHealth(endpoint); });
--- a/src/dispatch/dispatcher.hpp
+++ b/src/dispatch/dispatcher.hpp
@@ -68,8 +68,8 @@
   /// decisions.
   void processEvents();
   /// Drops the endpoints that have been gone and idle for long. processEvents() does so from time to time.
-  void removeDeparted(Time now);
-  Time now() const { return clock_.now(); }
+  void removeDeparted(TimePoint now);
+  TimePoint now() const { return TimePoint(clock_.now()); }
   const Clock& clock() const { return clock_; }
 
  private:
@@ -94,11 +94,11 @@
   void scheduleWakeUp();
 
   // Decisions of the LoadBalancer: recorded, and carried out at the end of the batch.
-  void send(RequestId id, EndpointId endpoint, Time until) override;
-  void reject(RequestId id, Time retryAfter) override;
+  void send(RequestId id, EndpointId endpoint, TimePoint until) override;
+  void reject(RequestId id, Duration retryAfter) override;
   void fail(RequestId id) override;
   void cancel(RequestId id, int attempt) override;
-  void scheduleTimer(Time in, TimerToken token) override;
+  void scheduleTimer(Duration in, TimerToken token) override;
   void checkHealth(EndpointId endpoint) override;
   void broadcast(const GossipMessage& message) override;
   void pollDiscovery() override;
@@ -106,7 +106,7 @@
 
   const Config& config_;
   Clock clock_;
-  Time now_;  // of this batch
+  TimePoint now_;  // of this batch
   PositionEpoch epoch_;
   EndpointPool* endpoints_ = nullptr;
   EndpointWatcher* watcher_ = nullptr;
@@ -118,7 +118,7 @@
   EndpointIds ids_;
   std::uint64_t generation_ = 0;
   RequestId lastRequestId_ = 0;
-  Time departedRemovedAt_{};
+  TimePoint departedRemovedAt_{};
   TimerQueue timers_;
   Event wakeUp_;  // ends a pass of the event loop when the next timer is due
   std::unique_ptr<LoadBalancer> balancer_;
--- a/src/dispatch/endpoint_pool.hpp
+++ b/src/dispatch/endpoint_pool.hpp
@@ -19,7 +19,7 @@
   /// Adds an endpoint or changes it. `ready` false: it gets no new requests.
   virtual void updateEndpoint(EndpointId id, const Address& address, bool ready) = 0;
   /// `until` 0: the attempt ends when it is cancelled.
-  virtual void send(RequestId id, int attempt, EndpointId endpoint, Time until,
+  virtual void send(RequestId id, int attempt, EndpointId endpoint, TimePoint until,
                     std::shared_ptr<const ForwardedRequest> request) = 0;
   /// Answers Dispatcher::onConnected. `eligible` false: the attempt must not be sent any more.
   virtual void resumeAttempt(RequestId id, int attempt, bool eligible) = 0;
--- a/src/dispatch/in_flight_request.hpp
+++ b/src/dispatch/in_flight_request.hpp
@@ -14,8 +14,8 @@
 /// One attempt, for the request's log line.
 struct AttemptRecord {
   EndpointId endpoint = 0;
-  Time sentAt{};  ///< when the send was decided
-  Time endedAt{};
+  TimePoint sentAt{};  ///< when the send was decided
+  TimePoint endedAt{};
   std::optional<AttemptStatus> status{};  ///< nothing: the attempt has not ended
 };
 
@@ -23,7 +23,7 @@
   ResponseHandler* handler = nullptr;  ///< none: the client has left
   std::shared_ptr<const ForwardedRequest> message;
   Request request;
-  Time arrivedAt{};
+  TimePoint arrivedAt{};
   std::vector<AttemptRecord> attempts{};  ///< by the number of the attempt
 };
 
--- a/src/dispatch/position.cpp
+++ b/src/dispatch/position.cpp
@@ -8,10 +8,10 @@
 namespace {
 
 // How far the epoch is set before the present. Positions older than this count as unknown.
-constexpr Time kEpochLead = std::chrono::minutes(1);
+constexpr Duration kEpochLead = std::chrono::minutes(1);
 // How far the epoch may fall behind the present: at two hours an f32 of seconds still resolves half a
 // millisecond, and 4 x milliseconds overflow a u32 only after twelve days.
-constexpr Time kMaxEpochAge = std::chrono::hours(2);
+constexpr Duration kMaxEpochAge = std::chrono::hours(2);
 // Milliseconds after the epoch, from which a u32 could not hold four times as much.
 constexpr std::int64_t kMillisecondsLimit = std::int64_t{1} << 30;
 
@@ -19,32 +19,36 @@
 constexpr std::int64_t kMicrosecondsPerMillisecond = 1000;
 
 // Positions are whole milliseconds of Unix time. With any other epoch, rounding could make data look newer.
-Time toWholeMilliseconds(Time time) { return std::chrono::duration_cast<std::chrono::milliseconds>(time); }
+TimePoint toWholeMilliseconds(TimePoint time) {
+  return std::chrono::time_point_cast<std::chrono::milliseconds>(time);
+}
 
 }  // namespace
 
-float secondsSince(Time epoch, double unixSeconds) {
-  const double seconds = unixSeconds - static_cast<double>(epoch.count()) / kMicrosecondsPerSecond;
+float secondsSince(TimePoint epoch, double unixSeconds) {
+  const double seconds =
+      unixSeconds - static_cast<double>(epoch.time_since_epoch().count()) / kMicrosecondsPerSecond;
   const bool isAfterEpoch = seconds > 0;  // false for a NaN
   if (!isAfterEpoch) return 0;
   const auto nearest = static_cast<float>(seconds);
   return static_cast<double>(nearest) > seconds ? std::nextafterf(nearest, 0.0F) : nearest;
 }
 
-std::uint32_t millisecondsSince(Time epoch, std::int64_t unixMs) {
-  const std::int64_t ms = unixMs - epoch.count() / kMicrosecondsPerMillisecond;
+std::uint32_t millisecondsSince(TimePoint epoch, std::int64_t unixMs) {
+  const std::int64_t ms = unixMs - epoch.time_since_epoch().count() / kMicrosecondsPerMillisecond;
   return ms > 0 && ms < kMillisecondsLimit ? static_cast<std::uint32_t>(ms) : 0;
 }
 
-PositionEpoch::PositionEpoch(Time now) : value_(toWholeMilliseconds(std::max(now - kEpochLead, Time(0)))) {}
+PositionEpoch::PositionEpoch(TimePoint now)
+    : value_(toWholeMilliseconds(std::max(now - kEpochLead, TimePoint()))) {}
 
-bool PositionEpoch::advance(Time now) {
+bool PositionEpoch::advance(TimePoint now) {
   if (now - value_ < kMaxEpochAge) return false;
   value_ = toWholeMilliseconds(now - kEpochLead);
   return true;
 }
 
-std::optional<Time> PositionEpoch::position(std::int64_t unixMs) const {
+std::optional<TimePoint> PositionEpoch::position(std::int64_t unixMs) const {
   const std::uint32_t ms = millisecondsSince(value_, unixMs);
   if (ms == 0) return std::nullopt;
   return value_ + std::chrono::milliseconds(ms);
--- a/src/dispatch/position.hpp
+++ b/src/dispatch/position.hpp
@@ -10,10 +10,10 @@
 
 /// A Unix time in seconds as seconds after the epoch, 0 if it is not after it. Rounded down: data must not
 /// look newer than it is.
-float secondsSince(Time epoch, double unixSeconds);
+float secondsSince(TimePoint epoch, double unixSeconds);
 
 /// A Unix time in milliseconds as milliseconds after the epoch; 0 if it is not after it, or 2^30 or more.
-std::uint32_t millisecondsSince(Time epoch, std::int64_t unixMs);
+std::uint32_t millisecondsSince(TimePoint epoch, std::int64_t unixMs);
 
 /// The instant from which positions are measured, a whole millisecond.
 ///
@@ -21,16 +21,16 @@
 /// grows.
 class PositionEpoch {
  public:
-  explicit PositionEpoch(Time now);
+  explicit PositionEpoch(TimePoint now);
 
-  Time value() const { return value_; }
+  TimePoint value() const { return value_; }
   /// Moves the epoch when it has fallen too far behind; returns whether it moved.
-  bool advance(Time now);
+  bool advance(TimePoint now);
   /// The position as an instant; nothing if it was not reported or precedes the epoch.
-  std::optional<Time> position(std::int64_t unixMs) const;
+  std::optional<TimePoint> position(std::int64_t unixMs) const;
 
  private:
-  Time value_;
+  TimePoint value_;
 };
 
 }  // namespace stonebay
--- a/src/dispatch/request_log.cpp
+++ b/src/dispatch/request_log.cpp
@@ -35,7 +35,7 @@
 }
 
 // Milliseconds with one decimal, rounded towards zero.
-std::string millisecondsText(Time time) {
+std::string millisecondsText(Duration time) {
   constexpr std::int64_t kMicrosecondsPerTenth = 100;
   constexpr std::int64_t kTenths = 10;
   const std::int64_t tenths = time.count() / kMicrosecondsPerTenth;
@@ -74,7 +74,7 @@
   return text;
 }
 
-void logRequestEnd(const InFlightRequest& request, RequestEnd end, Time now, const Config& config,
+void logRequestEnd(const InFlightRequest& request, RequestEnd end, TimePoint now, const Config& config,
                    const EndpointIds& endpoints) {
   logEvent(LogLevel::Info, "request_ended",
            {{"id", request.message->id},
--- a/src/dispatch/request_log.hpp
+++ b/src/dispatch/request_log.hpp
@@ -21,7 +21,7 @@
 std::string attemptsText(const InFlightRequest& request, const EndpointIds& endpoints);
 
 /// Logs "request_ended" with the id that the client and the endpoints know, the times, and the attempts.
-void logRequestEnd(const InFlightRequest& request, RequestEnd end, Time now, const Config& config,
+void logRequestEnd(const InFlightRequest& request, RequestEnd end, TimePoint now, const Config& config,
                    const EndpointIds& endpoints);
 
 }  // namespace stonebay
--- a/src/dispatch/response_handler.hpp
+++ b/src/dispatch/response_handler.hpp
@@ -15,7 +15,7 @@
   virtual ~ResponseHandler() = default;
   virtual void onResponse(Buffer response) = 0;
   /// The request did not run and may be repeated. `retryAfter` 0: no advice on when.
-  virtual void onRejected(Time retryAfter) = 0;
+  virtual void onRejected(Duration retryAfter) = 0;
   /// The request may have run.
   virtual void onFailed() = 0;
 };
--- a/src/dispatch/timer_queue.cpp
+++ b/src/dispatch/timer_queue.cpp
@@ -2,19 +2,19 @@
 
 namespace stonebay {
 
-void TimerQueue::schedule(Time due, TimerToken token) {
+void TimerQueue::schedule(TimePoint due, TimerToken token) {
   ++scheduled_;
   timers_.push(Timer{due, scheduled_, token});
 }
 
-std::optional<TimerToken> TimerQueue::popDue(Time now) {
+std::optional<TimerToken> TimerQueue::popDue(TimePoint now) {
   if (timers_.empty() || timers_.top().due > now) return std::nullopt;
   const TimerToken token = timers_.top().token;
   timers_.pop();
   return token;
 }
 
-std::optional<Time> TimerQueue::nextDue() const {
+std::optional<TimePoint> TimerQueue::nextDue() const {
   if (timers_.empty()) return std::nullopt;
   return timers_.top().due;
 }
--- a/src/dispatch/timer_queue.hpp
+++ b/src/dispatch/timer_queue.hpp
@@ -14,15 +14,15 @@
 /// Timers that are due at the same time come in the order in which they were scheduled.
 class TimerQueue {
  public:
-  void schedule(Time due, TimerToken token);
+  void schedule(TimePoint due, TimerToken token);
   /// Removes and returns the next timer that is due, if any.
-  std::optional<TimerToken> popDue(Time now);
+  std::optional<TimerToken> popDue(TimePoint now);
   /// When the next timer is due; nothing while none is scheduled.
-  std::optional<Time> nextDue() const;
+  std::optional<TimePoint> nextDue() const;
 
  private:
   struct Timer {
-    Time due;
+    TimePoint due;
     std::uint64_t order;
     TimerToken token;
     bool operator>(const Timer& other) const {
--- a/src/dispatch/translation.cpp
+++ b/src/dispatch/translation.cpp
@@ -52,14 +52,14 @@
   update.zone = static_cast<int>(zone - zones.begin());
   update.state = instance.state;
   update.weight = instance.weight;
-  update.started = std::chrono::milliseconds(instance.startedMs);
+  update.started = TimePoint(std::chrono::milliseconds(instance.startedMs));
   return update;
 }
 
 GossipMessage fromGossip(const gossip::Message& message, EndpointId endpoint) {
   GossipMessage received;
   received.endpoint = endpoint;
-  received.position = std::chrono::milliseconds(message.positionMs);
+  received.position = TimePoint(std::chrono::milliseconds(message.positionMs));
   received.primary = message.primary;
   received.inFlight = message.inFlight;
   return received;
@@ -68,7 +68,8 @@
 gossip::Message toGossip(const GossipMessage& message, std::uint64_t key) {
   gossip::Message outgoing;
   outgoing.key = key;
-  outgoing.positionMs = std::chrono::duration_cast<std::chrono::milliseconds>(message.position).count();
+  const Duration sinceEpoch = message.position.time_since_epoch();
+  outgoing.positionMs = std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count();
   outgoing.primary = message.primary;
   outgoing.inFlight = message.inFlight;
   return outgoing;
--- a/src/downstream/pg/arrival_times.cpp
+++ b/src/downstream/pg/arrival_times.cpp
@@ -5,11 +5,11 @@
 namespace stonebay {
 namespace {
 
-constexpr Clock::Time kArrivalResolution = std::chrono::milliseconds(5);
+constexpr Duration kArrivalResolution = std::chrono::milliseconds(5);
 
 }  // namespace
 
-void ArrivalTimes::record(std::size_t unread, Clock::Time now) {
+void ArrivalTimes::record(std::size_t unread, TimePoint now) {
   const std::uint64_t end = consumed_ + unread;
   if (arrivals_.empty()) {
     arrivals_.push_back({end, now});
@@ -22,7 +22,7 @@
     arrivals_.push_back({end, now});
 }
 
-Clock::Time ArrivalTimes::ofLastConsumed() {
+TimePoint ArrivalTimes::ofLastConsumed() {
   while (arrivals_.size() > 1 && arrivals_.front().end < consumed_) arrivals_.pop_front();
   return arrivals_.front().at;
 }
--- a/src/downstream/pg/arrival_times.hpp
+++ b/src/downstream/pg/arrival_times.hpp
@@ -5,7 +5,7 @@
 #include <cstdint>
 #include <deque>
 
-#include "util/clock.hpp"
+#include "stonebay/load_balancer.hpp"
 
 namespace stonebay {
 
@@ -14,16 +14,16 @@
 class ArrivalTimes {
  public:
   /// Notes the input that has arrived by now: `unread` bytes wait to be consumed.
-  void record(std::size_t unread, Clock::Time now);
+  void record(std::size_t unread, TimePoint now);
   /// The first `length` bytes of the input have been taken.
   void consume(std::size_t length) { consumed_ += length; }
   /// When the last byte that has been consumed arrived. Something must have been recorded.
-  Clock::Time ofLastConsumed();
+  TimePoint ofLastConsumed();
 
  private:
   struct Arrival {
     std::uint64_t end;  // bytes that had arrived in all
-    Clock::Time at;
+    TimePoint at;
   };
   std::uint64_t consumed_ = 0;
   std::deque<Arrival> arrivals_;
--- a/src/downstream/pg/client_listener.cpp
+++ b/src/downstream/pg/client_listener.cpp
@@ -16,12 +16,12 @@
 namespace {
 
 constexpr int kBacklog = 1024;
-constexpr Time kAcceptRetryDelay = std::chrono::milliseconds(20);
+constexpr Duration kAcceptRetryDelay = std::chrono::milliseconds(20);
 // New connections may keep coming for 0.4 s after SIGTERM.
-constexpr Time kShutdownAcceptPeriod = std::chrono::milliseconds(500);
+constexpr Duration kShutdownAcceptPeriod = std::chrono::milliseconds(500);
 // Requests in flight when accepting ends are finished within the longest deadline and this.
-constexpr Time kShutdownGrace = std::chrono::seconds(1);
-constexpr Time kCheckInterval = std::chrono::milliseconds(100);
+constexpr Duration kShutdownGrace = std::chrono::seconds(1);
+constexpr Duration kCheckInterval = std::chrono::milliseconds(100);
 
 }  // namespace
 
@@ -123,7 +123,7 @@
 // Connections that nobody uses must not keep out those with requests: evicted is the session with the highest
 // priority, of several the one that has been so for longest.
 bool ClientListener::evictSession() {
-  const Time now = dispatcher_.now();
+  const TimePoint now = dispatcher_.now();
   ClientSession* best = nullptr;
   EvictionPriority highest = EvictionPriority::Never;
   for (const auto& [session, owned] : sessions_) {
@@ -147,7 +147,7 @@
 }
 
 void ClientListener::evictLongestIdle(const ClientSession& except) {
-  const Time now = dispatcher_.now();
+  const TimePoint now = dispatcher_.now();
   ClientSession* longest = nullptr;
   for (const auto& [session, owned] : sessions_) {
     if (session == &except || session->evictionPriority(now) != EvictionPriority::Idle) continue;
@@ -158,7 +158,7 @@
 }
 
 void ClientListener::checkSessions() {
-  const Time now = dispatcher_.now();
+  const TimePoint now = dispatcher_.now();
   std::vector<ClientSession*> timedOut;
   for (const auto& [session, owned] : sessions_)
     if (!session->checkTimeouts(now)) timedOut.push_back(session);
@@ -191,7 +191,7 @@
     done_();
     return;
   }
-  Time longestDeadline{};
+  Duration longestDeadline{};
   for (const ClassSettings& settings : config_.settings.classes)
     longestDeadline = std::max(longestDeadline, settings.deadline);
   startTimer(shutdownTimer_.get(), longestDeadline + kShutdownGrace);
--- a/src/downstream/pg/client_listener.hpp
+++ b/src/downstream/pg/client_listener.hpp
@@ -33,7 +33,7 @@
  private:
   void onSessionClosed(ClientSession& session) override;
   void onFirstRequest(ClientSession& session) override;
-  std::optional<Time> stoppedAcceptingAt() const override { return stoppedAcceptingAt_; }
+  std::optional<TimePoint> stoppedAcceptingAt() const override { return stoppedAcceptingAt_; }
 
   void onAccepted(evutil_socket_t fd);
   void onAcceptFailed();
@@ -58,7 +58,7 @@
   Event checkTimer_;     // for the timeouts of all sessions
   Event shutdownTimer_;  // ends accepting, then the wait for the last sessions
   bool draining_ = false;
-  std::optional<Time> stoppedAcceptingAt_;
+  std::optional<TimePoint> stoppedAcceptingAt_;
   std::function<void()> done_;
   std::unordered_map<ClientSession*, std::unique_ptr<ClientSession>> sessions_;
 };
--- a/src/downstream/pg/client_session.cpp
+++ b/src/downstream/pg/client_session.cpp
@@ -10,11 +10,11 @@
 namespace {
 
 // A client that has not sent its first request by then, or not the rest of a message, is closed.
-constexpr Time kFirstRequestTimeout = std::chrono::milliseconds(2000);
-constexpr Time kIncompleteMessageTimeout = std::chrono::milliseconds(1500);
+constexpr Duration kFirstRequestTimeout = std::chrono::milliseconds(2000);
+constexpr Duration kIncompleteMessageTimeout = std::chrono::milliseconds(1500);
 // A new client is left so long to send its startup, however many others come.
-constexpr Time kMinStartupTime = std::chrono::milliseconds(25);
-constexpr Time kLingerTimeout = std::chrono::milliseconds(500);
+constexpr Duration kMinStartupTime = std::chrono::milliseconds(25);
+constexpr Duration kLingerTimeout = std::chrono::milliseconds(500);
 constexpr std::size_t kMaxLingerBytes = 1 << 20;
 
 }  // namespace
@@ -39,7 +39,7 @@
   finishResponse();
 }
 
-void ClientSession::onRejected(Time retryAfter) {
+void ClientSession::onRejected(Duration retryAfter) {
   const auto ms = (retryAfter.count() + 999) / 1000;
   const std::string detail = ms > 0 ? std::to_string(ms) : std::string();
   failRequest(pg::errorResponse("ERROR", "53300", "no data server can take this request now", detail));
@@ -65,7 +65,7 @@
   releaseRequestId();
   releaseMemory();
   lastActiveAt_ = context_.dispatcher.now();
-  incompleteSince_ = Time(0);  // the input is looked at again
+  incompleteSince_ = TimePoint();  // the input is looked at again
   append(connection_.output(), pg::readyForQuery());
   if (active_ && owner_.stoppedAcceptingAt() && idle()) {
     startLingeringClose();
@@ -114,7 +114,7 @@
 }
 
 // ---- state -----------------------------------------------------------------------------------------------
-EvictionPriority ClientSession::evictionPriority(Time now) const {
+EvictionPriority ClientSession::evictionPriority(TimePoint now) const {
   if (closing()) return EvictionPriority::Closing;
   if (request_ != 0) return EvictionPriority::Never;
   if (!active_)
@@ -132,14 +132,14 @@
 }
 
 // Clients that hold a place without sending requests are owed an end within 3 s.
-bool ClientSession::checkTimeouts(Time now) {
+bool ClientSession::checkTimeouts(TimePoint now) {
   if (paused_ && !closing() && connection_.unread() > 0) connection_.scheduleRead();
   paused_ = false;
   if (closing()) return now - lastActiveAt_ < kLingerTimeout;
   if (!connection_.reading() && connection_.peerClosed()) return false;
   if (request_ != 0 || connection_.unsent() > 0) return true;
   if (!active_ && now - lastActiveAt_ >= kFirstRequestTimeout) return false;
-  return incompleteSince_ == Time(0) || now - incompleteSince_ < kIncompleteMessageTimeout;
+  return incompleteSince_ == TimePoint() || now - incompleteSince_ < kIncompleteMessageTimeout;
 }
 
 // ---- input -----------------------------------------------------------------------------------------------
@@ -162,9 +162,10 @@
   }
   // Each call takes one message, or leaves it until the rest has arrived.
   while (canTakeMessage() && (state_ == State::Startup ? takeStartup() : takeMessage()))
-    incompleteSince_ = Time(0);
+    incompleteSince_ = TimePoint();
   if (closing()) return;
-  if (incompleteSince_ == Time(0) && connection_.unread() > 0) incompleteSince_ = context_.dispatcher.now();
+  if (incompleteSince_ == TimePoint() && connection_.unread() > 0)
+    incompleteSince_ = context_.dispatcher.now();
   connection_.updateReading();
 }
 
@@ -279,10 +280,10 @@
 }
 
 void ClientSession::submit(ClientStatement& statement, int classIndex) {
-  const Time arrivedAt = arrivals_.ofLastConsumed();
+  const TimePoint arrivedAt = arrivals_.ofLastConsumed();
   // A connection can't be closed amid requests: what keeps coming during a graceful shutdown is rejected, for
   // its client to come back to another proxy.
-  const std::optional<Time> stoppedAcceptingAt = owner_.stoppedAcceptingAt();
+  const std::optional<TimePoint> stoppedAcceptingAt = owner_.stoppedAcceptingAt();
   if (stoppedAcceptingAt && arrivedAt > *stoppedAcceptingAt) {
     onRejected(std::chrono::milliseconds(1));
     return;
--- a/src/downstream/pg/client_session.hpp
+++ b/src/downstream/pg/client_session.hpp
@@ -22,7 +22,7 @@
   /// It has sent its first request; until then it is not active.
   virtual void onFirstRequest(ClientSession& session) = 0;
   /// When the graceful shutdown stopped to accept connections; nothing before.
-  virtual std::optional<Time> stoppedAcceptingAt() const = 0;
+  virtual std::optional<TimePoint> stoppedAcceptingAt() const = 0;
 
  protected:
   ~ClientSessionOwner() = default;
@@ -41,7 +41,7 @@
   ClientSession& operator=(const ClientSession& other) = delete;
 
   void onResponse(Buffer response) override;
-  void onRejected(Time retryAfter) override;
+  void onRejected(Duration retryAfter) override;
   void onFailed() override;
 
   /// Whether it has sent a request.
@@ -49,9 +49,9 @@
   /// Whether it is between requests. A request that has reached this machine counts, even if it is still to
   /// be read.
   bool idle() const { return request_ == 0 && !closing() && !connection_.hasInput(); }
-  EvictionPriority evictionPriority(Time now) const;
+  EvictionPriority evictionPriority(TimePoint now) const;
   /// When its client connected, got its last response, or began to be closed.
-  Time lastActiveAt() const { return lastActiveAt_; }
+  TimePoint lastActiveAt() const { return lastActiveAt_; }
 
   /// Takes nothing more. The connection is closed when all output has gone out and the client has closed its
   /// end, or has had the time to: closing on unread input would reset the connection, and the output would be
@@ -60,7 +60,7 @@
   /// Its client has cancelled the request that is in flight, if any.
   void cancelRequest();
   /// Resumes what reading has been paused. False: a timeout has passed, the session has to be closed.
-  bool checkTimeouts(Time now);
+  bool checkTimeouts(TimePoint now);
 
  private:
   // No message is taken while so much output waits.
@@ -104,8 +104,8 @@
   std::size_t reserved_ = 0;  // of SessionContext::statementMemory
   std::size_t discarded_ = 0;
   ArrivalTimes arrivals_;
-  Time lastActiveAt_{};
-  Time incompleteSince_{};  // since when the input holds part of a message; 0: it does not
+  TimePoint lastActiveAt_{};
+  TimePoint incompleteSince_{};  // since when the input holds part of a message; 0: it does not
 };
 
 }  // namespace stonebay
--- a/src/downstream/pg/client_statement.cpp
+++ b/src/downstream/pg/client_statement.cpp
@@ -43,17 +43,18 @@
   return static_cast<int>(it - config.classes.begin());
 }
 
-Request ClientStatement::toRequest(const Config& config, int classIndex, Time arrivedAt, Time now) const {
+Request ClientStatement::toRequest(const Config& config, int classIndex, TimePoint arrivedAt,
+                                   TimePoint now) const {
   Request request;
   request.classIndex = classIndex;
   request.group = comment_.group;
   const bool hasDeadline = comment_.deadlineLength > 0;
-  const Time timeAllowed =
-      hasDeadline ? Time(std::chrono::milliseconds(std::min(comment_.deadlineMs, kMaxDeadlineMs)))
+  const Duration timeAllowed =
+      hasDeadline ? Duration(std::chrono::milliseconds(std::min(comment_.deadlineMs, kMaxDeadlineMs)))
                   : config.settings.classes[static_cast<std::size_t>(classIndex)].deadline;
   request.deadline = arrivedAt + timeAllowed;
   if (comment_.sessionTokenMs > 0) {
-    const double nowMs = static_cast<double>(now.count()) / kMicrosecondsPerMillisecond;
+    const double nowMs = static_cast<double>(now.time_since_epoch().count()) / kMicrosecondsPerMillisecond;
     const double ageMs = nowMs - static_cast<double>(comment_.sessionTokenMs);
     request.sessionTokenAgeMs = std::max(kMinTokenAgeMs, static_cast<float>(ageMs));
   }
--- a/src/downstream/pg/client_statement.hpp
+++ b/src/downstream/pg/client_statement.hpp
@@ -38,7 +38,7 @@
   std::string id() const { return std::string(comment_.requestId); }
   /// The index of its class in Config::classes; nothing: there is no such class.
   std::optional<int> classIndex(const Config& config) const;
-  Request toRequest(const Config& config, int classIndex, Time arrivedAt, Time now) const;
+  Request toRequest(const Config& config, int classIndex, TimePoint arrivedAt, TimePoint now) const;
   /// Gives the statement away.
   ForwardedRequest takeForwarded();
 
--- a/src/gossip/gossip_socket.cpp
+++ b/src/gossip/gossip_socket.cpp
@@ -66,7 +66,8 @@
   if (size < 0) return false;
   // Messages of a stranger must not count: a position that is too new would let reads return stale data.
   if (!isPeer(Address::fromSocket(reinterpret_cast<const sockaddr*>(&from)))) return true;
-  const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(dispatcher_.now());
+  const auto now =
+      std::chrono::duration_cast<std::chrono::milliseconds>(dispatcher_.now().time_since_epoch());
   const std::string_view bytes(datagram.data(), static_cast<std::size_t>(size));
   for (const gossip::Message& message : gossip::parse(bytes, now.count())) dispatcher_.onGossip(message);
   return true;
--- a/src/simulator/adapter.cpp
+++ b/src/simulator/adapter.cpp
@@ -85,7 +85,7 @@
 
 void Adapter::onAttemptOutcome(FrameReader& record) {
   ProxyInstance* const instance = readInstance(record);
-  const Time epoch = instance ? instance->positionEpoch() : Time(0);
+  const TimePoint epoch = instance ? instance->positionEpoch() : TimePoint();
   const AttemptOutcome outcome = decodeAttemptOutcome(record, epoch);
   if (!instance) return;
   instance->deliver([&](LoadBalancer& balancer) { balancer.onAttemptOutcome(now_, outcome); });
@@ -114,7 +114,7 @@
 
 void Adapter::onGossip(FrameReader& record) {
   ProxyInstance* const instance = readInstance(record);
-  const Time epoch = instance ? instance->positionEpoch() : Time(0);
+  const TimePoint epoch = instance ? instance->positionEpoch() : TimePoint();
   const std::optional<GossipMessage> message = decodeGossip(record, epoch);
   if (!instance || !message) return;
   instance->deliver([&](LoadBalancer& balancer) { balancer.onGossip(now_, *message); });
--- a/src/simulator/adapter.hpp
+++ b/src/simulator/adapter.hpp
@@ -46,7 +46,7 @@
   const std::vector<EndpointUpdate>& endpointEntries(const FrameReader& record, EndpointListKind kind,
                                                      std::uint32_t definition) const;
 
-  Time now_{};         // of this batch
+  TimePoint now_{};    // of this batch
   FrameWriter reply_;  // to this batch
   std::map<std::uint16_t, std::unique_ptr<ProxyInstance>> instances_;
   std::map<std::uint32_t, std::vector<EndpointUpdate>> endpointLists_;
--- a/src/simulator/event_decoder.cpp
+++ b/src/simulator/event_decoder.cpp
@@ -119,13 +119,13 @@
   return request;
 }
 
-AttemptOutcome decodeAttemptOutcome(FrameReader& record, Time positionEpoch) {
+AttemptOutcome decodeAttemptOutcome(FrameReader& record, TimePoint positionEpoch) {
   AttemptOutcome outcome;
   outcome.request = record.read<std::uint32_t>("request");
   outcome.attempt = record.read<std::uint8_t>("attempt");
   outcome.endpoint = record.readEndpointId();
   outcome.status = attemptStatus(static_cast<OutcomeCode>(record.read<std::uint16_t>("outcome")));
-  outcome.latency = Time(record.read<std::uint32_t>("latency"));
+  outcome.latency = Duration(record.read<std::uint32_t>("latency"));
   outcome.requestClosed = record.read<std::uint8_t>("closed") != 0;
   const PositionNote note = decodePositionNote(record.read<std::uint32_t>("note"));
   outcome.role = note.role;
@@ -137,13 +137,13 @@
 HealthCheckResult decodeHealthCheckResult(FrameReader& record) {
   HealthCheckResult result;
   result.endpoint = record.readEndpointId();
-  result.latency = Time(record.read<std::uint32_t>("latency"));
+  result.latency = Duration(record.read<std::uint32_t>("latency"));
   result.ok = static_cast<OutcomeCode>(record.read<std::uint16_t>("outcome")) == OutcomeCode::Ok;
   result.report = record.readLoadReport();
   return result;
 }
 
-std::optional<GossipMessage> decodeGossip(FrameReader& record, Time positionEpoch) {
+std::optional<GossipMessage> decodeGossip(FrameReader& record, TimePoint positionEpoch) {
   record.skip<std::uint32_t>("sender");
   if (record.read<std::uint16_t>("message length") != kGossipBytes) return std::nullopt;
   GossipMessage message;
--- a/src/simulator/event_decoder.hpp
+++ b/src/simulator/event_decoder.hpp
@@ -29,9 +29,9 @@
 EndpointListEvent decodeEndpointList(FrameReader& record);
 Request decodeRequest(FrameReader& record);
 /// Outcomes of a later version become AttemptStatus::Error, which proves nothing.
-AttemptOutcome decodeAttemptOutcome(FrameReader& record, Time positionEpoch);
+AttemptOutcome decodeAttemptOutcome(FrameReader& record, TimePoint positionEpoch);
 HealthCheckResult decodeHealthCheckResult(FrameReader& record);
 /// Nothing for a message of a later version, whose size differs.
-std::optional<GossipMessage> decodeGossip(FrameReader& record, Time positionEpoch);
+std::optional<GossipMessage> decodeGossip(FrameReader& record, TimePoint positionEpoch);
 
 }  // namespace stonebay::simulator
--- a/src/simulator/frame_reader.cpp
+++ b/src/simulator/frame_reader.cpp
@@ -8,8 +8,8 @@
 FrameReader::FrameReader(const std::uint8_t* data, std::size_t size, std::uint64_t offset)
     : data_(data), size_(size), start_(offset) {}
 
-Time FrameReader::readTime(const char* field) {
-  return Time(static_cast<std::int64_t>(read<std::uint64_t>(field)));
+TimePoint FrameReader::readTime(const char* field) {
+  return TimePoint(Duration(static_cast<std::int64_t>(read<std::uint64_t>(field))));
 }
 
 EndpointId FrameReader::readEndpointId() {
--- a/src/simulator/frame_reader.hpp
+++ b/src/simulator/frame_reader.hpp
@@ -46,8 +46,8 @@
     std::memcpy(&value, take(sizeof(T), field), sizeof(T));
     return value;
   }
-  /// Reads a u64 of microseconds.
-  Time readTime(const char* field);
+  /// Reads an instant: a u64 of microseconds on the simulator's clock.
+  TimePoint readTime(const char* field);
   /// Reads an endpoint's address and port: 4 bytes, the first one first, and a u16.
   EndpointId readEndpointId();
   /// Reads a u8 count and as many f32 values.
--- a/src/simulator/proxy_instance.cpp
+++ b/src/simulator/proxy_instance.cpp
@@ -26,13 +26,13 @@
   }
 }
 
-void ProxyInstance::send(RequestId id, EndpointId endpoint, Time until) {
+void ProxyInstance::send(RequestId id, EndpointId endpoint, TimePoint until) {
   beginRequestAction(ActionCode::Send, id);
-  reply_.put(static_cast<std::uint64_t>(until.count()));
+  reply_.put(static_cast<std::uint64_t>(until.time_since_epoch().count()));
   reply_.putEndpointId(endpoint);
 }
 
-void ProxyInstance::reject(RequestId id, Time retryAfter) {
+void ProxyInstance::reject(RequestId id, Duration retryAfter) {
   beginRequestAction(ActionCode::Reject, id);
   reply_.put(static_cast<std::uint32_t>(retryAfter.count()));
 }
@@ -44,7 +44,7 @@
   reply_.put(static_cast<std::uint8_t>(attempt));
 }
 
-void ProxyInstance::scheduleTimer(Time in, TimerToken token) {
+void ProxyInstance::scheduleTimer(Duration in, TimerToken token) {
   reply_.beginRecord(ActionCode::ScheduleTimer, number_);
   reply_.put(static_cast<std::uint32_t>(in.count()));
   reply_.put(token.encoded());
--- a/src/simulator/proxy_instance.hpp
+++ b/src/simulator/proxy_instance.hpp
@@ -22,7 +22,7 @@
   ProxyInstance(std::uint16_t number, const std::string& settings, std::uint64_t seed, FrameWriter& reply);
 
   /// The instant from which positions on the wire are measured.
-  Time positionEpoch() const { return positionEpoch_; }
+  TimePoint positionEpoch() const { return positionEpoch_; }
 
   /// Calls `event` with the LoadBalancer, unless the instance has failed.
   template <typename Event>
@@ -36,11 +36,11 @@
   }
 
  private:
-  void send(RequestId id, EndpointId endpoint, Time until) override;
-  void reject(RequestId id, Time retryAfter) override;
+  void send(RequestId id, EndpointId endpoint, TimePoint until) override;
+  void reject(RequestId id, Duration retryAfter) override;
   void fail(RequestId id) override;
   void cancel(RequestId id, int attempt) override;
-  void scheduleTimer(Time in, TimerToken token) override;
+  void scheduleTimer(Duration in, TimerToken token) override;
   void checkHealth(EndpointId endpoint) override;
   void broadcast(const GossipMessage& message) override;
   void pollDiscovery() override;
@@ -51,7 +51,7 @@
 
   const std::uint16_t number_;
   FrameWriter& reply_;
-  Time positionEpoch_{};
+  TimePoint positionEpoch_{};
   std::unique_ptr<LoadBalancer> balancer_;  // none: the instance has failed
 };
 
--- a/src/simulator/settings_parser.cpp
+++ b/src/simulator/settings_parser.cpp
@@ -44,7 +44,7 @@
 
 // What stands under classes.N; consistency and staleness stand in lists of their own.
 ClassSettings readClass(const SettingsText& text, std::size_t index, Consistency consistency,
-                        Time maxStaleness) {
+                        Duration maxStaleness) {
   const std::string prefix = "classes." + std::to_string(index) + ".";
   ClassSettings requestClass;
   requestClass.consistency = consistency;
@@ -71,7 +71,7 @@
   requireOneForEachClass(text, stalenessKey, stalenessBounds.size(), count);
   for (std::size_t i = 0; i < count; ++i) {
     const auto consistency = SettingsText::parseChoice(consistencyKey, consistencies[i], kConsistencies);
-    const Time maxStaleness = SettingsText::parseTime(stalenessKey, stalenessBounds[i]);
+    const Duration maxStaleness = SettingsText::parseTime(stalenessKey, stalenessBounds[i]);
     settings.classes.push_back(readClass(text, i, consistency, maxStaleness));
   }
 }
@@ -119,7 +119,7 @@
 
 void readTimes(const SettingsText& text, Settings& settings) {
   settings.staleReadWait = text.time("specifics.holdsForUs");
-  settings.positionEpoch = text.time("specifics.zeroUs");
+  settings.positionEpoch = TimePoint(text.time("specifics.zeroUs"));
   settings.maxRetryAfter = text.time("allowed.maxRetryAfterUs");
   settings.drainGracePeriod = text.time("obligations.drainGraceUs");
   settings.slowStartWindow = text.time("obligations.coldUs");
--- a/src/simulator/settings_text.cpp
+++ b/src/simulator/settings_text.cpp
@@ -8,7 +8,7 @@
 namespace stonebay::simulator {
 namespace {
 
-// Doubles hold all integers up to here, and so does Time.
+// Doubles hold all integers up to here, and so does Duration.
 constexpr double kMaxNumber = 9e15;
 
 }  // namespace
@@ -58,8 +58,8 @@
   return number;
 }
 
-Time SettingsText::parseTime(const std::string& key, const std::string& value) {
-  return Time(static_cast<std::int64_t>(parseNumber(key, value)));
+Duration SettingsText::parseTime(const std::string& key, const std::string& value) {
+  return Duration(static_cast<std::int64_t>(parseNumber(key, value)));
 }
 
 }  // namespace stonebay::simulator
--- a/src/simulator/settings_text.hpp
+++ b/src/simulator/settings_text.hpp
@@ -43,7 +43,7 @@
   /// A whole number within the bounds, which belong to the range.
   int integer(const std::string& key, double min, double max) const;
   /// Microseconds.
-  Time time(const std::string& key) const { return parseTime(key, text(key)); }
+  Duration time(const std::string& key) const { return parseTime(key, text(key)); }
   /// "true" or "false".
   bool flag(const std::string& key) const;
   /// One of the texts that are known.
@@ -54,7 +54,7 @@
 
   /// The same for a value that stands within a list; `key` is for the error.
   static double parseNumber(const std::string& key, const std::string& value);
-  static Time parseTime(const std::string& key, const std::string& value);
+  static Duration parseTime(const std::string& key, const std::string& value);
   template <typename T, std::size_t kCount>
   static T parseChoice(const std::string& key, const std::string& value,
                        const SettingChoice<T> (&known)[kCount]) {
--- a/src/upstream/pg/connection_pool.cpp
+++ b/src/upstream/pg/connection_pool.cpp
@@ -8,8 +8,8 @@
 namespace stonebay {
 namespace {
 
-constexpr Time kMaintenanceInterval = std::chrono::milliseconds(250);
-constexpr Time kReconnectDelay = std::chrono::seconds(1);
+constexpr Duration kMaintenanceInterval = std::chrono::milliseconds(250);
+constexpr Duration kReconnectDelay = std::chrono::seconds(1);
 constexpr int kMaxHealthCheckConnections = 4;  // one health check gives up when it has lost so many
 
 AttemptResult resultOf(AttemptStatus status) {
@@ -51,7 +51,7 @@
 void ConnectionPool::maintainMinIdle() { connections_.maintainMinIdle(dispatcher_.now()); }
 
 // ---- requests --------------------------------------------------------------------------------------------
-void ConnectionPool::send(RequestId id, int attempt, EndpointId endpoint, Time deadline,
+void ConnectionPool::send(RequestId id, int attempt, EndpointId endpoint, TimePoint deadline,
                           std::shared_ptr<const ForwardedRequest> message) {
   auto owned = std::make_unique<UpstreamRequest>();
   UpstreamRequest& request = *owned;
--- a/src/upstream/pg/connection_pool.hpp
+++ b/src/upstream/pg/connection_pool.hpp
@@ -28,7 +28,7 @@
   ConnectionPool& operator=(const ConnectionPool& other) = delete;
 
   void updateEndpoint(EndpointId id, const Address& address, bool ready) override;
-  void send(RequestId id, int attempt, EndpointId endpoint, Time deadline,
+  void send(RequestId id, int attempt, EndpointId endpoint, TimePoint deadline,
             std::shared_ptr<const ForwardedRequest> message) override;
   void resumeAttempt(RequestId id, int attempt, bool eligible) override;
   void cancel(RequestId id, int attempt) override;
--- a/src/upstream/pg/connection_set.cpp
+++ b/src/upstream/pg/connection_set.cpp
@@ -16,9 +16,9 @@
 // end as a reset.
 constexpr double kIdleTimeoutShare = 0.7;
 
-Time maxIdleTime(const Config& config) {
+Duration maxIdleTime(const Config& config) {
   const auto limit = static_cast<double>(config.idleTimeout.count());
-  return Time(static_cast<std::int64_t>(limit * kIdleTimeoutShare));
+  return Duration(static_cast<std::int64_t>(limit * kIdleTimeoutShare));
 }
 
 std::size_t minIdle(const Config& config) {
@@ -86,7 +86,7 @@
   return nullptr;
 }
 
-void ConnectionSet::maintainMinIdle(Time now) {
+void ConnectionSet::maintainMinIdle(TimePoint now) {
   for (const auto& [id, endpoint] : endpoints_) {
     if (!endpoint.ready || now < endpoint.connectAgainAt) continue;
     while (endpoint.idle.size() + endpoint.connecting < minIdle_ + endpoint.waiting.size() &&
--- a/src/upstream/pg/connection_set.hpp
+++ b/src/upstream/pg/connection_set.hpp
@@ -20,7 +20,7 @@
   std::vector<UpstreamConnection*> idle;  ///< the most recently used is the last
   std::deque<UpstreamRequest*> waiting;   ///< for a connection
   std::size_t connecting = 0;
-  Time connectAgainAt{};  ///< no connection is opened in advance before then
+  TimePoint connectAgainAt{};  ///< no connection is opened in advance before then
 
   /// Ends the wait of a request, if it waits.
   void removeWaiting(const UpstreamRequest& request);
@@ -45,15 +45,15 @@
   /// Takes out the most recently used idle connection that can still be used; null: there is none.
   UpstreamConnection* takeIdle(EndpointId id);
   /// Opens connections in advance, so that each endpoint that is ready has some idle ones.
-  void maintainMinIdle(Time now);
+  void maintainMinIdle(TimePoint now);
   /// Closes an idle connection of any endpoint if the limit is reached. False: there is none.
   bool makeRoom();
 
  private:
   event_base* const base_;
   UpstreamConnectionHandler& handler_;
-  const Time connectTimeout_;
-  const Time maxIdleTime_;
+  const Duration connectTimeout_;
+  const Duration maxIdleTime_;
   const std::size_t maxConnections_;
   const std::size_t minIdle_;  // for each endpoint that is ready
   std::unordered_map<EndpointId, EndpointConnections> endpoints_;
--- a/src/upstream/pg/load_report.cpp
+++ b/src/upstream/pg/load_report.cpp
@@ -49,8 +49,8 @@
 }  // namespace
 
 std::vector<double> parseLoadReport(std::string_view report, const std::vector<std::string>& names,
-                                    const std::vector<ReportField>& fields, Time now) {
-  const double nowSeconds = static_cast<double>(now.count()) / kMicrosecondsPerSecond;
+                                    const std::vector<ReportField>& fields, TimePoint now) {
+  const double nowSeconds = static_cast<double>(now.time_since_epoch().count()) / kMicrosecondsPerSecond;
   std::vector<double> values;
   values.reserve(names.size());
   for (std::size_t i = 0; i < names.size(); ++i) {
--- a/src/upstream/pg/load_report.hpp
+++ b/src/upstream/pg/load_report.hpp
@@ -15,6 +15,6 @@
 /// in Unix seconds. Returns an empty vector where a value is missing, is no finite number or is out of its
 /// range (a position more than a second after `now`, for example): a report is used as a whole or not at all.
 std::vector<double> parseLoadReport(std::string_view report, const std::vector<std::string>& names,
-                                    const std::vector<ReportField>& fields, Time now);
+                                    const std::vector<ReportField>& fields, TimePoint now);
 
 }  // namespace stonebay
--- a/src/upstream/pg/upstream_connection.cpp
+++ b/src/upstream/pg/upstream_connection.cpp
@@ -17,14 +17,14 @@
 constexpr std::string_view kHealthCheckStatement = "SHOW load";
 // An endpoint writes a response in one go. Once its first byte has arrived the rest is due: a length may
 // promise more than ever comes.
-constexpr Time kResponseTimeout = std::chrono::milliseconds(250);
+constexpr Duration kResponseTimeout = std::chrono::milliseconds(250);
 // internal_error, the endpoint's own fault: not logged here, since the log of the request shows the attempt.
 constexpr std::string_view kInternalError = "XX000";
 
 }  // namespace
 
 UpstreamConnection::UpstreamConnection(event_base* base, UpstreamConnectionHandler& handler,
-                                       EndpointId endpoint, const Address& address, Time connectTimeout)
+                                       EndpointId endpoint, const Address& address, Duration connectTimeout)
     : handler_(handler),
       endpoint_(endpoint),
       address_(address),
@@ -38,7 +38,7 @@
   const int result =
       bufferevent_socket_connect(bev_.get(), address_.data(), static_cast<int>(address_.size()));
   // A connect that fails at once is reported by the timer: this call's own caller is not done yet.
-  startTimer(timer_.get(), result == 0 ? connectTimeout : Time(0));
+  startTimer(timer_.get(), result == 0 ? connectTimeout : Duration(0));
   bufferevent_setcb(
       bev_.get(), [](bufferevent*, void* self) { static_cast<UpstreamConnection*>(self)->onReadable(); },
       nullptr,
@@ -76,7 +76,7 @@
   return request;
 }
 
-void UpstreamConnection::writeRequest(Time now) {
+void UpstreamConnection::writeRequest(TimePoint now) {
   request_->written = true;
   if (request_->isHealthCheck()) {
     append(output(), pg::query(kHealthCheckStatement));
@@ -94,7 +94,7 @@
   evbuffer_add_buffer_reference(output(), message.after.get());
 }
 
-void UpstreamConnection::startIdleTimer(Time maxIdleTime) { startTimer(timer_.get(), maxIdleTime); }
+void UpstreamConnection::startIdleTimer(Duration maxIdleTime) { startTimer(timer_.get(), maxIdleTime); }
 
 // ---- events ----------------------------------------------------------------------------------------------
 void UpstreamConnection::onEvent(short events) {
--- a/src/upstream/pg/upstream_connection.hpp
+++ b/src/upstream/pg/upstream_connection.hpp
@@ -37,7 +37,7 @@
  public:
   /// Starts to connect. A failure is reported from the event loop, never from within this call.
   UpstreamConnection(event_base* base, UpstreamConnectionHandler& handler, EndpointId endpoint,
-                     const Address& address, Time connectTimeout);
+                     const Address& address, Duration connectTimeout);
   /// Shuts the connection down at once.
   ~UpstreamConnection();
   UpstreamConnection(const UpstreamConnection& other) = delete;
@@ -62,9 +62,9 @@
   /// Parts with the request that it carries; returns it, or null.
   UpstreamRequest* detach();
   /// Writes the query of its request, with the time that is left until the request's deadline.
-  void writeRequest(Time now);
+  void writeRequest(TimePoint now);
   /// Reports the connection as lost when it has not been assigned a request by then.
-  void startIdleTimer(Time maxIdleTime);
+  void startIdleTimer(Duration maxIdleTime);
 
  private:
   enum class ReadStatus { Progress, NeedMoreInput, Destroyed };
--- a/src/upstream/pg/upstream_request.hpp
+++ b/src/upstream/pg/upstream_request.hpp
@@ -16,7 +16,7 @@
   RequestId id = 0;  ///< 0: a health check
   int attempt = 0;
   EndpointId endpoint = 0;
-  Time deadline{};
+  TimePoint deadline{};
   std::shared_ptr<const ForwardedRequest> message;  ///< null for a health check
   UpstreamConnection* connection = nullptr;         ///< null: it waits for one
   bool written = false;                             ///< some byte of it may have gone out
--- a/src/util/clock.hpp
+++ b/src/util/clock.hpp
@@ -25,4 +25,7 @@
   std::chrono::steady_clock::time_point start_;
 };
 
+/// An instant of Clock, or an interval, in microseconds.
+using Time = Clock::Time;
+
 }  // namespace stonebay
--- a/tests/admission_control_test.cpp
+++ b/tests/admission_control_test.cpp
@@ -12,7 +12,7 @@
 }
 
 // Runs timers until the request is rejected, for 3 s at most.
-void runUntilRejected(BalancerFixture& fixture, RequestId id, Time submittedAt) {
+void runUntilRejected(BalancerFixture& fixture, RequestId id, TimePoint submittedAt) {
   while (fixture.actions.count(ActionKind::Reject, id) == 0 && fixture.now < submittedAt + 3s)
     fixture.runTimers(5ms);
 }
@@ -24,20 +24,20 @@
   const std::size_t timersBefore = fixture.actions.count(ActionKind::Timer);
   const RequestId id = fixture.submit(kBoundedRead);  // no position and no primary is known: it waits
   ASSERT_TRUE(fixture.sends(id).empty());
-  const Time submittedAt = fixture.now;
+  const TimePoint submittedAt = fixture.now;
   ASSERT_GT(fixture.actions.count(ActionKind::Timer), timersBefore);
   runUntilRejected(fixture, id, submittedAt);
   EXPECT_EQ(fixture.actions.count(ActionKind::Reject, id), 1u);
   EXPECT_LE(fixture.now - submittedAt, fixture.settings.classes[kBoundedRead].deadline);
 }
 
-// Found on sockets: a rejection after half of the client's patience costs a third of the request's priority
+// Found on sockets: a rejection after half of the client's deadline costs a third of the request's priority
 // weight where no endpoint had any part in it; the client could have come back meanwhile.
 TEST(AdmissionControl, WriteThatNoEndpointReceivedIsRejectedBeforeHalfOfItsDeadline) {
   BalancerFixture fixture(settingsWithLateWrites());
   for (EndpointId id = 1; id <= 3; ++id)
     fixture.updateEndpoints({BalancerFixture::endpointUpdate(id, Lifecycle::Draining)});
-  const Time submittedAt = fixture.now;
+  const TimePoint submittedAt = fixture.now;
   const RequestId id = fixture.submit(kWrite);
   runUntilRejected(fixture, id, submittedAt);
   EXPECT_EQ(fixture.actions.count(ActionKind::Reject, id), 1u);
@@ -46,7 +46,7 @@
 
 TEST(AdmissionControl, WriteThatReplicasTurnedAwayKeepsWaitingForThePrimary) {
   BalancerFixture fixture(settingsWithLateWrites());
-  const Time submittedAt = fixture.now;
+  const TimePoint submittedAt = fixture.now;
   const RequestId id = fixture.submit(kWrite);
   for (int k = 0; k < 3; ++k)
     fixture.endAttempt(id, AttemptStatus::TooStale, fixture.evidence(0ms, Role::Replica));
--- a/tests/arrival_times_test.cpp
+++ b/tests/arrival_times_test.cpp
@@ -5,26 +5,26 @@
 namespace stonebay::test {
 namespace {
 
-using std::chrono::milliseconds;
+TimePoint atMs(std::int64_t ms) { return TimePoint(std::chrono::milliseconds(ms)); }
 
 TEST(ArrivalTimes, EachMessageHasTheArrivalOfItsLastByte) {
   ArrivalTimes arrivals;
-  arrivals.record(100, milliseconds(1000));
-  arrivals.record(250, milliseconds(1020));  // 150 more
+  arrivals.record(100, atMs(1000));
+  arrivals.record(250, atMs(1020));  // 150 more
   arrivals.consume(100);
-  EXPECT_EQ(arrivals.ofLastConsumed(), milliseconds(1000));
-  arrivals.record(150, milliseconds(1040));  // nothing more
+  EXPECT_EQ(arrivals.ofLastConsumed(), atMs(1000));
+  arrivals.record(150, atMs(1040));  // nothing more
   arrivals.consume(50);
-  EXPECT_EQ(arrivals.ofLastConsumed(), milliseconds(1020));
+  EXPECT_EQ(arrivals.ofLastConsumed(), atMs(1020));
   arrivals.consume(100);
-  EXPECT_EQ(arrivals.ofLastConsumed(), milliseconds(1020));
+  EXPECT_EQ(arrivals.ofLastConsumed(), atMs(1020));
 }
 TEST(ArrivalTimes, InputWithinSomeMillisecondsArrivedTogether) {
   ArrivalTimes arrivals;
-  arrivals.record(100, milliseconds(1000));
-  arrivals.record(200, milliseconds(1004));
+  arrivals.record(100, atMs(1000));
+  arrivals.record(200, atMs(1004));
   arrivals.consume(200);
-  EXPECT_EQ(arrivals.ofLastConsumed(), milliseconds(1000));
+  EXPECT_EQ(arrivals.ofLastConsumed(), atMs(1000));
 }
 
 }  // namespace
--- a/tests/balancer_fixture.cpp
+++ b/tests/balancer_fixture.cpp
@@ -4,7 +4,8 @@
 
 namespace {
 
-ClassSettings makeClass(Consistency consistency, Idempotency idempotency, Time objective, Time deadline) {
+ClassSettings makeClass(Consistency consistency, Idempotency idempotency, Duration objective,
+                        Duration deadline) {
   ClassSettings made;
   made.consistency = consistency;
   made.idempotency = idempotency;
@@ -47,7 +48,7 @@
   settings.healthChecksAllowed = true;
   settings.cancellationAllowed = true;
   settings.retryAfterAllowed = true;
-  settings.positionEpoch = 1000s;
+  settings.positionEpoch = TimePoint(1000s);
   settings.maxRetryAfter = 1s;
   settings.slowStartWindow = 10s;
   settings.overloadWindow = 2s;
@@ -68,8 +69,8 @@
   balancer.onEndpointList(now, EndpointListKind::Cached, endpoints);
 }
 
-void BalancerFixture::runTimers(Time interval) {
-  for (const Time end = now + interval; now < end; advanceTime(5ms)) {
+void BalancerFixture::runTimers(Duration interval) {
+  for (const TimePoint end = now + interval; now < end; advanceTime(5ms)) {
     std::vector<TimerToken> due;
     for (std::size_t i = 0; i < actions.recorded.size(); ++i) {
       const Action& action = actions.recorded[i];
@@ -80,7 +81,7 @@
   }
 }
 
-EndpointUpdate BalancerFixture::endpointUpdate(EndpointId id, Lifecycle state, Time started) {
+EndpointUpdate BalancerFixture::endpointUpdate(EndpointId id, Lifecycle state, TimePoint started) {
   EndpointUpdate update;
   update.id = id;
   update.group = kGroup;
@@ -94,15 +95,15 @@
 }
 
 RequestId BalancerFixture::submit(int classIndex, std::uint64_t session, float sessionTokenAgeMs,
-                                  Time deadline) {
-  const Time classDeadline = settings.classes[static_cast<std::size_t>(classIndex)].deadline;
+                                  Duration deadline) {
+  const Duration classDeadline = settings.classes[static_cast<std::size_t>(classIndex)].deadline;
   Request request;
   request.id = nextRequestId++;
   request.classIndex = classIndex;
   request.group = kGroup;
   request.session = session;
   request.sessionTokenAgeMs = sessionTokenAgeMs;
-  request.deadline = now + (deadline > Time(0) ? deadline : classDeadline);
+  request.deadline = now + (deadline > Duration(0) ? deadline : classDeadline);
   balancer.onRequest(now, request);
   return request.id;
 }
@@ -121,7 +122,7 @@
   balancer.onAttemptOutcome(now, outcome);
 }
 
-RequestId BalancerFixture::serve(int classIndex, Time latency, Evidence evidence) {
+RequestId BalancerFixture::serve(int classIndex, Duration latency, Evidence evidence) {
   const RequestId id = submit(classIndex);
   advanceTime(latency);
   endAttempt(id, AttemptStatus::Ok, evidence);
@@ -137,12 +138,12 @@
   return actions.count(ActionKind::Reject, id) > 0 || actions.count(ActionKind::Fail, id) > 0;
 }
 
-void BalancerFixture::reportPosition(EndpointId endpoint, Time age, bool isPrimary) {
+void BalancerFixture::reportPosition(EndpointId endpoint, Duration age, bool isPrimary) {
   answerHealthCheck(endpoint, {secondsAfterEpoch(now - age), isPrimary ? 1.0F : 0.0F});
 }
 
-void BalancerFixture::reportPositionAfterEpoch(EndpointId endpoint, float position) {
-  answerHealthCheck(endpoint, {position, 0.0F});
+void BalancerFixture::reportPositionAfterEpoch(EndpointId endpoint, float positionSeconds) {
+  answerHealthCheck(endpoint, {positionSeconds, 0.0F});
 }
 
 void BalancerFixture::reportLoad(EndpointId endpoint, bool isPrimary, int inFlight) {
@@ -156,8 +157,8 @@
   balancer.onHealthCheck(now, result);
 }
 
-Evidence BalancerFixture::evidence(Time age, Role role) const {
-  const Time afterEpoch = now - age - settings.positionEpoch;
+Evidence BalancerFixture::evidence(Duration age, Role role) const {
+  const Duration afterEpoch = now - age - settings.positionEpoch;
   return {role, settings.positionEpoch + std::chrono::duration_cast<milliseconds>(afterEpoch)};
 }
 
@@ -169,7 +170,7 @@
   balancer.onHealthCheck(now, result);
 }
 
-float BalancerFixture::secondsAfterEpoch(Time at) const {
+float BalancerFixture::secondsAfterEpoch(TimePoint at) const {
   return static_cast<float>(std::chrono::duration<double>(at - settings.positionEpoch).count());
 }
 
--- a/tests/balancer_fixture.hpp
+++ b/tests/balancer_fixture.hpp
@@ -22,7 +22,7 @@
 /// What a response says of its endpoint.
 struct Evidence {
   Role role = Role::Unknown;
-  std::optional<Time> position;
+  std::optional<TimePoint> position;
 };
 constexpr Evidence kFromReplica{Role::Replica, std::nullopt};
 
@@ -49,7 +49,7 @@
   RecordingSink actions;
   Settings settings;
   LoadBalancer balancer;
-  Time now = 1100s;
+  TimePoint now{1100s};
   RequestId nextRequestId = 100;
 
   /// Passes a complete (cached) list of the endpoints 1 to `endpointCount` to the LoadBalancer.
@@ -58,21 +58,22 @@
   BalancerFixture(const BalancerFixture&) = delete;
   BalancerFixture& operator=(const BalancerFixture&) = delete;
 
-  void advanceTime(Time interval) { now += interval; }
+  void advanceTime(Duration interval) { now += interval; }
   /// Advances time in steps of 5 ms and fires the timers that fall due, as an embedding program would.
-  void runTimers(Time interval);
+  void runTimers(Duration interval);
 
-  static EndpointUpdate endpointUpdate(EndpointId, Lifecycle = Lifecycle::Ready, Time started = Time(0));
+  static EndpointUpdate endpointUpdate(EndpointId, Lifecycle = Lifecycle::Ready,
+                                       TimePoint started = TimePoint());
   /// Passes changes of the endpoint list to the LoadBalancer.
   void updateEndpoints(const std::vector<EndpointUpdate>&);
 
   /// Submits a request of a class; `deadline` (from now) 0: the class's own.
   RequestId submit(int classIndex, std::uint64_t session = 0, float sessionTokenAgeMs = 0,
-                   Time deadline = Time(0));
+                   Duration deadline = Duration(0));
   /// Ends an attempt (-1: the latest one) of a request.
   void endAttempt(RequestId, AttemptStatus, Evidence = {}, int attempt = -1);
   /// Submits a request, lets `latency` go by and ends its latest attempt with a response.
-  RequestId serve(int classIndex, Time latency = Time(0), Evidence = kFromReplica);
+  RequestId serve(int classIndex, Duration latency = Duration(0), Evidence = kFromReplica);
 
   std::vector<Action> sends(RequestId id) const { return actions.of(ActionKind::Send, id); }
   /// The endpoint of the latest attempt; 0: none was sent.
@@ -81,9 +82,9 @@
   bool hasFinalResponse(RequestId) const;
 
   /// A health check is answered with a report: a position of `age` before now, and the role.
-  void reportPosition(EndpointId, Time age, bool isPrimary = false);
+  void reportPosition(EndpointId, Duration age, bool isPrimary = false);
   /// As reportPosition(), with a position in seconds after the position epoch.
-  void reportPositionAfterEpoch(EndpointId, float secondsAfterEpoch);
+  void reportPositionAfterEpoch(EndpointId, float positionSeconds);
   /// As reportPosition() with a position of now, with the requests in flight as a third value.
   void reportLoad(EndpointId, bool isPrimary, int inFlight);
   /// Reports an endpoint as the primary, with a position of now.
@@ -91,11 +92,11 @@
   void failHealthCheck(EndpointId);
 
   /// A role, and a position of `age` before now in complete milliseconds.
-  Evidence evidence(Time age, Role) const;
+  Evidence evidence(Duration age, Role) const;
 
  private:
   void answerHealthCheck(EndpointId, const std::vector<float>& report);
-  float secondsAfterEpoch(Time at) const;
+  float secondsAfterEpoch(TimePoint at) const;
 
   std::set<std::size_t> firedTimers_;  // indices into actions.recorded
 };
--- a/tests/discovery_polling_test.cpp
+++ b/tests/discovery_polling_test.cpp
@@ -41,8 +41,8 @@
 // event4996: all proxies lost their watch at once and polled again at the same instants; some got no list in
 // 25 s.
 TEST(DiscoveryPolling, ManyProxiesPollAtJitteredTimes) {
-  std::set<Time> initialDelays;
-  std::set<Time> retryDelays;
+  std::set<Duration> initialDelays;
+  std::set<Duration> retryDelays;
   for (std::uint64_t seed = 1; seed <= 100; ++seed) {
     BalancerFixture fixture(settingsWithPolling(100), 3, seed);
     EXPECT_EQ(fixture.actions.count(ActionKind::PollDiscovery), 0u);
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -27,7 +27,7 @@
   std::vector<EndpointId> removed;
 
   void updateEndpoint(EndpointId id, const Address&, bool isReady) override { ready[id] = isReady; }
-  void send(RequestId id, int attempt, EndpointId endpoint, Time,
+  void send(RequestId id, int attempt, EndpointId endpoint, TimePoint,
             std::shared_ptr<const ForwardedRequest>) override {
     sent.push_back({id, attempt, endpoint});
   }
@@ -51,7 +51,7 @@
     calls.append(reinterpret_cast<const char*>(evbuffer_pullup(response.get(), -1)),
                  evbuffer_get_length(response.get()));
   }
-  void onRejected(Time) override { calls += "rejected"; }
+  void onRejected(Duration) override { calls += "rejected"; }
   void onFailed() override { calls += "failed"; }
 };
 
@@ -71,7 +71,9 @@
   return ForwardedRequest{newBuffer(), newBuffer(), id};
 }
 
-double unixSeconds(Time position) { return static_cast<double>(position.count()) / 1e6; }
+double unixSeconds(TimePoint position) {
+  return static_cast<double>(position.time_since_epoch().count()) / 1e6;
+}
 
 struct DispatcherTest : testing::Test {
   EventBase base{event_base_new()};
@@ -87,7 +89,7 @@
     reportHealth(1, true, dispatcher.now());
     reportHealth(2, false, dispatcher.now());
   }
-  void reportHealth(EndpointId id, bool primary, Time position) {
+  void reportHealth(EndpointId id, bool primary, TimePoint position) {
     dispatcher.onHealthCheck(id, true, {unixSeconds(position), primary ? 1.0 : 0.0, 0.0});
     dispatcher.processEvents();
   }
@@ -201,7 +203,7 @@
   Dispatcher fresh(base.get(), config);
   fresh.start(endpoints, watcher);
   fresh.processEvents();
-  const Time tooOld = fresh.now() - std::chrono::seconds(6);  // the bound is 5 s
+  const TimePoint tooOld = fresh.now() - std::chrono::seconds(6);  // the bound is 5 s
   fresh.onHealthCheck(2, true, {unixSeconds(tooOld), 0.0, 0.0});
   fresh.processEvents();
   fresh.submit(handler, requestOf(fresh), emptyMessage());
@@ -268,7 +270,7 @@
   ASSERT_EQ(n, 13);
   // The same message, with endpoint 2 as the primary, from a stranger and then from the peer.
   usleep(2000);  // a newer position than the one that endpoint 2 reported
-  const auto nowMs = one.now().count() / 1000;
+  const auto nowMs = one.now().time_since_epoch().count() / 1000;
   gossip::Message message = gossip::parse({bytes, 13}, nowMs).at(0);
   EXPECT_EQ(message.inFlight, 3);
   EXPECT_FALSE(message.primary);
--- a/tests/endpoint_table_test.cpp
+++ b/tests/endpoint_table_test.cpp
@@ -29,9 +29,9 @@
 
 TEST(EndpointTable, SinglePrecisionPositionIsRoundedDown) {
   Settings settings = defaultSettings();
-  settings.positionEpoch = 0s;  // far from 0 a float of seconds is coarse: 1100 s +- 61 us
+  settings.positionEpoch = TimePoint();  // far from 0 a float of seconds is coarse: 1100 s +- 61 us
   BalancerFixture fixture(settings);
-  fixture.now = 1100s + 500ms;  // exactly the bound, if the float were exact
+  fixture.now = TimePoint(1100s + 500ms);  // exactly the bound, if the float were exact
   fixture.reportPositionAfterEpoch(2, 1100.0f);
   EXPECT_TRUE(fixture.sends(fixture.submit(kBoundedRead)).empty());
 }
--- a/tests/example.cpp
+++ b/tests/example.cpp
@@ -21,12 +21,12 @@
   int finalResponses = 0;
   EndpointId lastEndpoint = 0;
 
-  void send(RequestId id, EndpointId endpoint, Time /*until*/) override {
+  void send(RequestId id, EndpointId endpoint, TimePoint /*until*/) override {
     ++sends;
     lastEndpoint = endpoint;
     std::printf("  send request %d to endpoint %d\n", static_cast<int>(id), static_cast<int>(endpoint));
   }
-  void reject(RequestId id, Time /*retryAfter*/) override {
+  void reject(RequestId id, Duration /*retryAfter*/) override {
     ++finalResponses;
     std::printf("  reject %d\n", static_cast<int>(id));
   }
@@ -38,7 +38,7 @@
     std::printf("  cancel %d/%d\n", static_cast<int>(id), attempt);
   }
   // A real program calls LoadBalancer::onTimer when the timer is due.
-  void scheduleTimer(Time /*in*/, TimerToken /*token*/) override {}
+  void scheduleTimer(Duration /*in*/, TimerToken /*token*/) override {}
   // A real program requests a load report from the endpoint.
   void checkHealth(EndpointId /*endpoint*/) override {}
   void broadcast(const GossipMessage& /*message*/) override {}
@@ -79,7 +79,7 @@
   return update;
 }
 
-Request makeRequest(RequestId id, int classIndex, Time deadline) {
+Request makeRequest(RequestId id, int classIndex, TimePoint deadline) {
   Request request;
   request.id = id;
   request.classIndex = classIndex;
@@ -98,7 +98,7 @@
 }
 
 // The replica, endpoint 1, turns the write away; the primary, endpoint 2, commits it.
-void playWrite(LoadBalancer& balancer, Time& now) {
+void playWrite(LoadBalancer& balancer, TimePoint& now) {
   constexpr RequestId kId = 10;
   std::printf("a write: no primary is known, so endpoints are tried by id\n");
   balancer.onRequest(now, makeRequest(kId, kWrite, now + 3s));
@@ -116,7 +116,7 @@
 }
 
 // The connection to the replica breaks; the primary answers. Returns whether the endpoints were those.
-bool playRead(LoadBalancer& balancer, const PrintingSink& sink, Time& now) {
+bool playRead(LoadBalancer& balancer, const PrintingSink& sink, TimePoint& now) {
   constexpr RequestId kId = 11;
   std::printf("a bounded read whose replica fails it: it is retried at the primary\n");
   balancer.onRequest(now, makeRequest(kId, kBoundedRead, now + 1s));
@@ -137,7 +137,7 @@
 int main() {
   PrintingSink sink;
   LoadBalancer balancer(exampleSettings(), 1, sink);
-  Time now = 100s;
+  TimePoint now(100s);
 
   std::printf("a list of two endpoints\n");
   balancer.onEndpointList(now, EndpointListKind::Full, {readyEndpoint(1), readyEndpoint(2)});
--- a/tests/invariant_checker.cpp
+++ b/tests/invariant_checker.cpp
@@ -5,9 +5,9 @@
 namespace stonebay::test {
 
 std::size_t TrackedRequest::earliestInFlight() const {
-  std::size_t i = 0;
-  while (i < attempts.size() && !attempts[i].inFlight) ++i;
-  return i;
+  std::size_t index = 0;
+  while (index < attempts.size() && !attempts[index].inFlight) ++index;
+  return index;
 }
 
 void TrackedRequest::endAttempt(std::size_t attempt, bool attemptMayHaveRun) {
@@ -21,7 +21,7 @@
   return settings_.classes[static_cast<std::size_t>(request.classIndex)];
 }
 
-void InvariantChecker::checkSend(Time now, RequestId id, EndpointId endpoint) {
+void InvariantChecker::checkSend(TimePoint now, RequestId id, EndpointId endpoint) {
   TrackedRequest& request = requests.at(id);
   ASSERT_FALSE(request.isFinished) << "a send after the final response";
   ASSERT_LT(request.attempts.size(), static_cast<std::size_t>(settings_.maxAttempts));
@@ -39,7 +39,7 @@
   }
 }
 
-void InvariantChecker::checkMayRunAgain(Time now, const TrackedRequest& request) const {
+void InvariantChecker::checkMayRunAgain(TimePoint now, const TrackedRequest& request) const {
   const ClassSettings& itsClass = classOf(request);
   if (!settings_.hedgingAllowed || itsClass.idempotency == Idempotency::NonIdempotent) {
     ASSERT_FALSE(request.hasAttemptInFlight()) << "two attempts at the same time";
@@ -52,13 +52,13 @@
   }
 }
 
-void InvariantChecker::checkStaleness(Time now, const EndpointState& state,
+void InvariantChecker::checkStaleness(TimePoint now, const EndpointState& state,
                                       const TrackedRequest& request) const {
   if (settings_.staleReadPolicy != StaleReadPolicy::Serve || state.isPrimary) return;
   const ClassSettings& itsClass = classOf(request);
   if (itsClass.consistency == Consistency::Write) return;
   const bool isBounded = itsClass.consistency == Consistency::BoundedStaleness;
-  const Time required = isBounded ? now - itsClass.maxStaleness : request.requiredPosition;
+  const TimePoint required = isBounded ? now - itsClass.maxStaleness : request.requiredPosition;
   ASSERT_GE(state.provenPosition, required) << "a stale send";
 }
 
--- a/tests/invariant_checker.hpp
+++ b/tests/invariant_checker.hpp
@@ -14,7 +14,7 @@
 /// One send of a request.
 struct TrackedAttempt {
   EndpointId endpoint = 0;
-  Time sentAt{};
+  TimePoint sentAt{};
   bool inFlight = true;
 };
 
@@ -22,11 +22,11 @@
 struct TrackedRequest {
   int classIndex = 0;
   std::uint64_t session = 0;
-  Time deadline{};
-  Time requiredPosition{-1};  ///< its data must hold all commits up to here
-  bool isFinished = false;    ///< no final response is owed any more
+  TimePoint deadline{};
+  TimePoint requiredPosition{Duration(-1)};  ///< its data must hold all commits up to here
+  bool isFinished = false;                   ///< no final response is owed any more
   bool mayHaveRun = false;
-  Time mayHaveRunSince{};  ///< when the earliest attempt that may have run was sent
+  TimePoint mayHaveRunSince{};  ///< when the earliest attempt that may have run was sent
   std::vector<TrackedAttempt> attempts;
 
   bool hasAttemptInFlight() const { return earliestInFlight() < attempts.size(); }
@@ -40,7 +40,7 @@
   Lifecycle listed = Lifecycle::Gone;
   bool isDraining = false;
   bool isPrimary = false;
-  Time provenPosition{};
+  TimePoint provenPosition{};
 };
 
 /// Holds the state that the events lead to (the caller keeps it up to date) and checks actions against it, by
@@ -55,14 +55,14 @@
 
   const ClassSettings& classOf(const TrackedRequest&) const;
   /// Checks a send and adds it to the request's attempts.
-  void checkSend(Time now, RequestId, EndpointId);
+  void checkSend(TimePoint now, RequestId, EndpointId);
   /// Checks a rejection or failure and finishes the request.
   void checkFinalResponse(RequestId, ActionKind);
 
  private:
   void checkEndpointIsOpen(const EndpointState&) const;
-  void checkMayRunAgain(Time now, const TrackedRequest&) const;
-  void checkStaleness(Time now, const EndpointState&, const TrackedRequest&) const;
+  void checkMayRunAgain(TimePoint now, const TrackedRequest&) const;
+  void checkStaleness(TimePoint now, const EndpointState&, const TrackedRequest&) const;
 
   const Settings& settings_;
 };
--- a/tests/load_report_test.cpp
+++ b/tests/load_report_test.cpp
@@ -12,7 +12,7 @@
   Settings settings;
   settings.reportFields = {ReportField::Position, ReportField::Primary, ReportField::Other,
                            ReportField::InFlight};
-  settings.positionEpoch = std::chrono::seconds(1000);
+  settings.positionEpoch = TimePoint(std::chrono::seconds(1000));
   return settings;
 }
 
@@ -25,7 +25,7 @@
 
 TEST(LoadReport, APositionIsNeverNewerThanItsValue) {
   const LoadReport report = decodeLoadReport({8.5F}, reportSettings());
-  const Time exact = std::chrono::milliseconds(1008500);
+  const TimePoint exact(std::chrono::milliseconds(1008500));
   EXPECT_LT(*report.position, exact);
   EXPECT_GE(*report.position, exact - std::chrono::microseconds(2));
 }
--- a/tests/property_test.cpp
+++ b/tests/property_test.cpp
@@ -13,10 +13,10 @@
 constexpr int kSteps = 4000;
 constexpr int kEndpoints = 5;
 constexpr int kClasses = 7;
-constexpr Time kHealthCheckLatency = 3ms;
+constexpr Duration kHealthCheckLatency = 3ms;
 
 Settings settingsOfVariant(int variant) {
-  const unsigned bits = static_cast<unsigned>(variant);
+  const auto bits = static_cast<unsigned>(variant);
   Settings settings = defaultSettings();
   settings.staleReadPolicy = static_cast<StaleReadPolicy>(variant % 3);
   settings.sessionTokensCarried = (bits & 1U) != 0;
@@ -90,7 +90,7 @@
 
   void answerHealthCheck(EndpointId endpoint) {
     const bool ok = pick(5) != 0;
-    const Time age = milliseconds(pick(600));
+    const Duration age = milliseconds(pick(600));
     const bool isPrimary = pick(12) == 0;
     if (!ok) {
       fixture_.failHealthCheck(endpoint);
@@ -123,7 +123,7 @@
   void submitRequest() {
     TrackedRequest request;
     request.classIndex = pick(kClasses);
-    const Time deadline = checker_.classOf(request).deadline / (1 + pick(2));
+    const Duration deadline = checker_.classOf(request).deadline / (1 + pick(2));
     request.deadline = fixture_.now + deadline;
     request.session = 1 + random_() % 5;
     const int sessionTokenAgeMs = pick(900);
@@ -136,11 +136,11 @@
 
   // The latest commit of a session, by its token or by the responses to its writes; -1: it has written
   // nothing.
-  Time lastCommitOf(std::uint64_t session, Time tokenAge) const {
+  TimePoint lastCommitOf(std::uint64_t session, Duration tokenAge) const {
     if (fixture_.settings.sessionTokensCarried)
-      return tokenAge > Time(0) ? fixture_.now - tokenAge : Time(-1);
+      return tokenAge > Duration(0) ? fixture_.now - tokenAge : TimePoint(Duration(-1));
     const auto it = sessionCommits_.find(session);
-    return it != sessionCommits_.end() ? it->second : Time(-1);
+    return it != sessionCommits_.end() ? it->second : TimePoint(Duration(-1));
   }
 
   void changeEndpointList() {
@@ -150,7 +150,7 @@
       EndpointState& state = checker_.endpoints[endpoint];
       state.listed = listed;
       state.isDraining = listed == Lifecycle::Draining || (state.isDraining && listed == Lifecycle::Gone);
-      const Time started = pick(2) != 0 ? fixture_.now : Time(0);
+      const TimePoint started = pick(2) != 0 ? fixture_.now : TimePoint();
       fixture_.updateEndpoints({BalancerFixture::endpointUpdate(endpoint, listed, started)});
     } else if (pick(9) == 0) {
       fixture_.balancer.onEndpointList(fixture_.now, EndpointListKind::Failed, {});
@@ -262,9 +262,9 @@
   std::mt19937_64 random_;
   BalancerFixture fixture_;
   InvariantChecker checker_;
-  std::map<std::uint64_t, Time> sessionCommits_;
-  std::multimap<Time, TimerToken> timers_;
-  std::multimap<Time, EndpointId> healthChecks_;
+  std::map<std::uint64_t, TimePoint> sessionCommits_;
+  std::multimap<TimePoint, TimerToken> timers_;
+  std::multimap<TimePoint, EndpointId> healthChecks_;
   std::size_t checkedActions_ = 0;  // of fixture_.actions.recorded
 };
 
--- a/tests/read_set_test.cpp
+++ b/tests/read_set_test.cpp
@@ -43,7 +43,7 @@
   EndpointId third = 0;  // the replica that is last in turn
   RequestId id = 0;      // the read that is submitted once the loads are as described
 
-  explicit LoadedGroup(bool thirdIsKnownIdle, int inFlight = 8, Time reportAge = Time(0)) {
+  explicit LoadedGroup(bool thirdIsKnownIdle, int inFlight = 8, Duration reportAge = Duration(0)) {
     warmUp();
     fixture.advanceTime(2000ms);
     fixture.actions.recorded.clear();
--- a/tests/recording_sink.hpp
+++ b/tests/recording_sink.hpp
@@ -19,10 +19,11 @@
   ActionKind kind = ActionKind::Log;
   RequestId request = 0;
   EndpointId endpoint = 0;
-  Time time{};  ///< Send: until when; Reject: Retry-After; Timer: the interval
+  TimePoint until{};  ///< Send: until when
+  Duration time{};    ///< Reject: Retry-After; Timer: the interval
   int attempt = 0;
   TimerToken token;
-  Time dueAt{};  ///< Timer: when it is due on the sink's clock
+  TimePoint dueAt{};  ///< Timer: when it is due on the sink's clock
 };
 
 /// Records actions in their order, and broadcasts apart from them.
@@ -30,15 +31,15 @@
  public:
   std::vector<Action> recorded;
   std::vector<GossipMessage> broadcasts;
-  const Time* clock = nullptr;  ///< may be null: timers are due counted from 0
+  const TimePoint* clock = nullptr;  ///< may be null: timers are due counted from 0
 
-  void send(RequestId id, EndpointId endpoint, Time until) override {
+  void send(RequestId id, EndpointId endpoint, TimePoint until) override {
     Action action = make(ActionKind::Send, id);
     action.endpoint = endpoint;
-    action.time = until;
+    action.until = until;
     recorded.push_back(action);
   }
-  void reject(RequestId id, Time retryAfter) override {
+  void reject(RequestId id, Duration retryAfter) override {
     Action action = make(ActionKind::Reject, id);
     action.time = retryAfter;
     recorded.push_back(action);
@@ -49,11 +50,11 @@
     action.attempt = attempt;
     recorded.push_back(action);
   }
-  void scheduleTimer(Time in, TimerToken token) override {
+  void scheduleTimer(Duration in, TimerToken token) override {
     Action action = make(ActionKind::Timer);
     action.time = in;
     action.token = token;
-    action.dueAt = clock != nullptr ? *clock + in : in;
+    action.dueAt = clock != nullptr ? *clock + in : TimePoint(in);
     recorded.push_back(action);
   }
   void checkHealth(EndpointId endpoint) override {
--- a/tests/session_commits_test.cpp
+++ b/tests/session_commits_test.cpp
@@ -8,20 +8,20 @@
 
 TEST(SessionCommits, KeepsTheLatestCommitOfEachSession) {
   SessionCommits commits;
-  commits.record(1, Time(20));
-  commits.record(1, Time(10));
-  commits.record(2, Time(5));
-  EXPECT_EQ(commits.find(1), Time(20));
-  EXPECT_EQ(commits.find(2), Time(5));
+  commits.record(1, TimePoint(Duration(20)));
+  commits.record(1, TimePoint(Duration(10)));
+  commits.record(2, TimePoint(Duration(5)));
+  EXPECT_EQ(commits.find(1), TimePoint(Duration(20)));
+  EXPECT_EQ(commits.find(2), TimePoint(Duration(5)));
   EXPECT_FALSE(commits.find(3).has_value());
   EXPECT_EQ(commits.size(), 2U);
 }
 
 TEST(SessionCommits, EvictionLeavesTheLatestCommitOfAll) {
   SessionCommits commits;
-  commits.record(1, Time(20));
-  commits.record(2, Time(30));
-  EXPECT_EQ(commits.evictAll(), Time(30));
+  commits.record(1, TimePoint(Duration(20)));
+  commits.record(2, TimePoint(Duration(30)));
+  EXPECT_EQ(commits.evictAll(), TimePoint(Duration(30)));
   EXPECT_EQ(commits.size(), 0U);
   EXPECT_FALSE(commits.find(2).has_value());
 }
--- a/tests/simulator_adapter_test.cpp
+++ b/tests/simulator_adapter_test.cpp
@@ -197,7 +197,7 @@
 
 // The note of an outcome: 4 x the position in ms after the epoch, + 1 from a primary or + 2 from a replica.
 TEST(SimulatorAdapter, DecodesTheNoteOfAnOutcomeToRoleAndPosition) {
-  const Time epoch = std::chrono::seconds(100);
+  const TimePoint epoch(std::chrono::seconds(100));
   const auto outcomeWith = [&](std::uint32_t note) {
     Bytes fields = fromHex("c4913a5d 00 0a124a07 431f 0000 44480000 01");
     append(fields, note);
@@ -206,7 +206,7 @@
     return decodeAttemptOutcome(record, epoch);
   };
   const auto after = [&](std::int64_t ms) {
-    return std::optional<Time>(epoch + std::chrono::milliseconds(ms));
+    return std::optional<TimePoint>(epoch + std::chrono::milliseconds(ms));
   };
 
   EXPECT_EQ(outcomeWith(4 * 6371 + 1).role, Role::Primary);
--- a/tests/timer_queue_test.cpp
+++ b/tests/timer_queue_test.cpp
@@ -8,15 +8,16 @@
 TEST(TimerQueue, ReturnsTimersInTheOrderInWhichTheyAreDue) {
   TimerQueue timers;
   EXPECT_FALSE(timers.nextDue());
-  timers.schedule(Time(20), TimerToken{TimerKind::Wake, 1});
-  timers.schedule(Time(10), TimerToken{TimerKind::Wake, 2});
-  timers.schedule(Time(20), TimerToken{TimerKind::Wake, 3});
-  EXPECT_EQ(timers.nextDue(), Time(10));
-  EXPECT_FALSE(timers.popDue(Time(9)));
-  EXPECT_EQ(timers.popDue(Time(20))->id, 2u);
-  EXPECT_EQ(timers.popDue(Time(20))->id, 1u) << "of those due at the same time, the one scheduled earlier";
-  EXPECT_EQ(timers.popDue(Time(20))->id, 3u);
-  EXPECT_FALSE(timers.popDue(Time(20)));
+  timers.schedule(TimePoint(Duration(20)), TimerToken{TimerKind::Wake, 1});
+  timers.schedule(TimePoint(Duration(10)), TimerToken{TimerKind::Wake, 2});
+  timers.schedule(TimePoint(Duration(20)), TimerToken{TimerKind::Wake, 3});
+  EXPECT_EQ(timers.nextDue(), TimePoint(Duration(10)));
+  EXPECT_FALSE(timers.popDue(TimePoint(Duration(9))));
+  EXPECT_EQ(timers.popDue(TimePoint(Duration(20)))->id, 2u);
+  EXPECT_EQ(timers.popDue(TimePoint(Duration(20)))->id, 1u)
+      << "of those due at the same time, the one scheduled earlier";
+  EXPECT_EQ(timers.popDue(TimePoint(Duration(20)))->id, 3u);
+  EXPECT_FALSE(timers.popDue(TimePoint(Duration(20))));
   EXPECT_FALSE(timers.nextDue());
 }
 
--- a/tests/upstream_load_report_test.cpp
+++ b/tests/upstream_load_report_test.cpp
@@ -5,7 +5,7 @@
 namespace stonebay::test {
 namespace {
 
-constexpr Time kNow = std::chrono::seconds(1767225600);
+constexpr TimePoint kNow(std::chrono::seconds(1767225600));
 
 std::vector<double> parse(const std::string& report) {
   return parseLoadReport(report, {"x0", "x1", "inflight"},
