discovery: flap damping in a module of its own

The tracker kept each name's penalty, its decay and its suppression among its other fields. FlapPenalty owns them, after RFC 2439; the tracker says when a name is withdrawn or returns.

--- a/src/app/discovery_source.cpp
+++ b/src/app/discovery_source.cpp
@@ -60,14 +60,14 @@
 EndpointTrackerPolicy trackerPolicy(const Config& config) {
   EndpointTrackerPolicy policy;
   if (config.source != Source::DnsSd) {
-    policy.dampingEnabled = false;
+    policy.damping.enabled = false;
     return policy;
   }
   const DnsSdSettings& settings = config.dnssd;
-  policy.suppressThreshold = settings.flapSuppress;
-  policy.reuseThreshold = settings.flapReuse;
-  policy.halfLife = settings.flapHalfLife;
-  policy.maxSuppression = settings.maxSuppression;
+  policy.damping.suppressThreshold = settings.flapSuppress;
+  policy.damping.reuseThreshold = settings.flapReuse;
+  policy.damping.halfLife = settings.flapHalfLife;
+  policy.damping.maxSuppression = settings.maxSuppression;
   policy.maxListAge = settings.maxListAge;
   return policy;
 }
--- a/src/discovery/endpoint_tracker.cpp
+++ b/src/discovery/endpoint_tracker.cpp
@@ -1,7 +1,6 @@
 #include "discovery/endpoint_tracker.hpp"
 
 #include <algorithm>
-#include <cmath>
 #include <set>
 #include <utility>
 
@@ -10,7 +9,6 @@
 
 // An entry that is gone is kept until its penalty has decayed below this.
 constexpr double kNegligiblePenalty = 0.02;
-constexpr double kPenaltyPerWithdrawal = 1;
 
 std::int64_t unixMs(EndpointTracker::Time time) { return time.count() / 1000; }
 
@@ -24,10 +22,6 @@
   return left.address == right.address && left.group == right.group;
 }
 
-double halfLives(EndpointTracker::Time time, EndpointTracker::Time halfLife) {
-  return static_cast<double>(time.count()) / static_cast<double>(std::max<std::int64_t>(halfLife.count(), 1));
-}
-
 }  // namespace
 
 const char* describe(ExclusionReason reason) {
@@ -46,38 +40,17 @@
   return "";
 }
 
-double EndpointTracker::decayedPenalty(const Entry& entry, Time now) const {
-  if (entry.penalty == 0) return 0;
-  return entry.penalty * std::exp2(-halfLives(now - entry.penaltyUpdatedAt, policy_.halfLife));
-}
-
-// A penalty that decays to the reuse threshold within the maximum suppression time (RFC 2439 section 4.2): an
-// instance that has flapped for hours is not suppressed for hours.
-double EndpointTracker::maxPenalty() const {
-  const double ceiling =
-      policy_.reuseThreshold * std::exp2(halfLives(policy_.maxSuppression, policy_.halfLife));
-  return std::max(ceiling, kPenaltyPerWithdrawal);
-}
-
 void EndpointTracker::appear(Entry& entry, Time now, bool initial) {
   entry.present = true;
   entry.presenceChangedAt = now;
   entry.inferredStartMs = initial && entry.withdrawals == 0 ? 0 : unixMs(now);
-  const double penalty = decayedPenalty(entry, now);
-  entry.suppressed = policy_.dampingEnabled && penalty >= policy_.suppressThreshold;
-  if (!entry.suppressed) return;
-  const double halfLivesToReuse = std::log2(penalty / policy_.reuseThreshold);
-  const auto wait = static_cast<double>(policy_.halfLife.count()) * halfLivesToReuse;
-  entry.suppressedUntil =
-      now + std::clamp(Time(static_cast<std::int64_t>(wait)), Time(0), policy_.maxSuppression);
+  entry.penalty.onReturn(policy_.damping, now);
 }
 
 void EndpointTracker::withdraw(Entry& entry, Time now) {
-  entry.penalty = std::min(decayedPenalty(entry, now) + kPenaltyPerWithdrawal, maxPenalty());
-  entry.penaltyUpdatedAt = now;
   entry.present = false;
-  entry.suppressed = false;
   entry.presenceChangedAt = now;
+  entry.penalty.onWithdrawal(policy_.damping, now);
   ++entry.withdrawals;
 }
 
@@ -170,7 +143,7 @@
   std::optional<Time> deadline;
   const auto consider = [&](Time at) { deadline = deadline ? std::min(*deadline, at) : at; };
   for (const auto& [name, entry] : entries_)
-    if (entry.present && entry.suppressed) consider(entry.suppressedUntil);
+    if (entry.present && entry.penalty.isSuppressed()) consider(entry.penalty.suppressedUntil());
   if (const auto expiresAt = listExpiresAt(); expiresAt && !expired_) consider(*expiresAt);
   return deadline;
 }
@@ -216,12 +189,12 @@
   std::vector<Address> claimed;
   for (const auto& [name, entry] : entries) {
     entry->exclusion = ExclusionReason::None;
-    if (entry->suppressed && now >= entry->suppressedUntil) entry->suppressed = false;
+    entry->penalty.update(now);
     if (!entry->present) continue;
     const Address& address = entry->instance.address;
     if (expired_)
       entry->exclusion = ExclusionReason::ListExpired;
-    else if (entry->suppressed)
+    else if (entry->penalty.isSuppressed())
       entry->exclusion = ExclusionReason::Flapping;
     else if (std::find(claimed.begin(), claimed.end(), address) != claimed.end())
       entry->exclusion = ExclusionReason::DuplicateAddress;
@@ -253,7 +226,8 @@
 }
 
 bool EndpointTracker::isForgettable(const Entry& entry, Time now) const {
-  return !entry.present && !entry.isPublished && decayedPenalty(entry, now) < kNegligiblePenalty;
+  return !entry.present && !entry.isPublished &&
+         entry.penalty.value(policy_.damping, now) < kNegligiblePenalty;
 }
 
 // Bounds the memory where instances come under names that are always new.
@@ -266,7 +240,7 @@
   View view{{}, lastUpdateAt_, failingSince_, failingSince_ ? failureReason_ : std::string()};
   for (const auto& [name, entry] : entries_) {
     if (isForgettable(entry, now)) continue;
-    Row row{entry.instance, entry.exclusion, decayedPenalty(entry, now), entry.withdrawals};
+    Row row{entry.instance, entry.exclusion, entry.penalty.value(policy_.damping, now), entry.withdrawals};
     if (!entry.present) {
       row.instance.state = Lifecycle::Gone;
       row.exclusion = ExclusionReason::Withdrawn;
--- a/src/discovery/endpoint_tracker.hpp
+++ b/src/discovery/endpoint_tracker.hpp
@@ -29,18 +29,15 @@
 #include <vector>
 
 #include "discovery/endpoint_list.hpp"
+#include "discovery/flap_damping.hpp"
 
 namespace stonebay {
 
-/// Flap damping (RFC 2439 section 4.2) and expiry of the list.
+/// How a list is damped, and when it expires.
 struct EndpointTrackerPolicy {
-  using Time = std::chrono::microseconds;
-  bool dampingEnabled = true;
-  double suppressThreshold = 1.5;            ///< penalty from which on a name that returns is suppressed
-  double reuseThreshold = 0.75;              ///< penalty at which a suppressed name is published again
-  Time halfLife = std::chrono::seconds(15);  ///< of a penalty
-  Time maxSuppression = std::chrono::seconds(60);
-  Time maxListAge{};  ///< while the source fails, the list expires at this age; 0: never
+  FlapDampingPolicy damping;
+  /// While the source fails, the list expires at this age; 0: never.
+  std::chrono::microseconds maxListAge{};
 };
 
 /// Why an instance is not published.
@@ -99,12 +96,9 @@
     Instance published;                // as the handler knows it
     Time presenceChangedAt{};          // of the last appearance or withdrawal
     std::int64_t inferredStartMs = 0;  // where the source gives no start time
-    double penalty = 0;                // at penaltyUpdatedAt
-    Time penaltyUpdatedAt{};
+    FlapPenalty penalty;
     unsigned withdrawals = 0;
     unsigned incarnation = 1;  // counts the servers that the name has stood for
-    bool suppressed = false;
-    Time suppressedUntil{};
     ExclusionReason exclusion = ExclusionReason::None;
   };
   struct WithdrawnServer {
@@ -114,8 +108,6 @@
   };
   using NamedEntry = std::pair<const std::string*, Entry*>;
 
-  double decayedPenalty(const Entry& entry, Time now) const;
-  double maxPenalty() const;
   bool isForgettable(const Entry& entry, Time now) const;
   void onSourceDelivered(Time now);
   std::vector<WithdrawnServer> withdrawMissing(Time now, const std::vector<Instance>& instances);
