discovery: two functions of the endpoint tracker are const

Run: tools/lint on endpoint_tracker.cpp, no warning in the folder; the 50 tests of discovery, codec/dns and codec/http under the address and undefined-behaviour sanitizers, all passed.

--- a/src/discovery/endpoint_tracker.cpp
+++ b/src/discovery/endpoint_tracker.cpp
@@ -40,14 +40,14 @@
   return "";
 }
 
-void EndpointTracker::appear(Entry& entry, Time now, bool initial) {
+void EndpointTracker::appear(Entry& entry, Time now, bool initial) const {
   entry.present = true;
   entry.presenceChangedAt = now;
   entry.inferredStartMs = initial && entry.withdrawals == 0 ? 0 : unixMs(now);
   entry.penalty.onReturn(policy_.damping, now);
 }
 
-void EndpointTracker::withdraw(Entry& entry, Time now) {
+void EndpointTracker::withdraw(Entry& entry, Time now) const {
   entry.present = false;
   entry.presenceChangedAt = now;
   entry.penalty.onWithdrawal(policy_.damping, now);
--- a/src/discovery/endpoint_tracker.hpp
+++ b/src/discovery/endpoint_tracker.hpp
@@ -112,8 +112,8 @@
   void onSourceDelivered(Time now);
   std::vector<WithdrawnServer> withdrawMissing(Time now, const std::vector<Instance>& instances);
   void updateEntry(Time now, Instance instance, const std::vector<WithdrawnServer>& withdrawn, bool initial);
-  void appear(Entry& entry, Time now, bool initial);
-  void withdraw(Entry& entry, Time now);
+  void appear(Entry& entry, Time now, bool initial) const;
+  void withdraw(Entry& entry, Time now) const;
   void forgetOldEntries(Time now);
   std::optional<Time> listExpiresAt() const;
   std::vector<NamedEntry> entriesByPrecedence();
