--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -58,26 +58,27 @@
   EXPECT_EQ(fromIni.connectTimeout, fromJson.connectTimeout);
   EXPECT_EQ(fromIni.idleTimeout, fromJson.idleTimeout);
   EXPECT_EQ(fromIni.reportNames, fromJson.reportNames);
-  const auto &a = fromIni.settings, &b = fromJson.settings;
-  EXPECT_EQ(a.reportFields, b.reportFields);
-  EXPECT_EQ(a.staleReadPolicy, b.staleReadPolicy);
-  EXPECT_EQ(a.discovery, b.discovery);
-  EXPECT_EQ(a.reports, b.reports);
-  EXPECT_EQ(a.maxAttempts, b.maxAttempts);
-  EXPECT_EQ(a.drainGracePeriod, b.drainGracePeriod);
-  EXPECT_EQ(a.slowStartWindow, b.slowStartWindow);
-  EXPECT_EQ(a.overloadWindow, b.overloadWindow);
-  EXPECT_EQ(a.maxPollInterval, b.maxPollInterval);
-  EXPECT_EQ(a.maxRetryAfter, b.maxRetryAfter);
-  EXPECT_EQ(a.timeStep, b.timeStep);
-  EXPECT_EQ(a.initialCapacity, b.initialCapacity);
-  EXPECT_EQ(a.overloadFactor, b.overloadFactor);
-  EXPECT_EQ(a.totalServedGoal, b.totalServedGoal);
-  EXPECT_EQ(a.worstClassGoal, b.worstClassGoal);
-  EXPECT_EQ(a.positionsInResponses, b.positionsInResponses);
-  EXPECT_EQ(a.sessionTokensCarried, b.sessionTokensCarried);
-  EXPECT_EQ(a.healthChecksAllowed && a.cancellationAllowed && a.retryAfterAllowed,
-            b.healthChecksAllowed && b.cancellationAllowed && b.retryAfterAllowed);
+  const Settings& ini = fromIni.settings;
+  const Settings& json = fromJson.settings;
+  EXPECT_EQ(ini.reportFields, json.reportFields);
+  EXPECT_EQ(ini.staleReadPolicy, json.staleReadPolicy);
+  EXPECT_EQ(ini.discovery, json.discovery);
+  EXPECT_EQ(ini.reports, json.reports);
+  EXPECT_EQ(ini.maxAttempts, json.maxAttempts);
+  EXPECT_EQ(ini.drainGracePeriod, json.drainGracePeriod);
+  EXPECT_EQ(ini.slowStartWindow, json.slowStartWindow);
+  EXPECT_EQ(ini.overloadWindow, json.overloadWindow);
+  EXPECT_EQ(ini.maxPollInterval, json.maxPollInterval);
+  EXPECT_EQ(ini.maxRetryAfter, json.maxRetryAfter);
+  EXPECT_EQ(ini.timeStep, json.timeStep);
+  EXPECT_EQ(ini.initialCapacity, json.initialCapacity);
+  EXPECT_EQ(ini.overloadFactor, json.overloadFactor);
+  EXPECT_EQ(ini.totalServedGoal, json.totalServedGoal);
+  EXPECT_EQ(ini.worstClassGoal, json.worstClassGoal);
+  EXPECT_EQ(ini.positionsInResponses, json.positionsInResponses);
+  EXPECT_EQ(ini.sessionTokensCarried, json.sessionTokensCarried);
+  EXPECT_EQ(ini.healthChecksAllowed && ini.cancellationAllowed && ini.retryAfterAllowed,
+            json.healthChecksAllowed && json.cancellationAllowed && json.retryAfterAllowed);
 }
 
 TEST(Settings, ErrorsNameFileLineKeyAndCorrection) {
