--- a/tests/scenario.hpp
+++ b/tests/scenario.hpp
@@ -24,6 +24,8 @@
 #include <event2/event.h>
 #include <gtest/gtest.h>
 
+#include <chrono>
+#include <functional>
 #include <list>
 #include <map>
 #include <memory>
@@ -37,6 +39,9 @@
 }
 namespace stonebay::test {
 
+/// The longest wait for what must come.
+constexpr auto kWatchdog = std::chrono::seconds(20);
+
 class Scenario {
  public:
   explicit Scenario(const Setting& = {});
@@ -76,8 +81,7 @@
   void read(Connection&);
   void reset(Connection&);
   void greet(Server&, Connection&);
-  template <typename Done>
-  void until(Done done, const std::string& what);
+  void until(const std::function<bool()>& done, const std::string& what);
   bool message(Connection&, char& type, std::string& body);
   void expectMessage(Connection&, char type, const std::string& within);
 
