testbed: the machine's warm-up computes as before to the last bit

Cause: the split had changed the order of a product and a quotient. Found by one million drawn operations on the old and the new models side by side: 61,987 differences in the last bit of the capacity and the peak overload before, none after; queue, cancellation and replica log agreed both times.

--- a/testbed/machine.cpp
+++ b/testbed/machine.cpp
@@ -18,8 +18,8 @@
 double Machine::currentCoreSpeed(Time now) const {
   double share = 1;
   if (isWarmingUp(now)) {
-    const double progress = toSeconds(now - startedAt_) / toSeconds(settings_.warmUpDuration);
-    share = settings_.warmUpInitialShare + (1 - settings_.warmUpInitialShare) * progress;
+    const double gain = (1 - settings_.warmUpInitialShare) * toSeconds(now - startedAt_);
+    share = settings_.warmUpInitialShare + gain / toSeconds(settings_.warmUpDuration);
   }
   return settings_.coreSpeed * share / slowdown_;
 }
