Testbed: the behaviour of a name server has that name

Cause: mood was a metaphor. Change: Behavior, setBehavior, findBehavior; the tests' scripts say behavior, the experiments' scripts keep their words.

--- a/testbed/discovery_stand_in.cpp
+++ b/testbed/discovery_stand_in.cpp
@@ -34,7 +34,7 @@
            "\nname_servers = 127.0.0.1:" + std::to_string(server_.port()) + "\n";
   }
   std::uint64_t queryCount() const override { return server_.counts().udp + server_.counts().tcp; }
-  void setNameServerMood(NameServer::Mood mood) override { server_.mood(mood); }
+  void setNameServerMood(NameServer::Behavior behavior) override { server_.setBehavior(behavior); }
 
  private:
   // An endpoint that is not on the list is withdrawn.
--- a/testbed/discovery_stand_in.hpp
+++ b/testbed/discovery_stand_in.hpp
@@ -32,7 +32,7 @@
   /// Queries received so far; only counted for DNS.
   virtual std::uint64_t queryCount() const { return 0; }
   /// Does nothing unless this is a name server.
-  virtual void setNameServerMood(NameServer::Mood /*mood*/) {}
+  virtual void setNameServerMood(NameServer::Behavior /*behavior*/) {}
   /// Does nothing unless this is a registry.
   virtual void setRegistryDown(bool /*down*/) {}
 };
--- a/testbed/name_server.cpp
+++ b/testbed/name_server.cpp
@@ -168,31 +168,31 @@
   connections_.remove_if([&connection](const auto& owned) { return owned.get() == &connection; });
 }
 
-void NameServer::mood(Mood mood) {
-  mood_ = mood;
-  const bool acceptsTcp = mood != Mood::TruncatedOnly;
+void NameServer::setBehavior(Behavior behavior) {
+  behavior_ = behavior;
+  const bool acceptsTcp = behavior != Behavior::TruncatedOnly;
   if (acceptsTcp && !tcpListener_.isOpen()) listenTcp();
   if (!acceptsTcp && tcpListener_.isOpen()) closeTcp();
 }
 
-bool NameServer::moodOf(const std::string& name, Mood& mood) {
-  static const std::map<std::string, Mood> moods{{"good", Mood::Good},
-                                                 {"silent", Mood::Silent},
-                                                 {"servfail", Mood::ServFail},
-                                                 {"refused", Mood::Refused},
-                                                 {"lame", Mood::Lame},
-                                                 {"noise", Mood::Noise},
-                                                 {"loop", Mood::Loop},
-                                                 {"counts", Mood::Counts},
-                                                 {"wrong-id", Mood::WrongId},
-                                                 {"wrong-question", Mood::WrongQuestion},
-                                                 {"wrong-port", Mood::WrongPort},
-                                                 {"truncated", Mood::Truncated},
-                                                 {"truncated-only", Mood::TruncatedOnly},
-                                                 {"no-edns", Mood::NoEdns}};
-  const auto it = moods.find(name);
-  if (it == moods.end()) return false;
-  mood = it->second;
+bool NameServer::findBehavior(const std::string& name, Behavior& behavior) {
+  static const std::map<std::string, Behavior> behaviors{{"good", Behavior::Good},
+                                                         {"silent", Behavior::Silent},
+                                                         {"servfail", Behavior::ServFail},
+                                                         {"refused", Behavior::Refused},
+                                                         {"lame", Behavior::Lame},
+                                                         {"noise", Behavior::Noise},
+                                                         {"loop", Behavior::Loop},
+                                                         {"counts", Behavior::Counts},
+                                                         {"wrong-id", Behavior::WrongId},
+                                                         {"wrong-question", Behavior::WrongQuestion},
+                                                         {"wrong-port", Behavior::WrongPort},
+                                                         {"truncated", Behavior::Truncated},
+                                                         {"truncated-only", Behavior::TruncatedOnly},
+                                                         {"no-edns", Behavior::NoEdns}};
+  const auto it = behaviors.find(name);
+  if (it == behaviors.end()) return false;
+  behavior = it->second;
   return true;
 }
 
@@ -206,7 +206,7 @@
     if (received < 0) return;
     const std::string response = answer({bytes, static_cast<std::size_t>(received)}, Transport::Udp);
     if (response.empty()) continue;
-    const UniqueFd& sender = mood_ == Mood::WrongPort ? otherUdpSocket_ : udpSocket_;
+    const UniqueFd& sender = behavior_ == Behavior::WrongPort ? otherUdpSocket_ : udpSocket_;
     sendto(sender.get(), response.data(), response.size(), 0, clientAddress, clientSize);
   }
 }
@@ -221,36 +221,36 @@
   const std::size_t maxSize =
       isTcp ? dns::kLongestMessage : std::max<std::size_t>(query->udpPayload, kMaxUdpSizeWithoutEdns);
   dns::Message response = newResponse(*query);
-  switch (mood_) {
-    case Mood::Silent:
+  switch (behavior_) {
+    case Behavior::Silent:
       return {};
-    case Mood::ServFail:
+    case Behavior::ServFail:
       return dns::encode(errorResponse(*query, dns::Rcode::ServFail));
-    case Mood::Refused:
+    case Behavior::Refused:
       return dns::encode(errorResponse(*query, dns::Rcode::Refused));
-    case Mood::Lame:
+    case Behavior::Lame:
       return dns::encode(errorResponse(*query, dns::Rcode::NoError));
-    case Mood::Noise:
+    case Behavior::Noise:
       return noise(bytes);
-    case Mood::Loop:
+    case Behavior::Loop:
       return selfReference(*query);
-    case Mood::Counts:
+    case Behavior::Counts:
       return withTooManyAnswersPromised(response);
-    case Mood::WrongId:
+    case Behavior::WrongId:
       response.id ^= 1;
       return dns::encode(withEmptyZone(std::move(response)), maxSize);
-    case Mood::WrongQuestion:
+    case Behavior::WrongQuestion:
       response.question->name = "other." + response.question->name;
       return dns::encode(withEmptyZone(std::move(response)), maxSize);
-    case Mood::WrongPort:
+    case Behavior::WrongPort:
       return dns::encode(withEmptyZone(std::move(response)), maxSize);
-    case Mood::Truncated:
-    case Mood::TruncatedOnly:
+    case Behavior::Truncated:
+    case Behavior::TruncatedOnly:
       return dns::encode(response, isTcp ? maxSize : 0);
-    case Mood::NoEdns:
+    case Behavior::NoEdns:
       if (query->udpPayload > 0) return dns::encode(errorResponse(*query, dns::Rcode::FormErr));
       break;
-    case Mood::Good:
+    case Behavior::Good:
       break;
   }
   return answerTruthfully(*query, response, maxSize);
--- a/testbed/name_server.hpp
+++ b/testbed/name_server.hpp
@@ -22,7 +22,7 @@
 
 class NameServer {
  public:
-  enum class Mood {
+  enum class Behavior {
     Good,
     Silent,  ///< takes queries and answers none
     ServFail,
@@ -50,9 +50,9 @@
   void publish(const ServiceInstance& instance) { zone_.publish(instance); }
   void withdraw(const std::string& label) { zone_.withdraw(label); }
   void clear() { zone_.clear(); }
-  void mood(Mood mood);
+  void setBehavior(Behavior behavior);
   /// "silent", "wrong-id", ...; false if there is none of that name.
-  static bool moodOf(const std::string& name, Mood& mood);
+  static bool findBehavior(const std::string& name, Behavior& behavior);
 
   /// Called when an answer that names all instances goes out: each label, and whether the instance wants
   /// requests (false: state=leaving).
@@ -91,7 +91,7 @@
   Event udpReadable_;
   Event tcpAcceptable_;
   std::list<std::unique_ptr<TcpConnection>> connections_;
-  Mood mood_ = Mood::Good;
+  Behavior behavior_ = Behavior::Good;
   Counts counts_;
 };
 
--- a/testbed/script.hpp
+++ b/testbed/script.hpp
@@ -26,7 +26,7 @@
   Errors,       ///< ENDPOINT PERCENT of requests
   Resets,       ///< ENDPOINT PERCENT of requests
   Lag,          ///< ENDPOINT FACTOR: of applying the log
-  NameServers,  ///< BEHAVIOR: of all name servers, see NameServer::Mood
+  NameServers,  ///< BEHAVIOR: of all name servers, see NameServer::Behavior
   Registry,     ///< down or up
   Rate,         ///< REQUESTS a second, of all proxies together
   Proxy,        ///< NUMBER term|hup|kill|start
--- a/testbed/script_runner.cpp
+++ b/testbed/script_runner.cpp
@@ -119,9 +119,10 @@
 }
 
 void ScriptRunner::setNameServerMood(const ScriptStep& step) {
-  NameServer::Mood mood{};
-  if (!NameServer::moodOf(step.arguments[0], mood)) fail(step, "there is no mood " + step.arguments[0]);
-  for (const auto& proxy : proxies_) proxy->discovery().setNameServerMood(mood);
+  NameServer::Behavior behavior{};
+  if (!NameServer::findBehavior(step.arguments[0], behavior))
+    fail(step, "there is no mood " + step.arguments[0]);
+  for (const auto& proxy : proxies_) proxy->discovery().setNameServerMood(behavior);
 }
 
 void ScriptRunner::setRegistryState(const ScriptStep& step) {
--- a/tests/dnssd_client_test.cpp
+++ b/tests/dnssd_client_test.cpp
@@ -102,15 +102,15 @@
   until([&] { return instances.size() == 3; });
   for (const char* name : {"silent", "servfail", "refused", "lame", "noise", "loop", "counts", "wrong-id",
                            "wrong-question", "wrong-port"}) {
-    testbed::NameServer::Mood mood{};
-    ASSERT_TRUE(testbed::NameServer::moodOf(name, mood)) << name;
-    first.mood(mood);
-    second.mood(mood);
+    testbed::NameServer::Behavior behavior{};
+    ASSERT_TRUE(testbed::NameServer::findBehavior(name, behavior)) << name;
+    first.setBehavior(behavior);
+    second.setBehavior(behavior);
     const auto before = failures;
     until([&] { return failures > before; });
     EXPECT_EQ(instances.size(), 3u) << name;
-    first.mood(testbed::NameServer::Mood::Good);
-    second.mood(testbed::NameServer::Mood::Good);
+    first.setBehavior(testbed::NameServer::Behavior::Good);
+    second.setBehavior(testbed::NameServer::Behavior::Good);
     const auto asked = first.counts().udp + second.counts().udp;
     until([&] { return first.counts().udp + second.counts().udp > asked + 1; });
   }
@@ -119,11 +119,11 @@
 }
 
 TEST_F(DnsSdClientTest, FailsOverAndStaysWithTheNewServer) {
-  first.mood(testbed::NameServer::Mood::Silent);
+  first.setBehavior(testbed::NameServer::Behavior::Silent);
   start();
   until([&] { return instances.size() == 3; });
   EXPECT_EQ(failures, 0u);
-  first.mood(testbed::NameServer::Mood::Good);
+  first.setBehavior(testbed::NameServer::Behavior::Good);
   const auto before = first.counts().udp;
   const auto asked = second.counts().udp;
   until([&] { return second.counts().udp > asked + 4; });
@@ -131,22 +131,22 @@
 }
 
 TEST_F(DnsSdClientTest, UsesTcpAfterTruncationAndKeepsTheListWhereTcpIsRefused) {
-  first.mood(testbed::NameServer::Mood::Truncated);
+  first.setBehavior(testbed::NameServer::Behavior::Truncated);
   start();
   until([&] { return instances.size() == 3; });
   EXPECT_GT(first.counts().tcp, 0u);
-  first.mood(testbed::NameServer::Mood::TruncatedOnly);
-  second.mood(testbed::NameServer::Mood::TruncatedOnly);
+  first.setBehavior(testbed::NameServer::Behavior::TruncatedOnly);
+  second.setBehavior(testbed::NameServer::Behavior::TruncatedOnly);
   until([&] { return failures >= 2; });
   EXPECT_EQ(instances.size(), 3u);
-  second.mood(testbed::NameServer::Mood::Good);
+  second.setBehavior(testbed::NameServer::Behavior::Good);
   second.withdraw("s-3");
   until([&] { return instances.size() == 2; });
 }
 
 TEST_F(DnsSdClientTest, RetriesWithoutEdnsWhereItIsRejected) {
-  first.mood(testbed::NameServer::Mood::NoEdns);
-  second.mood(testbed::NameServer::Mood::Silent);
+  first.setBehavior(testbed::NameServer::Behavior::NoEdns);
+  second.setBehavior(testbed::NameServer::Behavior::Silent);
   start();
   until([&] { return instances.size() == 3; });
   EXPECT_EQ(failures, 0u);
@@ -191,7 +191,7 @@
   service.label = "t-1";
   service.port = 6100;
   other.publish(service);
-  other.mood(testbed::NameServer::Mood::Silent);
+  other.setBehavior(testbed::NameServer::Behavior::Silent);
   config.dnssd.domain = "seeb.example.org";
   config.dnssd.servers = {*Address::parse("127.0.0.1:" + std::to_string(other.port()))};
   const auto before = lists;
@@ -199,7 +199,7 @@
   until([&] { return failures > 0; });
   EXPECT_EQ(instances.size(), 3u);
   EXPECT_EQ(lists, before);
-  other.mood(testbed::NameServer::Mood::Good);
+  other.setBehavior(testbed::NameServer::Behavior::Good);
   until([&] { return instances.size() == 2; });
   EXPECT_EQ(lists, before + 1);
   EXPECT_EQ(instances.count("s-1") + instances.count("t-1"), 2u);
--- a/tests/dnssd_proxy_test.cpp
+++ b/tests/dnssd_proxy_test.cpp
@@ -49,15 +49,15 @@
 TEST(DnsSdProxy, KeepsItsListWhileNameServersFail) {
   Scenario t(byRecords());
   t.run(R"(
-    dns mood silent
+    dns behavior silent
     proxy expect log event=discovery_failed
     c1 send query SELECT 1 /* id=1,c=read,d=7000,cluster=3 */
     s2 expect query id=1
     s2 send row v
     c1 expect row v
-    dns mood servfail
+    dns behavior servfail
     dns withdraw s2
-    dns mood good
+    dns behavior good
     proxy expect log event=member name=s-2 state=gone
   )");
 }
--- a/tests/scenario.hpp
+++ b/tests/scenario.hpp
@@ -13,7 +13,7 @@
 //   c1 expect retry-after (a rejection with a number in the field D)
 //   s2 drop health-checks N  s2 load TEXT (comes with its responses, in place of applied_ms)
 //   s2 expect connections N (since its start)     s2 expect gone (closed by now, no wait)
-//   dns publish s2 [KEY=VALUE ...]   dns withdraw s2   dns mood NAME   dns move DOMAIN
+//   dns publish s2 [KEY=VALUE ...]   dns withdraw s2   dns behavior NAME   dns move DOMAIN
 //
 // c1, c2 ... are clients; s1 (the primary), s2 ... endpoints that greet and report by themselves. A
 // reload replaces the file and sends SIGHUP: `moved` names another discovery, which `list` is from then on.
--- a/tests/scenario_discovery.cpp
+++ b/tests/scenario_discovery.cpp
@@ -73,10 +73,10 @@
 }
 
 void Scenario::dns(const std::string& verb, const std::string& what, const std::string& rest) {
-  if (verb == "mood") {
-    testbed::NameServer::Mood mood{};
-    ASSERT_TRUE(testbed::NameServer::moodOf(what, mood)) << at_;
-    return names_->mood(mood);
+  if (verb == "behavior") {
+    testbed::NameServer::Behavior behavior{};
+    ASSERT_TRUE(testbed::NameServer::findBehavior(what, behavior)) << at_;
+    return names_->setBehavior(behavior);
   }
   if (verb == "move") {  // another domain, at the same name server's port
     const int port = names_->port();
