Read what has arrived before a session is closed for an incomplete request

Cause: a session that held part of a request for 1.5 s, or had sent none for 2 s, was closed over bytes that arrived in that moment; a request completed then was lost. Checked and left out: idle sessions, whose socket was looked at already, lingering ends, clients that leave. Change: the socket is looked at before the session is closed, as it is for idle ones; client_session.cpp, checkTimeouts.

--- a/src/downstream/pg/client_connection.cpp
+++ b/src/downstream/pg/client_connection.cpp
@@ -32,8 +32,7 @@
   bufferevent_enable(bev_.get(), EV_READ | EV_WRITE);
 }
 
-bool ClientConnection::hasInput() const {
-  if (unread() > 0) return true;
+bool ClientConnection::hasPendingInput() const {
   char byte = 0;
   const ssize_t peeked = recv(socket(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
   return peeked >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
--- a/src/downstream/pg/client_connection.hpp
+++ b/src/downstream/pg/client_connection.hpp
@@ -33,7 +33,9 @@
   std::size_t unsent() const { return evbuffer_get_length(output()); }
 
   /// Whether any input waits: read ahead, or still to be read by this process.
-  bool hasInput() const;
+  bool hasInput() const { return unread() > 0 || hasPendingInput(); }
+  /// Whether input, or the client's end, has arrived and is still to be read by this process.
+  bool hasPendingInput() const;
   /// Whether the client has closed its end, which stands behind what it has sent.
   bool peerClosed() const;
 
--- a/src/downstream/pg/client_session.cpp
+++ b/src/downstream/pg/client_session.cpp
@@ -138,8 +138,13 @@
   if (closing()) return now - lastActiveAt_ < kLingerTimeout;
   if (!connection_.reading() && connection_.peerClosed()) return false;
   if (request_ != 0 || connection_.unsent() > 0) return true;
-  if (!active_ && now - lastActiveAt_ >= kFirstRequestTimeout) return false;
-  return incompleteSince_ == TimePoint() || now - incompleteSince_ < kIncompleteMessageTimeout;
+  const bool noRequest = !active_ && now - lastActiveAt_ >= kFirstRequestTimeout;
+  const bool incomplete =
+      incompleteSince_ != TimePoint() && now - incompleteSince_ >= kIncompleteMessageTimeout;
+  if (!noRequest && !incomplete) return true;
+  // The rest of a request may have arrived in this very moment: it is read before the session is judged
+  // again.
+  return connection_.reading() && connection_.hasPendingInput();
 }
 
 // ---- input -----------------------------------------------------------------------------------------------
--- /dev/null
+++ b/tests/client_session_test.cpp
@@ -0,0 +1,80 @@
+// Tests of one client session on a socket pair, without a listener.
+#include "downstream/pg/client_session.hpp"
+
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <string>
+#include <string_view>
+
+#include "codec/pg/pg.hpp"
+#include "scenario.hpp"
+
+namespace stonebay::test {
+namespace {
+
+using std::chrono::milliseconds;
+
+struct FakeOwner : ClientSessionOwner {
+  int closed = 0;
+  void onSessionClosed(ClientSession& /*session*/) override { ++closed; }
+  void onFirstRequest(ClientSession& /*session*/) override {}
+  std::optional<TimePoint> stoppedAcceptingAt() const override { return std::nullopt; }
+};
+
+struct ClientSessionTest : testing::Test {
+  EventBase base{event_base_new()};
+  Config config = parseConfig(configuration({}, 1, {11, 12}));
+  Dispatcher dispatcher{base.get(), config};
+  SessionContext context{base.get(), dispatcher, config, StatementMemory(1 << 20)};
+  FakeOwner owner;
+  int client = -1;
+  std::unique_ptr<ClientSession> session;
+
+  void SetUp() override {
+    int fds[2];
+    ASSERT_EQ(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, fds), 0);
+    client = fds[0];
+    session = std::make_unique<ClientSession>(context, owner, fds[1]);
+    write(pg::startupMessage("api", "ledger"));
+    runLoop();
+  }
+  void TearDown() override {
+    session.reset();
+    close(client);
+  }
+  void write(std::string_view bytes) const {
+    ASSERT_EQ(send(client, bytes.data(), bytes.size(), MSG_NOSIGNAL), static_cast<ssize_t>(bytes.size()));
+  }
+  void runLoop() const { event_base_loop(base.get(), EVLOOP_NONBLOCK); }
+};
+
+TEST_F(ClientSessionTest, IncompleteRequestTimesOut) {
+  write(pg::query("SELECT 1").substr(0, 8));
+  runLoop();
+  EXPECT_TRUE(session->checkTimeouts(dispatcher.now() + milliseconds(1400)));
+  EXPECT_FALSE(session->checkTimeouts(dispatcher.now() + milliseconds(1600)));
+}
+
+// Brink seed 35, zone: the last bytes of a slow request arrived in the moment of its timeout. The session was
+// closed over them, and the request was lost.
+TEST_F(ClientSessionTest, RequestThatIsCompletedInTheMomentOfItsTimeoutIsStillRead) {
+  const std::string query = pg::query("SELECT 1");
+  write(query.substr(0, 8));
+  runLoop();
+  write(query.substr(8));  // arrived, and not read yet
+  EXPECT_TRUE(session->checkTimeouts(dispatcher.now() + milliseconds(1600)));
+  runLoop();
+  EXPECT_TRUE(session->checkTimeouts(dispatcher.now() + milliseconds(1700))) << "it is complete";
+  EXPECT_TRUE(session->active());
+}
+
+TEST_F(ClientSessionTest, FirstRequestThatArrivesInTheMomentOfItsTimeoutIsStillRead) {
+  EXPECT_FALSE(session->checkTimeouts(dispatcher.now() + milliseconds(2100)));
+  write(pg::query("SELECT 1"));
+  EXPECT_TRUE(session->checkTimeouts(dispatcher.now() + milliseconds(2100)));
+}
+
+}  // namespace
+}  // namespace stonebay::test
