--- a/src/balancer/admission_control.cpp
+++ b/src/balancer/admission_control.cpp
@@ -86,7 +86,7 @@
   const std::vector<ClassSettings>& classes = context_.settings.classes;
   for (int other = 0; other < static_cast<int>(classes.size()); ++other) {
     const ClassSettings& otherClass = classes[index(other)];
-    if (otherClass.consistency == Consistency::Write && !table_.isPrimary(endpoint)) continue;
+    if (otherClass.consistency == Consistency::Write && !endpoint.isPrimary()) continue;
     if (latencies_.baselineLatency(other) <= 0) continue;
     if (goalGain(other) <= goalGain(pending.request.classIndex)) continue;
     if (probabilityInTime(endpoint, other, otherClass.latencyObjective) < kMinExpectedValue) return false;
--- a/src/balancer/consistency.cpp
+++ b/src/balancer/consistency.cpp
@@ -56,8 +56,8 @@
   for (auto& [id, group] : table_.groups()) group.evictedCommit = std::max(group.evictedCommit, latest);
 }
 
-bool ConsistencyPolicy::isKnownStale(const Endpoint& endpoint, TimePoint required) const {
-  return required != never && !table_.isPrimary(endpoint) && endpoint.position < required;
+bool isKnownStale(const Endpoint& endpoint, TimePoint required) {
+  return required != never && !endpoint.isPrimary() && endpoint.position < required;
 }
 
 std::optional<double> ConsistencyPolicy::freshnessProbability(const Endpoint& endpoint,
--- a/src/balancer/consistency.hpp
+++ b/src/balancer/consistency.hpp
@@ -8,6 +8,9 @@
 
 namespace stonebay::balancer {
 
+/// Whether the endpoint's known position falls short of the required one; `never`: any position will do.
+bool isKnownStale(const Endpoint& endpoint, TimePoint required);
+
 /// Owns the commits of sessions that do not carry them themselves.
 class ConsistencyPolicy {
  public:
@@ -18,8 +21,6 @@
   void setRequiredCommit(PendingRequest& pending);
   void recordCommit(const PendingRequest& pending, const AttemptOutcome& outcome);
 
-  /// Whether the endpoint's known position falls short of the required one.
-  bool isKnownStale(const Endpoint& endpoint, TimePoint required) const;
   /// The staleness factor of the paper: the share of recent position samples that were new enough, 1 where
   /// the position proves it. Nothing: the endpoint would answer from old data, so that only a proof will do.
   std::optional<double> freshnessProbability(const Endpoint& endpoint, TimePoint required) const;
--- a/src/balancer/core.cpp
+++ b/src/balancer/core.cpp
@@ -92,7 +92,7 @@
     healthChecker_.recordAnswer(*endpoint);
   }
   outliers_.recordHealthCheck(*endpoint, result.ok);
-  ReplicaGroup& group = table_.groupOf(*endpoint);
+  ReplicaGroup& group = *endpoint->replicaGroup;
   if (healthChecker_.mayServeWaiting(group)) serveWaiting(group);
 }
 
@@ -109,7 +109,7 @@
 
 void LoadBalancer::Core::onGossip(const GossipMessage& message) {
   Endpoint* const endpoint = table_.find(message.endpoint);
-  if (endpoint && gossip_.observeGossip(*endpoint, message)) serveWaiting(table_.groupOf(*endpoint));
+  if (endpoint && gossip_.observeGossip(*endpoint, message)) serveWaiting(*endpoint->replicaGroup);
 }
 
 bool LoadBalancer::Core::isStillEligible(RequestId id, EndpointId to) {
@@ -145,7 +145,7 @@
 
 void LoadBalancer::Core::send(PendingRequest& pending, Endpoint& endpoint) {
   const Request& request = pending.request;
-  const bool isStale = consistency_.isKnownStale(endpoint, consistency_.requiredPosition(pending));
+  const bool isStale = balancer::isKnownStale(endpoint, consistency_.requiredPosition(pending));
   const double load = latencies_.loadOf(endpoint);
   endpoint.inFlight.push_back(
       {request.id, pending.attemptCount(), request.classIndex, load, context_.now, isStale});
--- a/src/balancer/endpoint_table.cpp
+++ b/src/balancer/endpoint_table.cpp
@@ -34,7 +34,7 @@
 
 void EndpointTable::observeRole(Endpoint& endpoint, Role role, TimePoint observedAt) {
   if (observedAt < endpoint.roleObservedAt) return;
-  ReplicaGroup& group = groupOf(endpoint);
+  ReplicaGroup& group = *endpoint.replicaGroup;
   const bool wasPrimary = group.primary == endpoint.info.id;
   if (role == Role::Primary && !wasPrimary) {
     const Endpoint* const former = find(group.primary);
@@ -53,8 +53,7 @@
 }
 
 void EndpointTable::observeOutcome(Endpoint& endpoint, const AttemptOutcome& outcome, bool isWrite) {
-  constexpr Duration kRounding =
-      milliseconds(1);  // positions are whole milliseconds; a commit was rounded up
+  constexpr Duration kRounding = milliseconds(1);  // positions are whole ms; a commit was rounded up
   const AttemptStatus status = outcome.status;
   const bool isAnswer =
       status == AttemptStatus::Ok || status == AttemptStatus::TooStale || status == AttemptStatus::Rejected;
@@ -104,19 +103,20 @@
   observeListedRole(endpoint);
 }
 
-void EndpointTable::moveToGroup(const Endpoint& endpoint, const EndpointUpdate& update) {
+void EndpointTable::moveToGroup(Endpoint& endpoint, const EndpointUpdate& update) {
   const bool isNew = endpoint.info.id == 0;
   if (!isNew && endpoint.info.group == update.group) return;
-  std::vector<EndpointId>& ids = groups_[update.group].endpoints;
+  if (!isNew) eraseValue(endpoint.replicaGroup->endpoints, update.id);
+  endpoint.replicaGroup = &groups_[update.group];
+  std::vector<EndpointId>& ids = endpoint.replicaGroup->endpoints;
   ids.insert(std::lower_bound(ids.begin(), ids.end(), update.id), update.id);
-  if (!isNew) eraseValue(groupOf(endpoint).endpoints, update.id);
 }
 
 // The weakest evidence of a role: anything that comes from an endpoint itself replaces it.
 void EndpointTable::observeListedRole(Endpoint& endpoint) {
-  ReplicaGroup& group = groupOf(endpoint);
+  ReplicaGroup& group = *endpoint.replicaGroup;
   if (!isRoutable(endpoint)) {
-    if (isPrimary(endpoint))
+    if (endpoint.isPrimary())
       observeRole(endpoint, Role::Unknown, std::max(endpoint.roleObservedAt, context_.now));
     return;
   }
@@ -137,7 +137,7 @@
   for (const auto& [id, endpoint] : endpoints_)
     if (isForgettable(endpoint)) departed.push_back(id);
   for (const EndpointId id : departed) {
-    ReplicaGroup& group = groupOf(at(id));
+    ReplicaGroup& group = *at(id).replicaGroup;
     eraseValue(group.endpoints, id);
     if (group.primary == id) group.primary = 0;
     endpoints_.erase(id);
--- a/src/balancer/endpoint_table.hpp
+++ b/src/balancer/endpoint_table.hpp
@@ -20,9 +20,6 @@
   std::map<GroupId, ReplicaGroup>& groups() { return groups_; }
   /// Clients may name groups that have no endpoint: such a group is created.
   ReplicaGroup& group(GroupId id) { return groups_[id]; }
-  ReplicaGroup& groupOf(const Endpoint& endpoint) { return groups_.at(endpoint.info.group); }
-  const ReplicaGroup& groupOf(const Endpoint& endpoint) const { return groups_.at(endpoint.info.group); }
-
   void applyList(EndpointListKind kind, const std::vector<EndpointUpdate>& updates);
   /// Removes the endpoints that have departed and been quiet for long; gives their ids. What is in flight, a
   /// health check included, must still find its endpoint.
@@ -30,7 +27,6 @@
 
   /// False for what drains or is gone, from the very event that reports it.
   bool isRoutable(const Endpoint& endpoint) const;
-  bool isPrimary(const Endpoint& endpoint) const { return groupOf(endpoint).primary == endpoint.info.id; }
   /// The group's primary, if one is known and may be sent requests.
   Endpoint* routablePrimary(const ReplicaGroup& group);
   /// The most routable endpoints that any group has had.
@@ -43,12 +39,12 @@
   void observePosition(Endpoint& endpoint, TimePoint position);
   /// What the end of an attempt says of its endpoint's role and position, and when it answered.
   void observeOutcome(Endpoint& endpoint, const AttemptOutcome& outcome, bool isWrite);
-  void recordFault(const Endpoint& endpoint) { groupOf(endpoint).lastFaultAt = context_.now; }
+  void recordFault(const Endpoint& endpoint) { endpoint.replicaGroup->lastFaultAt = context_.now; }
 
  private:
   void markAbsentAsGone(const std::vector<EndpointUpdate>& updates);
   void applyUpdate(const EndpointUpdate& update);
-  void moveToGroup(const Endpoint& endpoint, const EndpointUpdate& update);
+  void moveToGroup(Endpoint& endpoint, const EndpointUpdate& update);
   void observeListedRole(Endpoint& endpoint);
   bool isForgettable(const Endpoint& endpoint) const;
   void removeUnusedGroups();
--- a/src/balancer/health_checker.cpp
+++ b/src/balancer/health_checker.cpp
@@ -19,8 +19,7 @@
 // load, or for a write that must not be lost, any response within the class's latency objective.
 bool HealthChecker::hasRecentEvidence(const PendingRequest& pending, const Endpoint& endpoint) const {
   const bool servesStale = context_.settings.staleReadPolicy == StaleReadPolicy::Serve;
-  if (servesStale && consistency_.isKnownStale(endpoint, consistency_.requiredPosition(pending)))
-    return false;
+  if (servesStale && isKnownStale(endpoint, consistency_.requiredPosition(pending))) return false;
   const bool isWrite = context_.isWrite(pending);
   if (!loadIsReported_ && !isWrite) return true;
   const Duration maxAge = isWrite ? context_.classOf(pending).latencyObjective : kMaxLoadReportAge;
--- a/src/balancer/latency_model.cpp
+++ b/src/balancer/latency_model.cpp
@@ -39,7 +39,7 @@
                                  [&](const InFlightAttempt& it) { return !isPresumedLost(endpoint, it); });
   double total = 0;
   double reports = 0;
-  for (const EndpointId id : table_.groupOf(endpoint).endpoints) {
+  for (const EndpointId id : endpoint.replicaGroup->endpoints) {
     const Endpoint& peer = table_.at(id);
     if (!table_.hasFreshLoadReport(peer)) continue;
     total += peer.load.inFlight;
--- a/src/balancer/replica_selection.cpp
+++ b/src/balancer/replica_selection.cpp
@@ -90,7 +90,7 @@
       continue;
     }
     const Candidate candidate = evaluate(pending, *endpoint, *freshness);
-    if (table_.isPrimary(*endpoint))
+    if (endpoint->isPrimary())
       primary = candidate;
     else
       replicas.push_back(candidate);
--- a/src/balancer/slow_start.cpp
+++ b/src/balancer/slow_start.cpp
@@ -18,7 +18,7 @@
   const double safety = std::min(1.0, context_.settings.overloadFactor / (isReported ? 4 : 8));
   share *= safety * (isReported ? kReportedSlowStartFactor : 1);
   // Writes that look for the primary count against its budget, too.
-  if (!table_.isPrimary(endpoint)) share /= table_.largestGroupSize();
+  if (!endpoint.isPrimary()) share /= table_.largestGroupSize();
   share *= costShare;
   return context_.hash.fraction(request, endpoint.info.id) < share;
 }
--- a/src/balancer/state.hpp
+++ b/src/balancer/state.hpp
@@ -65,9 +65,27 @@
   TimePoint lastOwn = never;  ///< from this one
 };
 
+/// A primary and its replicas.
+struct ReplicaGroup {
+  std::vector<EndpointId> endpoints;  ///< ascending: the order in which writes look for a primary
+  EndpointId primary = 0;             ///< 0: none known
+  TimePoint lastFaultAt = never;
+  TimePoint primaryWantedAt = never;
+  RequestId discoveryRequest = 0;   ///< the one write that looks for the primary; 0: none
+  bool discoveryExhausted = false;  ///< it has tried all endpoints in vain
+  TimePoint evictedCommit = never;  ///< sessions that are no longer remembered may have written until then
+  std::vector<RequestId> waiting;
+
+  /// Nothing of it has to be kept.
+  bool isUnused() const {
+    return endpoints.empty() && waiting.empty() && discoveryRequest == 0 && evictedCommit == never;
+  }
+};
+
 /// An endpoint, and what is known of it.
 struct Endpoint {
   EndpointUpdate info;
+  ReplicaGroup* replicaGroup = nullptr;  ///< that info names; owned by EndpointTable, which keeps it as long
   bool drainingObserved = false;
   TimePoint departedAt = never;      ///< when the list first lacked it
   TimePoint roleObservedAt = never;  ///< when the newest evidence of its role was true
@@ -86,6 +104,7 @@
   BroadcastTimes broadcast;
   std::uint64_t tieBreaker = 0;  ///< this proxy's own order of endpoints that are alike
 
+  bool isPrimary() const { return replicaGroup->primary == info.id; }
   /// A new process has started: nothing of the former one's latencies and health holds on.
   void forgetFormerProcess() {
     freshSamples.clear();
@@ -94,23 +113,6 @@
   }
 };
 
-/// A primary and its replicas.
-struct ReplicaGroup {
-  std::vector<EndpointId> endpoints;  ///< ascending: the order in which writes look for a primary
-  EndpointId primary = 0;             ///< 0: none known
-  TimePoint lastFaultAt = never;
-  TimePoint primaryWantedAt = never;
-  RequestId discoveryRequest = 0;   ///< the one write that looks for the primary; 0: none
-  bool discoveryExhausted = false;  ///< it has tried all endpoints in vain
-  TimePoint evictedCommit = never;  ///< sessions that are no longer remembered may have written until then
-  std::vector<RequestId> waiting;
-
-  /// Nothing of it has to be kept.
-  bool isUnused() const {
-    return endpoints.empty() && waiting.empty() && discoveryRequest == 0 && evictedCommit == never;
-  }
-};
-
 /// One attempt of a pending request.
 struct Attempt {
   EndpointId endpoint;
