--- a/review/standins/standins.hpp
+++ b/review/standins/standins.hpp
@@ -446,8 +446,13 @@
 
   std::atomic<bool> silent{false};  // open watches and new calls get nothing
   std::atomic<bool> down{false};    // connections are reset
-  // Decides about a call: the milliseconds after which it ends in 503; 0 or less: it is served.
-  std::function<double()> refuseAfterMs;
+  // Calls are handled in turn, each in this time. One that would wait longer than kLongestWaitMs ends in 503.
+  std::atomic<double> callMs{0};
+  // All watches that are open now fall silent: they stay open, and nothing comes any more.
+  void silenceWatches() {
+    silencedWatches_ = openedWatches_.load();
+    Record::get().line("all open watches fall silent");
+  }
 
   static std::string entry(const DataServer& server, const std::string& lifecycle) {
     std::ostringstream text;
@@ -471,6 +476,7 @@
   }
   std::string list() const { return text(-1); }
   int calls() const { return calls_; }
+  int refused() const { return refused_; }
 
  private:
   struct Entry {
@@ -520,10 +526,16 @@
     }
     ++calls_;
     Record::get().line("discovery is called: %s", request.substr(0, request.find("\r\n")).c_str());
-    const double refuseAfter = refuseAfterMs ? refuseAfterMs() : 0;
-    if (refuseAfter > 0) {
-      sleepMs(refuseAfter);
-      Record::get().line("discovery answers 503");
+    double answerAt = 0;
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      const double begin = std::max(unixMs(), busyUntil_);
+      if (begin <= unixMs() + kLongestWaitMs) answerAt = busyUntil_ = begin + callMs;
+    }
+    sleepMs(answerAt > 0 ? answerAt - unixMs() : kLongestWaitMs);
+    if (answerAt == 0) {
+      ++refused_;
+      Record::get().line("discovery answers 503 to a call that has waited too long");
       sendAll(fd, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
       return;
     }
@@ -535,6 +547,7 @@
       return;
     }
     sendAll(fd, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n");
+    const int watch = ++openedWatches_;
     int told = generation();
     sendAll(fd, chunk(text(-1) + "\n"));
     Record::get().line("discovery writes the whole list, generation %d", told);
@@ -549,7 +562,7 @@
         resetAndClose(dup(fd));
         return;
       }
-      if (silent) {  // a watch that has fallen silent stays silent
+      if (silent || watch <= silencedWatches_) {  // a watch that has fallen silent stays silent
         while (!stopping_) {
           pollfd waiter{fd, POLLIN, 0};
           char byte = 0;
@@ -570,12 +583,18 @@
     }
   }
 
+  static constexpr double kLongestWaitMs = 1000;
+
+  double busyUntil_ = 0;
+  std::atomic<int> openedWatches_{0};
+  std::atomic<int> silencedWatches_{0};
   int port_ = 0;
   int listener_ = -1;
   int generation_;
   std::map<std::string, Entry> entries_;
   std::atomic<bool> stopping_{false};
   std::atomic<int> calls_{0};
+  std::atomic<int> refused_{0};
   mutable std::mutex mutex_;
   std::thread acceptThread_;
   std::vector<std::thread> threads_;
