--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -42,13 +42,11 @@
   deployment.sockets = argc > 3 ? atoi(argv[3]) : 256;
   Proxy proxy(deployment, "n1", discovery.port(), discovery.list());
 
+  ClientSystem clients(proxy.port(), deployment.sockets / 3);
   std::atomic<bool> stop{false};
   std::vector<std::thread> bad;
   std::vector<std::thread> threads;
-  std::mutex mutex;
-  std::vector<std::unique_ptr<Client>> idle;
-  std::map<std::string, int> counts;
-  int lost = 0;
+  std::vector<std::unique_ptr<std::vector<Request>>> requests;
   std::mt19937 random(7);
   const double start = unixMs();
   bool begun = false;
@@ -60,42 +58,21 @@
       for (int k = 0; k < badClients; ++k)
         bad.emplace_back([&proxy, &stop] { behaveBadly(proxy.port(), stop); });
     }
-    threads.emplace_back([&] {
-      const std::string id = newId();
-      const std::string statement = readOf("parts-lookup", id, newId(), 1200, 2);
-      Answer answer;
-      std::unique_ptr<Client> client;
-      const double sentAt = unixMs();
-      for (int k = 0; k < 2; ++k) {  // once more on a new connection, if a resting one was closed under it
-        client.reset();
-        if (k == 0) {
-          const std::lock_guard<std::mutex> lock(mutex);
-          while (!idle.empty() && !client) {
-            client = std::move(idle.back());
-            idle.pop_back();
-            pollfd poller{client->fd(), POLLIN, 0};
-            if (poll(&poller, 1, 0) != 0) client.reset();
-          }
-        }
-        const bool isNew = !client;
-        if (isNew) client = std::make_unique<Client>(proxy.port(), true);
-        client->sendQuery(statement);
-        answer = client->readAnswer(sentAt + 1200 + 550 - unixMs());
-        if (isNew || answer.kind != Answer::Kind::Closed) break;
-      }
-      const std::lock_guard<std::mutex> lock(mutex);
-      const bool isLost = answer.kind == Answer::Kind::None;
-      if (isLost) ++lost;
-      ++counts[isLost ? "lost" : answer.name()];
-      if (!isLost && client->connected()) idle.push_back(std::move(client));
-    });
+    Request request;
+    request.requestClass = "parts-lookup";
+    request.deadlineMs = 1200;
+    request.cluster = 2;
+    requests.push_back(std::make_unique<std::vector<Request>>());
+    threads.emplace_back(
+        [&clients, request, tries = requests.back().get()] { clients.run(request, 0, *tries); });
   }
   for (std::thread& thread : threads) thread.join();
   stop = true;
   proxy.kill();
   for (std::thread& thread : bad) thread.join();
-  std::string text;
-  for (const auto& [name, count] : counts) text += name + " " + std::to_string(count) + ", ";
-  return verdict(lost > 0,
-                 text + std::to_string(lost) + " requests without an answer half a second after their time");
+  Outcomes outcomes;
+  for (const auto& tries : requests)
+    for (const Request& request : *tries) outcomes.add(request);
+  return verdict(outcomes.lost > 0, outcomes.text() + "; at most " + std::to_string(clients.mostOpen()) +
+                                        " connections of usual clients");
 }
--- a/review/standins/standins.hpp
+++ b/review/standins/standins.hpp
@@ -623,7 +623,17 @@
     address.sin_family = AF_INET;
     address.sin_port = htons(static_cast<std::uint16_t>(port));
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    const int flags = fcntl(fd_, F_GETFL);
+    fcntl(fd_, F_SETFL, flags | O_NONBLOCK);
     connected_ = connect(fd_, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0;
+    if (!connected_ && errno == EINPROGRESS) {
+      pollfd poller{fd_, POLLOUT, 0};
+      int error = 0;
+      socklen_t size = sizeof error;
+      connected_ = poll(&poller, 1, kConnectTimeoutMs) > 0 &&
+                   getsockopt(fd_, SOL_SOCKET, SO_ERROR, &error, &size) == 0 && error == 0;
+    }
+    fcntl(fd_, F_SETFL, flags);
     noDelay(fd_);
     if (connected_) sendAll(fd_, startup());
     if (eager)
@@ -656,6 +666,8 @@
   }
 
  private:
+  static constexpr int kConnectTimeoutMs = 300;
+
   bool readUntilReady(double timeoutMs, Answer* answer) {
     const double end = unixMs() + timeoutMs;
     bool isComplete = false;
@@ -713,6 +725,153 @@
   std::string input_;
 };
 
+inline std::string newId() {
+  static std::atomic<std::uint64_t> next{0x5c0f6e1a2b3d4c59ULL};
+  char text[24];
+  snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(next += 0x9e3779b97f4a7c15ULL));
+  return text;
+}
+inline std::string readOf(const std::string& requestClass, const std::string& id, const std::string& key,
+                          int deadlineMs, int cluster, const std::string& more = "") {
+  return "SELECT blob FROM rows WHERE handle = '" + key + "' /* id=" + id + ",c=" + requestClass +
+         ",d=" + std::to_string(deadlineMs) + ",cluster=" + std::to_string(cluster) + more + " */";
+}
+inline std::string writeOf(const std::string& id, const std::string& key, const std::string& idempotencyKey,
+                           int deadlineMs, int cluster) {
+  return "INSERT INTO rows (handle, blob) VALUES ('" + key + "', '\\x9f03') RETURNING blob /* id=" + id +
+         ",c=ticket-write,d=" + std::to_string(deadlineMs) +
+         (idempotencyKey.empty() ? "" : ",k=" + idempotencyKey) + ",cluster=" + std::to_string(cluster) +
+         " */";
+}
+
+struct Request {
+  std::string requestClass;
+  int deadlineMs = 0;
+  int cluster = 0;
+  double sentAt = 0;
+  Answer answer;
+  bool greeted = false;  // the proxy has sent something on its connection
+};
+
+// A client system: holds on to its connections, and opens more when every one is busy.
+class ClientSystem {
+ public:
+  ClientSystem(int port, int maxConnections) : port_(port), maxConnections_(maxConnections) {}
+
+  // Sends a request, and up to `repeats` times more with a new id if it is refused, within its time.
+  void run(const Request& first, int repeats, std::vector<Request>& tries) {
+    const double end = unixMs() + first.deadlineMs;
+    double pauseMs = 50;
+    for (int k = 0; k <= repeats; ++k, pauseMs *= 2) {
+      Request request = first;
+      request.deadlineMs = static_cast<int>(end - unixMs());
+      if (request.deadlineMs < 100) return;
+      runOnce(request);
+      tries.push_back(request);
+      if (request.answer.kind != Answer::Kind::Refused) return;
+      sleepMs(pauseMs);
+    }
+  }
+  int mostOpen() const { return mostOpen_; }
+
+ private:
+  // Sends a request and waits for its answer until half a second after its time. If a connection from the
+  // pool was closed under it, sends it once more, on a new connection.
+  void runOnce(Request& request) {
+    std::unique_ptr<Client> client = takeIdle();
+    const bool isPooled = client != nullptr;
+    if (!isPooled && !(client = open())) return;  // the system's own limit
+    const std::string id = newId();
+    const bool isWrite = request.requestClass == "ticket-write";
+    const std::string statement =
+        isWrite ? writeOf(id, newId(), newId(), request.deadlineMs, request.cluster)
+                : readOf(request.requestClass, id, newId(), request.deadlineMs, request.cluster);
+    if (!client->connected()) return release(nullptr);
+    request.sentAt = unixMs();
+    client->sendQuery(statement);
+    request.answer = client->readAnswer(request.deadlineMs + 550);
+    if (isPooled && request.answer.kind == Answer::Kind::Closed) {
+      release(nullptr);
+      request.answer = Answer();
+      client = open();
+      if (!client || !client->connected()) {
+        if (client) release(nullptr);
+        request.sentAt = 0;
+        return;
+      }
+      client->sendQuery(statement);
+      request.answer = client->readAnswer(request.sentAt + request.deadlineMs + 550 - unixMs());
+    }
+    request.greeted = client->greeted();
+    release(client->connected() && request.answer.kind != Answer::Kind::None ? std::move(client) : nullptr);
+  }
+  std::unique_ptr<Client> takeIdle() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    while (!idle_.empty()) {
+      std::unique_ptr<Client> client = std::move(idle_.back());
+      idle_.pop_back();
+      pollfd poller{client->fd(), POLLIN, 0};
+      if (poll(&poller, 1, 0) == 0) return client;
+      --open_;  // the proxy has closed it
+    }
+    return nullptr;
+  }
+  std::unique_ptr<Client> open() {
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      if (open_ >= maxConnections_) return nullptr;
+      mostOpen_ = std::max(mostOpen_, ++open_);
+    }
+    return std::make_unique<Client>(port_, true);
+  }
+  // Puts a connection back into the pool, or counts it as closed.
+  void release(std::unique_ptr<Client> client) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (client)
+      idle_.push_back(std::move(client));
+    else
+      --open_;
+  }
+
+  const int port_;
+  const int maxConnections_;
+  std::mutex mutex_;
+  std::vector<std::unique_ptr<Client>> idle_;
+  int open_ = 0;
+  int mostOpen_ = 0;
+};
+
+// What became of the requests. One that was sent is lost if it has no final answer half a second after its
+// time.
+struct Outcomes {
+  static constexpr double kSlackMs = 500 + 50;
+
+  std::map<std::string, int> counts;
+  int lost = 0;
+  int notGreeted = 0;  // lost ones on connections on which the proxy sent no byte
+  std::map<int, int> lostByGroup{};
+
+  void add(const Request& request) {
+    if (request.sentAt == 0) {
+      ++counts["not sent by the clients"];
+      return;
+    }
+    const bool isLate = request.answer.at > request.sentAt + request.deadlineMs + kSlackMs;
+    const bool isLost = request.answer.kind == Answer::Kind::None || isLate;
+    ++counts[isLost ? "lost" : request.answer.name()];
+    if (!isLost) return;
+    ++lost;
+    ++lostByGroup[request.cluster];
+    if (!request.greeted) ++notGreeted;
+  }
+  std::string text() const {
+    std::string text;
+    for (const auto& [name, count] : counts) text += name + " " + std::to_string(count) + ", ";
+    return text + "on " + std::to_string(notGreeted) +
+           " of the lost ones' connections the proxy sent no byte";
+  }
+};
+
 // ---- proxies ---------------------------------------------------------------------------------------------
 // The settings of a small deployment: those of the operators' site, with the parts that a case may set.
 struct Deployment {
@@ -853,25 +1012,6 @@
   return !trouble || std::string(trouble) != "0";
 }
 
-inline std::string newId() {
-  static std::atomic<std::uint64_t> next{0x5c0f6e1a2b3d4c59ULL};
-  char text[24];
-  snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(next += 0x9e3779b97f4a7c15ULL));
-  return text;
-}
-inline std::string readOf(const std::string& requestClass, const std::string& id, const std::string& key,
-                          int deadlineMs, int cluster, const std::string& more = "") {
-  return "SELECT blob FROM rows WHERE handle = '" + key + "' /* id=" + id + ",c=" + requestClass +
-         ",d=" + std::to_string(deadlineMs) + ",cluster=" + std::to_string(cluster) + more + " */";
-}
-inline std::string writeOf(const std::string& id, const std::string& key, const std::string& idempotencyKey,
-                           int deadlineMs, int cluster) {
-  return "INSERT INTO rows (handle, blob) VALUES ('" + key + "', '\\x9f03') RETURNING blob /* id=" + id +
-         ",c=ticket-write,d=" + std::to_string(deadlineMs) +
-         (idempotencyKey.empty() ? "" : ",k=" + idempotencyKey) + ",cluster=" + std::to_string(cluster) +
-         " */";
-}
-
 // Ends the run with the result: 1 if the rule was broken, else 0.
 inline int verdict(bool broken, const std::string& what) {
   Record::get().line("%s: %s", broken ? "BROKEN" : "HELD", what.c_str());
