Log what the sessions wait for when no client can be accepted

Callers whose connections wait in the backlog see silence, and the log did not tell why: a full descriptor table, a stalled loop and sessions that cannot be evicted all looked alike. client_connections_full gives the sessions by what they wait for.

--- a/src/downstream/pg/client_listener.cpp
+++ b/src/downstream/pg/client_listener.cpp
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <array>
 #include <cerrno>
 #include <cstring>
 #include <stdexcept>
@@ -25,6 +26,7 @@
 // After accepting has stopped, requests in flight get the longest deadline plus this time to finish.
 constexpr Duration kShutdownGrace = std::chrono::seconds(1);
 constexpr Duration kTimeoutCheckInterval = std::chrono::milliseconds(100);
+constexpr auto kSessionActivityCount = static_cast<std::size_t>(SessionActivity::Other) + 1;
 
 // Whether an error of accept concerns only one connection or one call, so that the next call may succeed.
 bool isPerConnectionError(int error) {
@@ -131,10 +133,26 @@
 
 void ClientListener::resumeAccepting() {
   if (!listener_) return;
-  if (hasRoom())
+  if (hasRoom()) {
     evconnlistener_enable(listener_.get());
-  else
-    pauseAccepting();
+    return;
+  }
+  logFull();
+  pauseAccepting();
+}
+
+// Logs what the sessions wait for, when none can be evicted and no client can be accepted.
+void ClientListener::logFull() const {
+  std::array<std::size_t, kSessionActivityCount> count{};
+  for (const auto& [session, owned] : sessions_) ++count[static_cast<std::size_t>(session->activity())];
+  const auto of = [&](SessionActivity activity) { return count[static_cast<std::size_t>(activity)]; };
+  logEvent(LogLevel::Warning, "client_connections_full",
+           {{"max", config_.maxClientConnections},
+            {"in_flight", of(SessionActivity::RequestInFlight)},
+            {"throttled", of(SessionActivity::Throttled)},
+            {"incomplete_message", of(SessionActivity::IncompleteMessage)},
+            {"unread_output", of(SessionActivity::UnreadOutput)},
+            {"other", of(SessionActivity::Other)}});
 }
 
 void ClientListener::pauseAccepting() {
--- a/src/downstream/pg/client_listener.hpp
+++ b/src/downstream/pg/client_listener.hpp
@@ -44,6 +44,7 @@
   void addSession(evutil_socket_t fd);
   void removeSession(ClientSession& session, CloseReason reason);
   bool hasRoom();
+  void logFull() const;
   bool evictSession();
   void evictLongestIdle(const ClientSession& except);
   void checkSessionTimeouts();
--- a/src/downstream/pg/client_session.cpp
+++ b/src/downstream/pg/client_session.cpp
@@ -125,6 +125,14 @@
   return buffersEmpty ? EvictionPriority::Idle : EvictionPriority::Never;
 }
 
+SessionActivity ClientSession::activity() const {
+  if (inFlightRequest_ != 0) return SessionActivity::RequestInFlight;
+  if (closing()) return SessionActivity::Other;
+  if (connection_.unsent() > 0) return SessionActivity::UnreadOutput;
+  if (connection_.unread() == 0) return SessionActivity::Other;
+  return processingPaused_ ? SessionActivity::Throttled : SessionActivity::IncompleteMessage;
+}
+
 void ClientSession::startLingeringClose() {
   state_ = State::LingeringClose;
   lastActiveAt_ = context_.dispatcher.now();
--- a/src/downstream/pg/client_session.hpp
+++ b/src/downstream/pg/client_session.hpp
@@ -42,6 +42,15 @@
 /// To make room for a new client, the session with the highest priority is evicted first. Never: not evicted.
 enum class EvictionPriority { Never, Idle, NeverActive, Closing };
 
+/// What a session waits for, for the log.
+enum class SessionActivity {
+  RequestInFlight,    ///< for the response to its request
+  Throttled,          ///< it has input, but has used up the messages that it may send without a request
+  IncompleteMessage,  ///< for the rest of a message
+  UnreadOutput,       ///< for the client to read its output
+  Other               ///< for the first request, the next request or the end of its connection
+};
+
 /// Processes one request at a time. Requests that are pipelined behind it wait in the input, which is
 /// bounded.
 class ClientSession final : public ResponseHandler, private ClientConnectionHandler {
@@ -63,6 +72,7 @@
   /// not been read from the socket yet.
   bool idle() const { return inFlightRequest_ == 0 && !closing() && !connection_.hasInput(); }
   EvictionPriority evictionPriority(TimePoint now) const;
+  SessionActivity activity() const;
   /// The latest of these times: the client connected, a response was written, the lingering close started.
   TimePoint lastActiveAt() const { return lastActiveAt_; }
 
