Evict clients that keep a session in use without a request

What callers saw: with 110 bad clients that send 300 invalid commands at once, no new client got a byte for some 30 s.

Cause: ClientSession::rejectMessage pauses a session until the next check, and evictionPriority never evicted a session with input. Sessions that wait for their pause, for the rest of a message or for a client that does not read filled the limit, and ClientListener left all others in the backlog. Evidence: client_connections_full max=104 in_flight=0 throttled=104, while neither loop_stalled nor accept_failed was logged, which excludes a busy loop and a full descriptor table.

Change: each session without a request in flight can be evicted after a bounded time; a client whose message was read gets 53300 first. Empty queries are throttled like invalid messages, which bounds the pass that answers them. A new client whose bytes have arrived but are not read is not evicted.

--- a/src/downstream/pg/client_connection.cpp
+++ b/src/downstream/pg/client_connection.cpp
@@ -75,6 +75,13 @@
   return length;
 }
 
+// libevent freezes the front of the output, so that only its own write callback removes bytes there.
+void ClientConnection::writeOutput() const {
+  evbuffer_unfreeze(output(), 1);
+  evbuffer_write(output(), socket());
+  evbuffer_freeze(output(), 1);
+}
+
 void ClientConnection::closeOutput() { shutdown(socket(), SHUT_WR); }
 
 void ClientConnection::restartWriteTimeout() {
--- a/src/downstream/pg/client_connection.hpp
+++ b/src/downstream/pg/client_connection.hpp
@@ -51,6 +51,8 @@
   /// Calls ClientConnectionHandler::onReadable from the event loop.
   void scheduleRead();
 
+  /// Writes as much output as the socket takes now, without waiting for the event loop.
+  void writeOutput() const;
   /// Drops all unread input and returns its length in bytes.
   std::size_t discardInput() const;
   /// Shuts down the sending side of the socket.
--- a/src/downstream/pg/client_listener.cpp
+++ b/src/downstream/pg/client_listener.cpp
@@ -68,6 +68,13 @@
   return "unknown";
 }
 
+// Whether a session of this priority would process input that has arrived but has not been read yet. Evicting
+// it would lose a request.
+bool isWaitingForInput(EvictionPriority priority) {
+  return priority == EvictionPriority::Idle || priority == EvictionPriority::IncompleteMessage ||
+         priority == EvictionPriority::NeverActive;
+}
+
 // Sessions that end as expected and have no request in flight are not logged.
 void logClose(const ClientSession& session, CloseReason reason) {
   const bool isExpected = reason == CloseReason::Disconnected || reason == CloseReason::Finished;
@@ -211,11 +218,12 @@
     const EvictionPriority priority = session->evictionPriority(now);
     if (priority == EvictionPriority::Never || priority < candidatePriority) continue;
     if (priority == candidatePriority && session->lastActiveAt() >= candidate->lastActiveAt()) continue;
-    if (priority == EvictionPriority::Idle && !session->idle()) continue;
+    if (isWaitingForInput(priority) && session->hasPendingInput()) continue;
     candidate = session;
     candidatePriority = priority;
   }
   if (candidate == nullptr) return false;
+  candidate->sendEvictionNotice();
   removeSession(*candidate, CloseReason::Evicted);
   return true;
 }
--- a/src/downstream/pg/client_session.cpp
+++ b/src/downstream/pg/client_session.cpp
@@ -15,6 +15,12 @@
 // A new client cannot be evicted within this time, so that it can send its startup message however many
 // others connect.
 constexpr Duration kMinStartupTime = std::chrono::milliseconds(25);
+// A throttled client stays at least this long, so that it cannot come again at the full speed of the event
+// loop.
+constexpr Duration kMinThrottledTime = std::chrono::milliseconds(100);
+// A client that sends a message in pieces, or reads slowly, is not evicted within these times.
+constexpr Duration kMinMessageTime = std::chrono::milliseconds(250);
+constexpr Duration kMinReadTime = std::chrono::milliseconds(1000);
 constexpr Duration kLingerTimeout = std::chrono::milliseconds(500);
 constexpr std::size_t kMaxLingerBytes = 1 << 20;
 
@@ -75,14 +81,12 @@
   }
 }
 
-// A fatal error closes the session, because the message is not read to its end. After any other error no
-// message is processed before the next periodic check, so that a client that repeats invalid messages at full
-// speed cannot block the event loop for other sessions.
+// A fatal error closes the session, because the message is not read to its end.
 void ClientSession::rejectMessage(const ClientError& error) {
   const bool fatal = error.severity == Severity::Fatal;
   append(connection_.output(), pg::errorResponse(fatal ? "FATAL" : "ERROR", error.code, error.text));
-  processingPaused_ = true;
   if (!fatal) {
+    throttle_.onInvalidMessage(context_.dispatcher.now());
     finishResponse();
     return;
   }
@@ -121,8 +125,22 @@
   if (inFlightRequest_ != 0) return EvictionPriority::Never;
   if (!active_)
     return now - lastActiveAt_ >= kMinStartupTime ? EvictionPriority::NeverActive : EvictionPriority::Never;
-  const bool buffersEmpty = connection_.unread() == 0 && connection_.unsent() == 0;
-  return buffersEmpty ? EvictionPriority::Idle : EvictionPriority::Never;
+  const auto hasPassed = [now](TimePoint since, Duration time) { return now - since >= time; };
+  if (connection_.unsent() > 0)
+    return hasPassed(lastActiveAt_, kMinReadTime) ? EvictionPriority::UnreadOutput : EvictionPriority::Never;
+  if (connection_.unread() == 0) return EvictionPriority::Idle;
+  if (const std::optional<TimePoint> since = throttle_.throttledSince())
+    return hasPassed(*since, kMinThrottledTime) ? EvictionPriority::Throttled : EvictionPriority::Never;
+  const bool incomplete = incompleteSince_ != TimePoint() && hasPassed(incompleteSince_, kMinMessageTime);
+  return incomplete ? EvictionPriority::IncompleteMessage : EvictionPriority::Never;
+}
+
+// A message that has been read needs an answer even if its session has to make room. The error is written at
+// once, because the session is destroyed before the event loop would write it.
+void ClientSession::sendEvictionNotice() {
+  if (closing() || connection_.unread() == 0 || connection_.unsent() > 0) return;
+  append(connection_.output(), pg::errorResponse("FATAL", "53300", "closed to make room for other clients"));
+  connection_.writeOutput();
 }
 
 SessionActivity ClientSession::activity() const {
@@ -130,7 +148,7 @@
   if (closing()) return SessionActivity::Other;
   if (connection_.unsent() > 0) return SessionActivity::UnreadOutput;
   if (connection_.unread() == 0) return SessionActivity::Other;
-  return processingPaused_ ? SessionActivity::Throttled : SessionActivity::IncompleteMessage;
+  return throttle_.throttledSince() ? SessionActivity::Throttled : SessionActivity::IncompleteMessage;
 }
 
 void ClientSession::startLingeringClose() {
@@ -143,8 +161,8 @@
 
 // Clients that occupy a connection without sending requests must be disconnected within 3 s.
 std::optional<CloseReason> ClientSession::checkTimeouts(TimePoint now) {
-  if (processingPaused_ && !closing() && connection_.unread() > 0) connection_.scheduleRead();
-  processingPaused_ = false;
+  if (throttle_.throttled() && !closing() && connection_.unread() > 0) connection_.scheduleRead();
+  throttle_.startInterval();
   if (closing())
     return now - lastActiveAt_ < kLingerTimeout ? std::nullopt : std::optional(CloseReason::Finished);
   if (!connection_.reading() && connection_.peerClosed()) return CloseReason::PeerClosed;
@@ -279,6 +297,7 @@
   }
   if (statement.empty()) {
     append(connection_.output(), pg::message('I', {}));  // EmptyQueryResponse
+    throttle_.onEmptyQuery(context_.dispatcher.now());
     finishResponse();
     return;
   }
@@ -297,6 +316,7 @@
 }
 
 void ClientSession::submit(ClientStatement& statement, int classIndex) {
+  throttle_.onRequest();
   const TimePoint arrivedAt = arrivals_.arrivalOfLastConsumedByte();
   // The session cannot be closed while its client keeps sending requests. Requests that arrive after
   // accepting has stopped are rejected with a Retry-After, so that the client repeats them at another proxy.
--- a/src/downstream/pg/client_session.hpp
+++ b/src/downstream/pg/client_session.hpp
@@ -8,6 +8,7 @@
 #include "downstream/pg/arrival_times.hpp"
 #include "downstream/pg/client_connection.hpp"
 #include "downstream/pg/client_statement.hpp"
+#include "downstream/pg/message_throttle.hpp"
 #include "downstream/pg/session_context.hpp"
 #include "downstream/pg/startup_message.hpp"
 #include "util/event.hpp"
@@ -40,7 +41,15 @@
 };
 
 /// To make room for a new client, the session with the highest priority is evicted first. Never: not evicted.
-enum class EvictionPriority { Never, Idle, NeverActive, Closing };
+enum class EvictionPriority {
+  Never,
+  UnreadOutput,       ///< the client does not read its output
+  IncompleteMessage,  ///< the client does not complete its message
+  Idle,               ///< the client may send its next request
+  Throttled,          ///< the client keeps sending messages that need no endpoint
+  NeverActive,        ///< the client has sent no message
+  Closing             ///< the session is being closed
+};
 
 /// What a session waits for, for the log.
 enum class SessionActivity {
@@ -72,6 +81,11 @@
   /// not been read from the socket yet.
   bool idle() const { return inFlightRequest_ == 0 && !closing() && !connection_.hasInput(); }
   EvictionPriority evictionPriority(TimePoint now) const;
+  /// Whether the client has sent something that the session has not read yet, or has closed its end.
+  bool hasPendingInput() const { return connection_.hasPendingInput(); }
+  /// Tells the client that it is evicted, if it may be waiting for the answer to a message. Must be followed
+  /// by the destruction of the session.
+  void sendEvictionNotice();
   SessionActivity activity() const;
   /// The latest of these times: the client connected, a response was written, the lingering close started.
   TimePoint lastActiveAt() const { return lastActiveAt_; }
@@ -82,7 +96,7 @@
   void startLingeringClose();
   /// Cancels the request in flight, if any, on behalf of its client.
   void cancelRequest();
-  /// Resumes processing if it was paused. Returns why the session has to be closed, or std::nullopt if it
+  /// Resumes processing if it was throttled. Returns why the session has to be closed, or std::nullopt if it
   /// stays open.
   std::optional<CloseReason> checkTimeouts(TimePoint now);
   /// The id that the client gave to the request in flight; empty if there is none.
@@ -101,7 +115,7 @@
   void onDisconnected() override { owner_.onSessionClosed(*this, CloseReason::Disconnected); }
 
   bool canProcessMessage() const {
-    return inFlightRequest_ == 0 && !closing() && !processingPaused_ &&
+    return inFlightRequest_ == 0 && !closing() && !throttle_.throttled() &&
            connection_.unsent() < kMaxUnsentOutput;
   }
   void discardInput();
@@ -124,7 +138,7 @@
   ClientConnection connection_;
   State state_ = State::Startup;
   bool active_ = false;
-  bool processingPaused_ = false;   // no message is processed until the next checkTimeouts
+  MessageThrottle throttle_;        // its intervals are those of checkTimeouts
   CancelKey cancelKey_;             // set at the end of the startup
   RequestId inFlightRequest_ = 0;   // 0 if there is none
   std::string clientRequestId_;     // the id that the client gave to that request; empty if there is none
--- a/tests/client_limits_test.cpp
+++ b/tests/client_limits_test.cpp
@@ -1,5 +1,7 @@
 // Limits on the number of clients, and which of them are closed at the limits. See scenario.hpp for the
 // script language.
+#include <regex>
+
 #include "scenario.hpp"
 
 namespace stonebay::test {
@@ -77,5 +79,43 @@
   t.run(script + "c1 expect closed\n");
 }
 
+// Guards against lost requests: clients that sent hundreds of invalid messages at once were never evicted,
+// and while they filled the limit on clients no other client got an answer.
+TEST(ClientLimits, ClientsWithManyInvalidMessagesDoNotKeepOutOthers) {
+  Setting s;
+  s.sockets = 128;
+  Scenario t(s);
+  std::string messages;
+  for (int k = 0; k < 300; ++k)
+    messages += "NAME send query SELECT 1 /* id=1,c=nonsense,d=500,cluster=3 */\n";
+  for (int k = 1; k <= 50; ++k) {
+    const std::string name = "d" + std::to_string(k);
+    t.run(std::regex_replace(messages, std::regex("NAME"), name));
+  }
+  t.run(R"(
+    c1 send query SELECT 1 /* id=2,c=read,d=7000,cluster=3 */
+    s2 expect query id=2
+    s2 send row v
+    c1 expect row v
+    proxy expect log reason=evicted
+  )");
+}
+// Guards against lost requests: a client that sent one message and then half of another one was not evicted
+// before its message timed out.
+TEST(ClientLimits, ClientsWithHalfAMessageDoNotKeepOutOthers) {
+  Setting s;
+  s.sockets = 128;
+  Scenario t(s);
+  for (int k = 1; k <= 60; ++k) {
+    const std::string name = "d" + std::to_string(k);
+    t.run(name + " send query\n" + name + " expect empty\n" + name + " send bytes 51 0 0 0 9 41\n");
+  }
+  t.run(R"(
+    proxy expect log reason=evicted
+    d1 expect fatal 53300
+    d1 expect closed
+  )");
+}
+
 }  // namespace
 }  // namespace stonebay::test
--- a/tests/client_session_test.cpp
+++ b/tests/client_session_test.cpp
@@ -16,6 +16,12 @@
 
 using std::chrono::milliseconds;
 
+std::string repeat(const std::string& text, int times) {
+  std::string repeated;
+  for (int k = 0; k < times; ++k) repeated += text;
+  return repeated;
+}
+
 struct FakeOwner : ClientSessionOwner {
   int closed = 0;
   void onSessionClosed(ClientSession& /*session*/, CloseReason /*reason*/) override { ++closed; }
@@ -47,6 +53,24 @@
   void write(std::string_view bytes) const {
     ASSERT_EQ(send(client, bytes.data(), bytes.size(), MSG_NOSIGNAL), static_cast<ssize_t>(bytes.size()));
   }
+  // Returns what the session has sent since the last call.
+  std::string readOutput() const {
+    std::string output;
+    char bytes[4096];
+    for (ssize_t length = 0; (length = recv(client, bytes, sizeof bytes, MSG_DONTWAIT)) > 0;)
+      output.append(bytes, static_cast<std::size_t>(length));
+    return output;
+  }
+  void discardOutput() const { readOutput(); }
+  std::size_t countEmptyResponses() const {
+    const std::string output = readOutput();
+    const std::string emptyResponse = pg::message('I', {});
+    std::size_t count = 0;
+    for (std::size_t at = output.find(emptyResponse); at != std::string::npos;
+         at = output.find(emptyResponse, at + emptyResponse.size()))
+      ++count;
+    return count;
+  }
   void runLoop() const { event_base_loop(base.get(), EVLOOP_NONBLOCK); }
 };
 
@@ -77,5 +101,53 @@
   EXPECT_EQ(session->checkTimeouts(dispatcher.now() + milliseconds(2100)), std::nullopt);
 }
 
+// Guards against a blocked event loop: all empty queries that had arrived were answered in one pass, so that
+// clients with hundreds of them delayed all others.
+TEST_F(ClientSessionTest, EmptyQueriesAreAnsweredInPortions) {
+  discardOutput();
+  write(repeat(pg::query(""), 900));
+  runLoop();
+  const std::size_t firstPortion = countEmptyResponses();
+  EXPECT_GE(firstPortion, 1u);
+  EXPECT_LE(firstPortion, 16u);
+  runLoop();
+  EXPECT_EQ(countEmptyResponses(), 0u) << "the next portion waits for the next check";
+  EXPECT_EQ(session->checkTimeouts(dispatcher.now()), std::nullopt);
+  runLoop();
+  EXPECT_EQ(countEmptyResponses(), firstPortion);
+}
+
+// Guards against lost requests: a session with input was never evicted, although its client kept it in use
+// with messages that need no endpoint.
+TEST_F(ClientSessionTest, ThrottledClientIsEvictedWithAnAnswer) {
+  write(repeat(pg::query("SELECT 1 /* id=1,c=nonsense,d=500,cluster=3 */"), 300));
+  runLoop();
+  EXPECT_EQ(session->evictionPriority(dispatcher.now()), EvictionPriority::Never);
+  for (int k = 1; k <= 3; ++k) {
+    EXPECT_EQ(session->checkTimeouts(dispatcher.now()), std::nullopt);
+    runLoop();
+  }
+  EXPECT_EQ(session->evictionPriority(dispatcher.now() + milliseconds(150)), EvictionPriority::Throttled);
+  discardOutput();
+  session->sendEvictionNotice();
+  EXPECT_NE(readOutput().find("C53300"), std::string::npos);
+}
+
+TEST_F(ClientSessionTest, ClientThatDoesNotCompleteItsMessageIsEvictable) {
+  write(pg::query(""));
+  write(pg::query("SELECT 1").substr(0, 8));
+  runLoop();
+  EXPECT_EQ(session->evictionPriority(dispatcher.now() + milliseconds(100)), EvictionPriority::Never);
+  EXPECT_EQ(session->evictionPriority(dispatcher.now() + milliseconds(300)),
+            EvictionPriority::IncompleteMessage);
+}
+
+// A request that has been received entirely must not be lost by an eviction.
+TEST_F(ClientSessionTest, ClientWithARequestInFlightIsNotEvictable) {
+  write(pg::query("SELECT 1 /* id=1,c=read,d=500,cluster=3 */"));
+  runLoop();
+  EXPECT_EQ(session->evictionPriority(dispatcher.now() + milliseconds(5000)), EvictionPriority::Never);
+}
+
 }  // namespace
 }  // namespace stonebay::test
--- a/tests/scenario.hpp
+++ b/tests/scenario.hpp
@@ -10,6 +10,7 @@
 //   c1 expect row TEXT          one row with this value, then ReadyForQuery; "big" means 64 KiB
 //   c1 expect empty             the response to an empty query
 //   c1 expect error CODE        an error with this SQLSTATE
+//   c1 expect fatal CODE        an error with this SQLSTATE that ends the connection
 //   c1 expect retry-after       an error 53300 whose detail is a number greater than 0
 //   c1 expect closed            the proxy closes the connection without a reset
 //   c1 close                    closes the connection
--- a/tests/scenario_clients.cpp
+++ b/tests/scenario_clients.cpp
@@ -64,6 +64,8 @@
     ASSERT_NE(detail, std::string::npos) << currentStep_;
     EXPECT_GT(std::atoi(body.c_str() + detail + 2), 0);
     expectMessage(connection, 'Z', "");
+  } else if (object == "fatal") {
+    expectMessage(connection, 'E', "C" + arguments);
   } else if (object == "error") {
     expectMessage(connection, 'E', "C" + arguments);
     if (arguments != "08P01" && arguments != "0A000" && arguments != "53200")
