Refuse clients for which no room is made, and limit client buffers by bytes

Cause: deriveLimits bounded the clients by memory, 106 with 32 MB, below the third of the descriptors that clients may hold, and ClientListener left connections in the backlog with no bound in time when no session could be evicted. Evidence: client_connections_full max=106 in_flight=106; no server_connections_full, loop_stalled or accept_failed, which excludes the connections to data servers, a stalled loop and a full descriptor table.

Change: the number of clients follows from the descriptors; what their buffers contain is counted and limited instead. A backlog that does not move is accepted and refused with 53300 and a time to come again. An eviction carries that time, too. A failed accept for lack of descriptors evicts a session.

--- a/src/app/statistics_log.cpp
+++ b/src/app/statistics_log.cpp
@@ -12,7 +12,7 @@
 }  // namespace
 
 StatisticsLog::StatisticsLog(event_base* base, Dispatcher& dispatcher, const ConnectionPool& upstream,
-                             const ClientListener& clients)
+                             ClientListener& clients)
     : dispatcher_(dispatcher),
       upstream_(upstream),
       clients_(clients),
@@ -26,6 +26,7 @@
 
 void StatisticsLog::write() {
   const LoopStatistics loop = dispatcher_.takeLoopStatistics();
+  const ClientStatistics clients = clients_.takeStatistics();
   logEvent(LogLevel::Info, "statistics",
            {{"passes", loop.passes},
             {"stalls", loop.stalls},
@@ -35,6 +36,8 @@
             {"endpoints", dispatcher_.endpointCount()},
             {"requests_in_flight", dispatcher_.requestsInFlight()},
             {"client_connections", clients_.sessionCount()},
+            {"clients_evicted", clients.evicted},
+            {"clients_refused", clients.refused},
             {"server_connections", upstream_.connectionCount()}});
 }
 
--- a/src/app/statistics_log.hpp
+++ b/src/app/statistics_log.hpp
@@ -13,7 +13,7 @@
  public:
   /// The objects that are passed must outlive this object.
   StatisticsLog(event_base* base, Dispatcher& dispatcher, const ConnectionPool& upstream,
-                const ClientListener& clients);
+                ClientListener& clients);
   ~StatisticsLog();
   StatisticsLog(const StatisticsLog& other) = delete;
   StatisticsLog& operator=(const StatisticsLog& other) = delete;
@@ -23,7 +23,7 @@
 
   Dispatcher& dispatcher_;
   const ConnectionPool& upstream_;
-  const ClientListener& clients_;
+  ClientListener& clients_;
   Event timer_;
 };
 
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -11,11 +11,11 @@
 // that are about to be closed.
 constexpr std::size_t kReservedDescriptors = 24;
 constexpr std::size_t kReservedMemoryBytes = std::size_t{12} << 20U;
-// Memory of a client without a large statement: its read-ahead buffer, and a response that it has not read
-// yet.
-constexpr std::size_t kMemoryPerClientBytes = std::size_t{96} << 10U;
 // Share of the descriptors beyond kReservedDescriptors that client connections may use.
 constexpr std::size_t kClientDescriptorPercentage = 45;
+// One in so many client connections is kept free for clients that are refused, so that these get an answer.
+constexpr std::size_t kClientsPerRefusedClient = 12;
+constexpr std::size_t kMinRefusedClients = 4;
 
 std::string summarize(const std::vector<ConfigError>& errors) {
   if (errors.empty()) return "no errors";
@@ -26,19 +26,22 @@
 }  // namespace
 
 // A client has at most one request in flight, so every attempt gets a connection as long as there are fewer
-// clients than server connections. Of the memory beyond kReservedMemoryBytes, a quarter is for large
-// statements of all clients together, half is for kMemoryPerClientBytes of each client, and the rest is for
-// responses in transit.
+// clients than server connections. The number of clients does not depend on the memory: a client system may
+// hold a third of the descriptors, and most clients need little. What their buffers contain is limited
+// instead. Of the memory beyond kReservedMemoryBytes, a quarter is for large statements of all clients
+// together, half is for their other buffers, and the rest is for responses in transit.
 void deriveLimits(Config& config, std::size_t descriptors, std::uint64_t memory) {
   const std::size_t freeMemory = static_cast<std::size_t>(memory) - kReservedMemoryBytes;
   const std::size_t freeDescriptors = descriptors - kReservedDescriptors;
   const std::size_t clientDescriptors = freeDescriptors * kClientDescriptorPercentage / 100;
-  config.maxClientConnections = std::min(clientDescriptors, freeMemory / 2 / kMemoryPerClientBytes);
+  config.maxRefusedClients = std::max(clientDescriptors / kClientsPerRefusedClient, kMinRefusedClients);
+  config.maxClientConnections = clientDescriptors - config.maxRefusedClients;
   config.maxServerConnections = freeDescriptors - clientDescriptors;
   // A client system opens at most a third as many connections as this proxy has descriptors. With a lower
   // limit here, the proxy closes idle clients before that system has no connection left for new requests.
   config.maxActiveClients = std::min(config.maxClientConnections, descriptors / 4);
   config.maxLargeStatementBytes = freeMemory / 4;
+  config.maxClientBufferBytes = freeMemory / 2;
 }
 
 bool operator==(const DnsSdSettings& left, const DnsSdSettings& right) {
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -55,10 +55,12 @@
   Address gossipBroadcast;  ///< address that reaches all other proxies
   std::vector<Address> gossipPeers;      ///< senders whose datagrams are accepted
   std::uint64_t seed = 0;                ///< seed of the random numbers
-  std::size_t maxClientConnections = 0;  ///< this and the next three limits are set by deriveLimits
+  std::size_t maxClientConnections = 0;  ///< this and the next five limits are set by deriveLimits
+  std::size_t maxRefusedClients = 0;     ///< connections beyond maxClientConnections that are being refused
   std::size_t maxServerConnections = 0;
   std::size_t maxActiveClients = 0;        ///< clients that have sent a request, including idle ones
   std::size_t maxLargeStatementBytes = 0;  ///< limit on the total size of statements too long to read ahead
+  std::size_t maxClientBufferBytes = 0;    ///< limit on the total size of what client connections buffer
   EndpointListUpdate initialEndpoints;     ///< endpoints to use until discovery delivers its first list
   Settings settings;
   std::vector<std::string> classes;  ///< names of the request classes, in the order of settings.classes
--- a/src/downstream/pg/client_connection.cpp
+++ b/src/downstream/pg/client_connection.cpp
@@ -14,10 +14,18 @@
 
 ClientConnectionHandler& handlerOf(void* context) { return *static_cast<ClientConnectionHandler*>(context); }
 
+void countBytes(evbuffer* /*buffer*/, const evbuffer_cb_info* change, void* memory) {
+  static_cast<BufferMemory*>(memory)->add(change->n_added);
+  static_cast<BufferMemory*>(memory)->remove(change->n_deleted);
+}
+
 }  // namespace
 
-ClientConnection::ClientConnection(event_base* base, evutil_socket_t fd, ClientConnectionHandler& handler)
-    : bev_(bufferevent_socket_new(base, fd, BEV_OPT_CLOSE_ON_FREE)) {
+ClientConnection::ClientConnection(event_base* base, evutil_socket_t fd, ClientConnectionHandler& handler,
+                                   BufferMemory& memory)
+    : memory_(memory), bev_(bufferevent_socket_new(base, fd, BEV_OPT_CLOSE_ON_FREE)) {
+  evbuffer_add_cb(input(), countBytes, &memory_);
+  evbuffer_add_cb(output(), countBytes, &memory_);
   const int enabled = 1;
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof enabled);
   bufferevent_setcb(
@@ -32,6 +40,8 @@
   bufferevent_enable(bev_.get(), EV_READ | EV_WRITE);
 }
 
+ClientConnection::~ClientConnection() { memory_.remove(unread() + unsent()); }
+
 bool ClientConnection::hasPendingInput() const {
   char byte = 0;
   const ssize_t peeked = recv(socket(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
--- a/src/downstream/pg/client_connection.hpp
+++ b/src/downstream/pg/client_connection.hpp
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 
+#include "downstream/pg/buffer_memory.hpp"
 #include "util/event.hpp"
 
 namespace stonebay {
@@ -26,8 +27,12 @@
   /// Default limit of unread input in bytes. A longer message needs a higher limit, see setInputLimit.
   static constexpr std::size_t kReadAhead = 16 << 10;
 
-  /// Takes ownership of an accepted descriptor.
-  ClientConnection(event_base* base, evutil_socket_t fd, ClientConnectionHandler& handler);
+  /// Takes ownership of an accepted descriptor. `memory` counts the bytes of its buffers.
+  ClientConnection(event_base* base, evutil_socket_t fd, ClientConnectionHandler& handler,
+                   BufferMemory& memory);
+  ~ClientConnection();
+  ClientConnection(const ClientConnection& other) = delete;
+  ClientConnection& operator=(const ClientConnection& other) = delete;
 
   evbuffer* input() const { return bufferevent_get_input(bev_.get()); }
   evbuffer* output() const { return bufferevent_get_output(bev_.get()); }
@@ -63,6 +68,7 @@
  private:
   evutil_socket_t socket() const { return bufferevent_getfd(bev_.get()); }
 
+  BufferMemory& memory_;
   BufferEvent bev_;
   std::size_t inputLimit_ = kReadAhead;
   bool reading_ = true;
--- a/src/downstream/pg/client_listener.cpp
+++ b/src/downstream/pg/client_listener.cpp
@@ -1,5 +1,6 @@
 #include "downstream/pg/client_listener.hpp"
 
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -19,6 +20,11 @@
 
 constexpr int kBacklog = 1024;
 constexpr Duration kAcceptRetryDelay = std::chrono::milliseconds(20);
+// While no client can be evicted, connections wait if at least this share of the clients is replaced in the
+// time that the BacklogMonitor allows.
+constexpr std::size_t kClientsPerMinAdmission = 8;
+// How long a refused client can read its error before the next one may take its place.
+constexpr Duration kMinRefusalTime = std::chrono::milliseconds(10);
 // Clients may open new connections until 0.4 s after SIGTERM.
 constexpr Duration kShutdownAcceptPeriod = std::chrono::milliseconds(500);
 // How long the shutdown keeps trying to accept the connections that are left in the backlog.
@@ -88,7 +94,9 @@
 ClientListener::ClientListener(event_base* base, Dispatcher& dispatcher, const Config& config)
     : config_(config),
       dispatcher_(dispatcher),
-      context_{base, dispatcher, config, StatementMemory(config.maxLargeStatementBytes)} {
+      context_{base, dispatcher, config, StatementMemory(config.maxLargeStatementBytes),
+               BufferMemory(config.maxClientBufferBytes)},
+      backlog_(config.maxClientConnections / kClientsPerMinAdmission) {
   const auto onAccept = [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self) {
     static_cast<ClientListener*>(self)->onAccepted(fd);
   };
@@ -127,25 +135,48 @@
 
 // ---- accepting -------------------------------------------------------------------------------------------
 void ClientListener::onAccepted(evutil_socket_t fd) {
-  addSession(fd);
+  if (hasRoom())
+    admitSession(fd);
+  else
+    refuseSession(fd);
   resumeAccepting();
 }
 
 // While the descriptor table is full, the listening socket stays readable but nothing can be accepted.
-// Accepting is paused, because retrying immediately would make the event loop spin.
+// Accepting is paused, because retrying immediately would make the event loop spin. A session is evicted,
+// because otherwise nothing but the clients themselves would end the wait.
 void ClientListener::onAcceptFailed() {
-  logEvent(LogLevel::Warning, "accept_failed", {{"why", std::strerror(EVUTIL_SOCKET_ERROR())}});
+  const int error = EVUTIL_SOCKET_ERROR();
+  logEvent(LogLevel::Warning, "accept_failed", {{"why", std::strerror(error)}});
+  if (error == EMFILE) evictSession();
   pauseAccepting();
 }
 
 void ClientListener::resumeAccepting() {
   if (!listener_) return;
   if (hasRoom()) {
+    if (backlog_.waiting() && backlogIsEmpty()) backlog_.onEmpty();
     evconnlistener_enable(listener_.get());
-    return;
+  } else if (mustRefuseBacklog() && hasRoomToRefuse()) {
+    evconnlistener_enable(listener_.get());
+  } else {
+    logFull();
+    pauseAccepting();
   }
-  logFull();
-  pauseAccepting();
+}
+
+// Must be called only while there is no room.
+bool ClientListener::mustRefuseBacklog() {
+  if (backlogIsEmpty()) {
+    backlog_.onEmpty();
+    return false;
+  }
+  return backlog_.mustRefuse(dispatcher_.now());
+}
+
+bool ClientListener::backlogIsEmpty() const {
+  pollfd poller{evconnlistener_get_fd(listener_.get()), POLLIN, 0};
+  return poll(&poller, 1, 0) <= 0;
 }
 
 // Logs what the sessions wait for, when none can be evicted and no client can be accepted.
@@ -168,17 +199,28 @@
 }
 
 // Returns whether there is room for one more session, and evicts a session if necessary.
-bool ClientListener::hasRoom() { return sessions_.size() < config_.maxClientConnections || evictSession(); }
+bool ClientListener::hasRoom() {
+  return sessions_.size() - refusedSessions_ < config_.maxClientConnections || evictSession();
+}
+
+// Returns whether there is room for one more session that is refused.
+bool ClientListener::hasRoomToRefuse() {
+  return refusedSessions_ < config_.maxRefusedClients || evictRefusedSession();
+}
 
 // Accepts the connections in the backlog, because closing the listener resets them and their clients may have
 // sent requests already. Returns false if some may be left that a later call might accept.
 bool ClientListener::acceptBacklog() {
   const evutil_socket_t listening = evconnlistener_get_fd(listener_.get());
   for (int calls = 0; calls < kBacklog; ++calls) {
-    if (!hasRoom()) return false;
+    const bool admits = hasRoom();
+    if (!admits && !hasRoomToRefuse()) return false;
     const int fd = accept4(listening, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (fd >= 0) {
-      addSession(fd);
+      if (admits)
+        admitSession(fd);
+      else
+        refuseSession(fd);
       continue;
     }
     if (errno == EAGAIN || errno == EWOULDBLOCK) return true;
@@ -188,16 +230,29 @@
 }
 
 // ---- sessions --------------------------------------------------------------------------------------------
-void ClientListener::addSession(evutil_socket_t fd) {
+ClientSession& ClientListener::addSession(evutil_socket_t fd) {
   ClientSessionOwner& owner = *this;
   auto session = std::make_unique<ClientSession>(context_, owner, fd);
   ClientSession* const key = session.get();
   sessions_.emplace(key, std::move(session));
+  return *key;
+}
+
+void ClientListener::admitSession(evutil_socket_t fd) {
+  backlog_.onAdmitted();
+  addSession(fd);
+}
+
+void ClientListener::refuseSession(evutil_socket_t fd) {
+  ++statistics_.refused;
+  ++refusedSessions_;
+  addSession(fd).refuse();
 }
 
 void ClientListener::removeSession(ClientSession& session, CloseReason reason) {
   logClose(session, reason);
   if (session.active()) --activeSessions_;
+  if (session.refused()) --refusedSessions_;
   sessions_.erase(&session);
 }
 
@@ -216,18 +271,37 @@
   EvictionPriority candidatePriority = EvictionPriority::Never;
   for (const auto& [session, owned] : sessions_) {
     const EvictionPriority priority = session->evictionPriority(now);
-    if (priority == EvictionPriority::Never || priority < candidatePriority) continue;
+    if (session->refused() || priority == EvictionPriority::Never || priority < candidatePriority) continue;
     if (priority == candidatePriority && session->lastActiveAt() >= candidate->lastActiveAt()) continue;
     if (isWaitingForInput(priority) && session->hasPendingInput()) continue;
     candidate = session;
     candidatePriority = priority;
   }
   if (candidate == nullptr) return false;
-  candidate->sendEvictionNotice();
-  removeSession(*candidate, CloseReason::Evicted);
+  evict(*candidate);
+  return true;
+}
+
+// Evicts the refused session that has been open longest. Returns false if its client had no time to read the
+// error.
+bool ClientListener::evictRefusedSession() {
+  const auto refusedBefore = [](const ClientSession* left, const ClientSession* right) {
+    return left->lastActiveAt() < right->lastActiveAt();
+  };
+  ClientSession* oldest = nullptr;
+  for (const auto& [session, owned] : sessions_)
+    if (session->refused() && (oldest == nullptr || refusedBefore(session, oldest))) oldest = session;
+  if (oldest == nullptr || dispatcher_.now() - oldest->lastActiveAt() < kMinRefusalTime) return false;
+  evict(*oldest);
   return true;
 }
 
+void ClientListener::evict(ClientSession& session) {
+  ++statistics_.evicted;
+  session.sendEvictionNotice();
+  removeSession(session, CloseReason::Evicted);
+}
+
 // Clients that keep their connections open after one request may run out of connections on their own side
 // while there is still room in this proxy. Above the limit on active sessions, the one that has been idle
 // longest is therefore closed for each session that becomes active.
@@ -254,6 +328,22 @@
     if (const std::optional<CloseReason> reason = session->checkTimeouts(now))
       timedOut.emplace_back(session, *reason);
   for (const auto& [session, reason] : timedOut) onSessionClosed(*session, reason);
+  freeBufferMemory();
+}
+
+// Evicts the clients whose buffers contain most until the limit is kept. Until then every request is refused.
+void ClientListener::freeBufferMemory() {
+  while (context_.bufferMemory.exhausted()) {
+    ClientSession* largest = nullptr;
+    for (const auto& [session, owned] : sessions_) {
+      if (session->hasRequestInFlight() || session->bufferedBytes() == 0) continue;
+      if (largest == nullptr || session->bufferedBytes() > largest->bufferedBytes()) largest = session;
+    }
+    if (largest == nullptr) return;
+    ++statistics_.evicted;
+    largest->sendEvictionNotice();
+    onSessionClosed(*largest, CloseReason::Evicted);
+  }
 }
 
 // ---- graceful shutdown -----------------------------------------------------------------------------------
--- a/src/downstream/pg/client_listener.hpp
+++ b/src/downstream/pg/client_listener.hpp
@@ -2,19 +2,29 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <unordered_map>
+#include <utility>
 
+#include "downstream/pg/backlog_monitor.hpp"
 #include "downstream/pg/client_session.hpp"
 #include "downstream/pg/session_context.hpp"
 #include "util/event.hpp"
 
 namespace stonebay {
 
-/// Owns the client sessions. If there is no room for a new one, evicts a session that is being closed, has
-/// sent no request or is idle. If there is no such session, new connections wait in the listener's backlog.
+/// Counts of clients since the last call of ClientListener::takeStatistics.
+struct ClientStatistics {
+  std::uint64_t evicted = 0;
+  std::uint64_t refused = 0;
+};
+
+/// Owns the client sessions. If there is no room for a new one, evicts a session without a request in flight,
+/// see EvictionPriority. If there is no such session, new connections wait in the listener's backlog for a
+/// short time. After that they are accepted and refused: a client that gets no room gets an answer.
 class ClientListener final : private ClientSessionOwner {
  public:
   /// Starts listening. Throws std::runtime_error if that fails.
@@ -30,6 +40,8 @@
   /// The port of the listening socket.
   int port() const;
   std::size_t sessionCount() const { return sessions_.size(); }
+  /// Returns the statistics since the last call.
+  ClientStatistics takeStatistics() { return std::exchange(statistics_, ClientStatistics()); }
 
  private:
   void onSessionClosed(ClientSession& session, CloseReason reason) override;
@@ -41,20 +53,31 @@
   void resumeAccepting();
   void pauseAccepting();
   bool acceptBacklog();
-  void addSession(evutil_socket_t fd);
+  ClientSession& addSession(evutil_socket_t fd);
+  void admitSession(evutil_socket_t fd);
+  void refuseSession(evutil_socket_t fd);
   void removeSession(ClientSession& session, CloseReason reason);
   bool hasRoom();
+  bool hasRoomToRefuse();
+  bool mustRefuseBacklog();
+  bool backlogIsEmpty() const;
   void logFull() const;
   bool evictSession();
+  bool evictRefusedSession();
+  void evict(ClientSession& session);
   void evictLongestIdle(const ClientSession& except);
   void checkSessionTimeouts();
+  void freeBufferMemory();
   void onShutdownTimer();
   void stopAccepting();
 
   const Config& config_;
   Dispatcher& dispatcher_;
   SessionContext context_;
-  std::size_t activeSessions_ = 0;  // sessions that have sent a request
+  std::size_t activeSessions_ = 0;   // sessions that have sent a request
+  std::size_t refusedSessions_ = 0;  // sessions that were refused and are still open
+  ClientStatistics statistics_;
+  BacklogMonitor backlog_;
   Listener listener_;
   Event acceptTimer_;        // resumes accepting after a pause
   Event timeoutCheckTimer_;  // periodic, for the timeouts of all sessions
--- a/src/downstream/pg/client_session.cpp
+++ b/src/downstream/pg/client_session.cpp
@@ -17,19 +17,33 @@
 constexpr Duration kMinStartupTime = std::chrono::milliseconds(25);
 // A throttled client stays at least this long, so that it cannot come again at the full speed of the event
 // loop.
-constexpr Duration kMinThrottledTime = std::chrono::milliseconds(100);
+constexpr Duration kMinThrottledTime = std::chrono::milliseconds(50);
 // A client that sends a message in pieces, or reads slowly, is not evicted within these times.
-constexpr Duration kMinMessageTime = std::chrono::milliseconds(250);
+constexpr Duration kMinMessageTime = std::chrono::milliseconds(75);
 constexpr Duration kMinReadTime = std::chrono::milliseconds(1000);
 constexpr Duration kLingerTimeout = std::chrono::milliseconds(500);
 constexpr std::size_t kMaxLingerBytes = 1 << 20;
+// When a client for which there is no room may come again.
+constexpr Duration kNoRoomRetryAfter = std::chrono::milliseconds(100);
+
+// The field of an error that says when to come again, in milliseconds rounded up; empty if it does not say.
+std::string retryAfterDetail(Duration retryAfter) {
+  constexpr Duration kAlmostAMillisecond = std::chrono::microseconds(999);
+  const auto time = std::chrono::duration_cast<std::chrono::milliseconds>(retryAfter + kAlmostAMillisecond);
+  return time.count() > 0 ? std::to_string(time.count()) : std::string();
+}
+
+std::string noRoomResponse(const char* text, const Config& config) {
+  const Duration retryAfter = std::min(kNoRoomRetryAfter, config.settings.maxRetryAfter);
+  return pg::errorResponse("FATAL", "53300", text, retryAfterDetail(retryAfter));
+}
 
 }  // namespace
 
 ClientSession::ClientSession(SessionContext& context, ClientSessionOwner& owner, evutil_socket_t fd)
     : context_(context),
       owner_(owner),
-      connection_(context.base, fd, *this),
+      connection_(context.base, fd, *this, context.bufferMemory),
       lastActiveAt_(context.dispatcher.now()) {}
 
 ClientSession::~ClientSession() {
@@ -47,9 +61,8 @@
 }
 
 void ClientSession::onRejected(Duration retryAfter) {
-  const auto ms = (retryAfter.count() + 999) / 1000;
-  const std::string detail = ms > 0 ? std::to_string(ms) : std::string();
-  failRequest(pg::errorResponse("ERROR", "53300", "no data server can take this request now", detail));
+  failRequest(pg::errorResponse("ERROR", "53300", "no data server can take this request now",
+                                retryAfterDetail(retryAfter)));
 }
 
 void ClientSession::onFailed() {
@@ -139,10 +152,16 @@
 // once, because the session is destroyed before the event loop would write it.
 void ClientSession::sendEvictionNotice() {
   if (closing() || connection_.unread() == 0 || connection_.unsent() > 0) return;
-  append(connection_.output(), pg::errorResponse("FATAL", "53300", "closed to make room for other clients"));
+  append(connection_.output(), noRoomResponse("closed to make room for other clients", context_.config));
   connection_.writeOutput();
 }
 
+void ClientSession::refuse() {
+  refused_ = true;
+  append(connection_.output(), noRoomResponse("too many clients", context_.config));
+  startLingeringClose();
+}
+
 SessionActivity ClientSession::activity() const {
   if (inFlightRequest_ != 0) return SessionActivity::RequestInFlight;
   if (closing()) return SessionActivity::Other;
@@ -325,6 +344,10 @@
     onRejected(std::chrono::milliseconds(1));
     return;
   }
+  if (context_.bufferMemory.exhausted()) {
+    onRejected(std::min(kNoRoomRetryAfter, context_.config.settings.maxRetryAfter));
+    return;
+  }
   const Request request =
       statement.toRequest(context_.config, classIndex, arrivedAt, context_.dispatcher.unixNow());
   clientRequestId_ = statement.id();
--- a/src/downstream/pg/client_session.hpp
+++ b/src/downstream/pg/client_session.hpp
@@ -80,6 +80,11 @@
   /// Whether the session is open and has neither a request in flight nor any input, including input that has
   /// not been read from the socket yet.
   bool idle() const { return inFlightRequest_ == 0 && !closing() && !connection_.hasInput(); }
+  /// Whether the client was refused, see refuse().
+  bool refused() const { return refused_; }
+  /// Bytes of input that is not processed and of output that is not sent.
+  std::size_t bufferedBytes() const { return connection_.unread() + connection_.unsent(); }
+  bool hasRequestInFlight() const { return inFlightRequest_ != 0; }
   EvictionPriority evictionPriority(TimePoint now) const;
   /// Whether the client has sent something that the session has not read yet, or has closed its end.
   bool hasPendingInput() const { return connection_.hasPendingInput(); }
@@ -90,6 +95,8 @@
   /// The latest of these times: the client connected, a response was written, the lingering close started.
   TimePoint lastActiveAt() const { return lastActiveAt_; }
 
+  /// Tells a client that has just connected that there is no room for it, and starts the lingering close.
+  void refuse();
   /// Stops processing input. The connection is closed when all output has been sent and the client has closed
   /// its end, or after a timeout. Closing it while there is unread input would reset it, and the client would
   /// lose the output.
@@ -138,6 +145,7 @@
   ClientConnection connection_;
   State state_ = State::Startup;
   bool active_ = false;
+  bool refused_ = false;
   MessageThrottle throttle_;        // its intervals are those of checkTimeouts
   CancelKey cancelKey_;             // set at the end of the startup
   RequestId inFlightRequest_ = 0;   // 0 if there is none
--- a/src/downstream/pg/session_context.hpp
+++ b/src/downstream/pg/session_context.hpp
@@ -8,6 +8,7 @@
 #include <unordered_set>
 
 #include "dispatch/dispatcher.hpp"
+#include "downstream/pg/buffer_memory.hpp"
 #include "downstream/pg/startup_message.hpp"
 
 namespace stonebay {
@@ -48,6 +49,7 @@
   Dispatcher& dispatcher;
   const Config& config;
   StatementMemory statementMemory;
+  BufferMemory bufferMemory;
   CancelKeys cancelKeys{};
   std::unordered_set<std::string> inFlightRequestIds{};  ///< ids that clients gave to the requests in flight
 };
--- a/tests/client_session_test.cpp
+++ b/tests/client_session_test.cpp
@@ -33,7 +33,9 @@
   EventBase base{event_base_new()};
   Config config = parseConfig(configuration({}, 1, {11, 12}));
   Dispatcher dispatcher{base.get(), config};
-  SessionContext context{base.get(), dispatcher, config, StatementMemory(1 << 20)};
+  static constexpr std::size_t kBufferMemory = 1 << 20;
+  SessionContext context{base.get(), dispatcher, config, StatementMemory(1 << 20),
+                         BufferMemory(kBufferMemory)};
   FakeOwner owner;
   int client = -1;
   std::unique_ptr<ClientSession> session;
@@ -137,11 +139,38 @@
   write(pg::query(""));
   write(pg::query("SELECT 1").substr(0, 8));
   runLoop();
-  EXPECT_EQ(session->evictionPriority(dispatcher.now() + milliseconds(100)), EvictionPriority::Never);
-  EXPECT_EQ(session->evictionPriority(dispatcher.now() + milliseconds(300)),
+  EXPECT_EQ(session->evictionPriority(dispatcher.now() + milliseconds(50)), EvictionPriority::Never);
+  EXPECT_EQ(session->evictionPriority(dispatcher.now() + milliseconds(100)),
             EvictionPriority::IncompleteMessage);
 }
 
+// With little memory the number of clients was limited instead of what they buffer, and clients beyond that
+// number got no answer.
+TEST_F(ClientSessionTest, RequestIsRejectedWhileTheBuffersOfAllClientsAreFull) {
+  discardOutput();
+  context.bufferMemory.add(kBufferMemory);
+  write(pg::query("SELECT 1 /* id=1,c=read,d=500,cluster=3 */"));
+  runLoop();
+  EXPECT_NE(readOutput().find("C53300"), std::string::npos);
+  EXPECT_FALSE(session->hasRequestInFlight());
+  context.bufferMemory.remove(kBufferMemory);
+  write(pg::query("SELECT 1 /* id=2,c=read,d=500,cluster=3 */"));
+  runLoop();
+  EXPECT_TRUE(session->hasRequestInFlight());
+}
+
+TEST_F(ClientSessionTest, BytesInItsBuffersAreCountedUntilTheSessionEnds) {
+  context.bufferMemory.add(kBufferMemory - 8);
+  write(pg::query("SELECT 1").substr(0, 7));
+  runLoop();
+  EXPECT_FALSE(context.bufferMemory.exhausted());
+  write(pg::query("SELECT 1").substr(7, 1));
+  runLoop();
+  EXPECT_TRUE(context.bufferMemory.exhausted());
+  session.reset();
+  EXPECT_FALSE(context.bufferMemory.exhausted());
+}
+
 // A request that has been received entirely must not be lost by an eviction.
 TEST_F(ClientSessionTest, ClientWithARequestInFlightIsNotEvictable) {
   write(pg::query("SELECT 1 /* id=1,c=read,d=500,cluster=3 */"));
--- a/tests/command_line_test.cpp
+++ b/tests/command_line_test.cpp
@@ -110,16 +110,19 @@
 }
 // Guards against bounds that reject the smallest limits in use, 32 MB and 256 descriptors, as an earlier
 // version did. A third of the descriptors must be available for clients with requests, and each of these
-// clients may need a connection to an endpoint.
+// clients may need a connection to an endpoint. With little memory and many descriptors the limit on clients
+// was lower than that third.
 TEST(Configuration, AcceptsTheSmallestLimitsInUse) {
-  for (const auto& [memory, sockets] : {std::pair{32, 256}, {48, 384}, {64, 512}, {192, 1024}}) {
+  for (const auto& [memory, sockets] :
+       {std::pair{32, 256}, {48, 384}, {64, 512}, {192, 1024}, {24, 1024}, {32, 1024}}) {
     Setting s;
     s.memoryMb = memory;
     s.sockets = sockets;
     const Config c = parseConfig(configuration(s, 1, {2}));
     EXPECT_GE(c.maxClientConnections, static_cast<std::size_t>(sockets) / 3);
     EXPECT_GE(c.maxServerConnections, c.maxClientConnections);
-    EXPECT_LE(c.maxClientConnections + c.maxServerConnections, static_cast<std::size_t>(sockets));
+    EXPECT_LE(c.maxClientConnections + c.maxRefusedClients + c.maxServerConnections,
+              static_cast<std::size_t>(sockets));
     EXPECT_GE(c.maxLargeStatementBytes, std::size_t{20} * 2 * 65536);
   }
 }
