Log how long an attempt waited for its connection

The log gave the time at which an attempt was decided, not when a connection was ready for it, so a late decision and a late write looked alike. request_ended now has it: s-1@2951.8+210.8:ok@3183.2 was decided after 2951.8 ms and written 210.8 ms later.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -159,7 +159,8 @@
   const auto it = inFlight_.find(id);
   bool eligible = false;
   if (it != inFlight_.end()) {
-    const AttemptRecord& record = it->second.attempts[static_cast<std::size_t>(attempt)];
+    AttemptRecord& record = it->second.attempts[static_cast<std::size_t>(attempt)];
+    record.connectedAt = now_;
     eligible = balancer_->isStillEligible(now_, id, record.endpoint);
   }
   actions_.emplace_back([this, id, attempt, eligible] { endpoints_->resumeAttempt(id, attempt, eligible); });
--- a/src/dispatch/in_flight_request.hpp
+++ b/src/dispatch/in_flight_request.hpp
@@ -15,6 +15,8 @@
 struct AttemptRecord {
   EndpointId endpoint = 0;
   TimePoint sentAt{};  ///< when the send was decided
+  /// When the connection was ready that the attempt waited for; std::nullopt if it did not wait for one.
+  std::optional<TimePoint> connectedAt{};
   TimePoint endedAt{};
   std::optional<AttemptStatus> status{};  ///< std::nullopt until the attempt has ended
 };
--- a/src/dispatch/request_log.cpp
+++ b/src/dispatch/request_log.cpp
@@ -86,6 +86,7 @@
     text += endpoints.nameOf(attempt.endpoint);
     text += '@';
     text += millisecondsText(attempt.sentAt - request.arrivedAt);
+    if (attempt.connectedAt) text += '+' + millisecondsText(*attempt.connectedAt - attempt.sentAt);
     text += ':';
     text += attempt.status ? attemptStatusName(*attempt.status) : "in_flight";
     if (!attempt.status) continue;
--- a/src/dispatch/request_log.hpp
+++ b/src/dispatch/request_log.hpp
@@ -20,7 +20,8 @@
 
 /// Formats the attempts of a request in the order in which they were sent, separated by blanks. An attempt is
 /// written as "endpoint@sent:status@ended", or as "endpoint@sent:in_flight" if it has not ended; times are in
-/// milliseconds after the arrival of the request.
+/// milliseconds after the arrival of the request. If the attempt had to wait for a connection, "sent" is the
+/// time of the decision, followed by "+wait", the time until a connection was ready.
 std::string attemptsText(const InFlightRequest& request, const EndpointIds& endpoints);
 
 /// Logs "request_ended", or "client_left" for RequestEnd::ClientLeft, with the client's id for the request,
