Check whether repeats are still dropped when a retry's connection is ready

What callers saw: a keyed write was executed twice; its retry arrived 3161 to 3164 ms after the first attempt, window 3000 ms.

Cause: RetryPolicy::mayAttempt checked the window when the retry was decided. LoadBalancer::isStillEligible, which is asked when the connection is ready that the retry waited for, did not. Evidence: s-1@2951.8+210.8 in request_ended, decided within the window, connected after it; that excludes a window counted from the wrong time, and no loop_stalled excludes a stall.

Change: RetryPolicy::isSafeToSend holds the rule for both moments. A request that must not be repeated any more fails at once; before it waited for its deadline in silence.

LoadBalancer.EndOfTheDeduplicationWindowMakesADelayedRetryIneligible, RetryPolicy.KeyedWriteThatWaitsFailsWhenTheDeduplicationWindowEnds and Upstream.KeyedWriteFailsWhenTheDeduplicationWindowEnds fail without the two changes and pass with them.

--- a/include/stonebay/load_balancer.hpp
+++ b/include/stonebay/load_balancer.hpp
@@ -313,8 +313,9 @@
   void onGossip(TimePoint now, const GossipMessage& message);
 
   /// Returns whether an attempt that had to wait for its connection may still be sent. Since the decision the
-  /// request may have ended, the endpoint may have started to drain, or its data may have become too old. If
-  /// false, the attempt must not be sent and its outcome is AttemptStatus::NotSent.
+  /// request may have ended, the endpoint may have started to drain, its data may have become too old, or the
+  /// time for which endpoints drop repeats may have passed. If false, the attempt must not be sent and its
+  /// outcome is AttemptStatus::NotSent.
   bool isStillEligible(TimePoint now, RequestId id, EndpointId endpoint);
   /// Removes the endpoints that left the list some time ago and have no attempt or health check in flight.
   /// Returns their ids, which the caller may forget.
--- a/src/balancer/core.cpp
+++ b/src/balancer/core.cpp
@@ -121,6 +121,7 @@
   const PendingRequest* const pending = findPending(id);
   const Endpoint* const found = table_.find(endpoint);
   if (!pending || !found || !table_.isRoutable(*found)) return false;
+  if (!retries_.isSafeToSend(*pending, *found)) return false;
   const TimePoint required = consistency_.requiredPosition(*pending);
   return consistency_.freshnessProbability(*found, required).has_value();
 }
--- a/src/balancer/retry_policy.cpp
+++ b/src/balancer/retry_policy.cpp
@@ -15,13 +15,16 @@
 
 }  // namespace
 
-bool RetryPolicy::mayAttempt(const PendingRequest& pending, const Endpoint& endpoint) {
+bool RetryPolicy::mayAttempt(const PendingRequest& pending, const Endpoint& endpoint) const {
   const std::vector<EndpointId>& attempted = pending.attemptedEndpoints;
   if (std::find(attempted.begin(), attempted.end(), endpoint.info.id) != attempted.end()) return false;
+  return isSafeToSend(pending, endpoint);
+}
+
+bool RetryPolicy::isSafeToSend(const PendingRequest& pending, const Endpoint& endpoint) const {
   const ClassSettings& requestClass = context_.classOf(pending);
   if (!pending.maybeExecuted || requestClass.idempotency == Idempotency::Idempotent) return true;
-  if (requestClass.idempotency == Idempotency::NonIdempotent) return false;
-  if (context_.now >= pending.maybeExecutedAt + requestClass.deduplicationWindow) return false;
+  if (requestClass.idempotency == Idempotency::NonIdempotent || isDeduplicationOver(pending)) return false;
   const Endpoint* const first = table_.find(pending.maybeExecutedOn);
   if (!first) return false;
   const DeduplicationScope scope = requestClass.deduplicationScope;
@@ -45,10 +48,17 @@
 std::optional<EndReason> RetryPolicy::reasonToStop(const PendingRequest& pending) const {
   const bool isRepeatable = context_.classOf(pending).idempotency != Idempotency::NonIdempotent;
   if (isExhausted(pending)) return EndReason::AttemptsExhausted;
-  if (pending.maybeExecuted && !isRepeatable) return EndReason::NotRetryable;
+  if (pending.maybeExecuted && (!isRepeatable || isDeduplicationOver(pending)))
+    return EndReason::NotRetryable;
   return std::nullopt;
 }
 
+bool RetryPolicy::isDeduplicationOver(const PendingRequest& pending) const {
+  const ClassSettings& requestClass = context_.classOf(pending);
+  return requestClass.idempotency == Idempotency::IdempotencyKey && pending.maybeExecuted &&
+         context_.now >= pending.maybeExecutedAt + requestClass.deduplicationWindow;
+}
+
 bool RetryPolicy::mayCancelForRetry(const PendingRequest& pending, const Attempt& attempt) const {
   const bool isIdempotent = context_.classOf(pending).idempotency == Idempotency::Idempotent;
   const bool isCancellable = context_.settings.cancellationAllowed && !attempt.cancelled;
--- a/src/balancer/retry_policy.hpp
+++ b/src/balancer/retry_policy.hpp
@@ -14,7 +14,11 @@
   RetryPolicy(const Context& context, EndpointTable& table) : context_(context), table_(table) {}
 
   /// Returns whether a request may be sent to an endpoint, given its idempotency and its earlier attempts.
-  bool mayAttempt(const PendingRequest& pending, const Endpoint& endpoint);
+  bool mayAttempt(const PendingRequest& pending, const Endpoint& endpoint) const;
+  /// Returns whether a send to an endpoint now cannot execute a request twice, given its idempotency and the
+  /// earlier attempts that may have been executed. The answer changes with time, so an attempt that was
+  /// decided earlier must be checked again when it is written.
+  bool isSafeToSend(const PendingRequest& pending, const Endpoint& endpoint) const;
   /// Returns why a request may not have another attempt at any endpoint; std::nullopt if it may.
   std::optional<EndReason> reasonToStop(const PendingRequest& pending) const;
   /// Returns whether an unanswered attempt may be cancelled in order to retry it at another endpoint.
@@ -32,6 +36,8 @@
   bool tryTakeHedgingToken() { return hedgingBudget_.tryTake(); }
 
  private:
+  /// Returns whether endpoints may no longer drop a repeat of an attempt that may have been executed.
+  bool isDeduplicationOver(const PendingRequest& pending) const;
   bool isExhausted(const PendingRequest& pending) const {
     return pending.attemptCount() >= context_.settings.maxAttempts;
   }
--- a/tests/load_balancer_test.cpp
+++ b/tests/load_balancer_test.cpp
@@ -57,6 +57,35 @@
   EXPECT_FALSE(fixture.balancer.isStillEligible(fixture.now, id, 1));
 }
 
+// Guards against a request that is executed twice: whether endpoints still drop repeats was checked when a
+// retry was decided, but not when the connection was ready that it had to wait for.
+TEST(LoadBalancer, EndOfTheDeduplicationWindowMakesADelayedRetryIneligible) {
+  Settings settings = defaultSettings();
+  settings.classes[kGroupKeyedRead].deduplicationWindow = 150ms;
+  BalancerFixture fixture(settings);
+  const RequestId id = fixture.submit(kGroupKeyedRead);
+  fixture.advanceTime(100ms);
+  fixture.endAttempt(id, AttemptStatus::Reset);
+  ASSERT_EQ(fixture.sends(id).size(), 2u);
+  const EndpointId endpoint = fixture.lastEndpoint(id);
+  EXPECT_TRUE(fixture.balancer.isStillEligible(fixture.now + 49ms, id, endpoint));
+  EXPECT_FALSE(fixture.balancer.isStillEligible(fixture.now + 50ms, id, endpoint));
+  fixture.advanceTime(50ms);
+  fixture.endAttempt(id, AttemptStatus::NotSent);
+  EXPECT_EQ(fixture.sends(id).size(), 2u);
+  EXPECT_EQ(fixture.actions.count(ActionKind::Fail, id), 1u) << "the client need not wait for its deadline";
+}
+
+// An attempt that was certainly not executed starts no window.
+TEST(LoadBalancer, DelayedRetryStaysEligibleIfNoAttemptMayHaveBeenExecuted) {
+  BalancerFixture fixture;
+  const RequestId id = fixture.submit(kGroupKeyedRead);
+  fixture.advanceTime(100ms);
+  fixture.endAttempt(id, AttemptStatus::Rejected);
+  ASSERT_EQ(fixture.sends(id).size(), 2u);
+  EXPECT_TRUE(fixture.balancer.isStillEligible(fixture.now + 500ms, id, fixture.lastEndpoint(id)));
+}
+
 TEST(LoadBalancer, NoFinalResponseOnceTheClientHasLeft) {
   BalancerFixture fixture;
   const RequestId id = fixture.submit(kEventualRead);
--- a/tests/proxy_process.cpp
+++ b/tests/proxy_process.cpp
@@ -23,7 +23,8 @@
        << R"(,"maxRetryAfterUs":1000000,"parallelTries":false,"probing":true,"retryAfter":)"
        << (setting.retryAfterAllowed ? "true" : "false") << R"(},"balancers":)" << setting.proxyCount << R"(,
 "classes":[{"deadlineUs":9000000,"effect":"safe","lateWorth":0.0,"name":"read","promiseUs":8000000,"worth":1.0},
-{"deadlineUs":9000000,"effect":"keyed","group":"cell","lateWorth":0.5,"memorySpanUs":9000000,"name":"write",
+{"deadlineUs":9000000,"effect":"keyed","group":"cell","lateWorth":0.5,"memorySpanUs":)"
+       << setting.deduplicationWindowUs << R"(,"name":"write",
 "promiseUs":8000000,"worth":6.0}],"discovery":"subscribe","goal":{"whole":0.55,"worstClass":0.3},
 "obligations":{"coldUs":18000000,"drainGraceUs":1000000,"fallMultiple":2.5,"fallUs":1500000,
 "mustAskInUs":10000000,"startCapacity":0.21},"report":{"how":")"
--- a/tests/proxy_process.hpp
+++ b/tests/proxy_process.hpp
@@ -10,6 +10,7 @@
 struct Setting {
   int servers = 2;
   std::string idleCloseUs = "15000000";
+  std::string deduplicationWindowUs = "9000000";  ///< of the class "write"; in the JSON form only
   int sockets = 1024, memoryMb = 192;
   std::string reports = "pull";
   int proxyCount = 3;
--- a/tests/retry_policy_test.cpp
+++ b/tests/retry_policy_test.cpp
@@ -75,6 +75,27 @@
                            return std::string(info.param.name);
                          });
 
+// A request that waited for an endpoint got its failure only at its deadline.
+TEST(RetryPolicy, KeyedWriteThatWaitsFailsWhenTheDeduplicationWindowEnds) {
+  Settings settings = defaultSettings();
+  settings.classes[kWrite].idempotency = Idempotency::IdempotencyKey;
+  settings.classes[kWrite].deduplicationScope = DeduplicationScope::ReplicaGroup;
+  settings.classes[kWrite].deduplicationWindow = 400ms;
+  BalancerFixture fixture(settings);
+  fixture.reportPrimary(2);
+  const RequestId id = fixture.submit(kWrite, 0, 0, 3000ms);
+  ASSERT_EQ(fixture.lastEndpoint(id), 2u);
+  fixture.advanceTime(10ms);
+  fixture.updateEndpoints({BalancerFixture::endpointUpdate(1, Lifecycle::Draining),
+                           BalancerFixture::endpointUpdate(2, Lifecycle::Draining),
+                           BalancerFixture::endpointUpdate(3, Lifecycle::Draining)});
+  fixture.endAttempt(id, AttemptStatus::Reset);
+  fixture.runTimers(350ms);
+  EXPECT_FALSE(fixture.hasFinalResponse(id)) << "an endpoint may become available in time";
+  fixture.runTimers(80ms);
+  EXPECT_EQ(fixture.actions.count(ActionKind::Fail, id), 1u);
+}
+
 TEST(RetryPolicy, KeyedReadIsRetriedWithinTheDeduplicationWindow) {
   BalancerFixture fixture;
   const RequestId id = fixture.submit(kGroupKeyedRead);
--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -68,6 +68,25 @@
     )");
   }
 }
+// Guards against silence until the deadline: a write that could not be repeated any more, because endpoints
+// had ceased to drop repeats, still waited for an endpoint.
+TEST(Upstream, KeyedWriteFailsWhenTheDeduplicationWindowEnds) {
+  Setting s;
+  s.servers = 1;
+  s.deduplicationWindowUs = "400000";
+  Scenario t(s);
+  t.run(R"(
+    c1 send query INSERT 1 /* id=1,c=write,d=60000,k=1,cluster=3 */
+    s1 expect query id=1
+    s1 wait silent
+    s1 close idle
+    s1 close
+    c1 expect error 40003
+    s1 wait speak
+    c1 send query INSERT 2 /* id=2,c=write,d=7000,k=2,cluster=3 */
+    s1 expect query id=2
+  )");
+}
 TEST(Upstream, InvalidStatementIsNotRetried) {
   Scenario t;
   t.run(R"(
