Forward statements without a readable deadline unchanged, or reject them

What callers saw: a statement whose deadline was missing or no number failed, and its data server got 1199SELECT ... instead.

Cause: parseStatementComment took a deadline that it could not read for a missing one, and writeRequest wrote the remaining time before a statement that has no place for it. Evidence: the data server's trace has the digits at offset 0 and the statement behind them whole, which excludes a wrong offset and parts of several statements.

Change: ForwardedRequest says whether it has a remaining time. Known fields that cannot be read, two deadlines, and a comment that may be part of a literal are answered with 42601; a statement without a deadline is forwarded as it is.

--- a/src/codec/pg/statement.cpp
+++ b/src/codec/pg/statement.cpp
@@ -12,6 +12,9 @@
 
 constexpr std::string_view kCommentStart = "/*";
 constexpr std::string_view kCommentEnd = "*/";
+constexpr std::string_view kBlanks = " \t\r\n";
+// A comment that one of these follows may be part of a literal, and then belongs to the client's data.
+constexpr std::string_view kQuotes = "'\"$";
 
 template <typename T>
 bool parseNumber(std::string_view text, T& number) {
@@ -43,6 +46,12 @@
       setSessionToken(field);
   }
 
+  // Adds text that begins with a name but is no field. It is an error if a field of this name has a meaning.
+  void addMalformed(std::string_view name) {
+    for (const std::string_view known : {"id", "c", "d", "cluster", "after"})
+      if (name == known) comment_.error = "a field of the comment has no value";
+  }
+
   StatementComment build() {
     if (comment_.requestId.empty()) comment_.error = "the comment has no id";
     if (!hasGroup_) comment_.error = "the comment has no usable cluster";
@@ -52,6 +61,7 @@
  private:
   void setDeadline(const Field& field) {
     if (!parseNumber(field.value, comment_.deadlineMs)) comment_.error = "d is no number of milliseconds";
+    if (comment_.deadlineLength > 0) comment_.error = "d is given twice";
     comment_.deadlineOffset = field.valueOffset;
     comment_.deadlineLength = field.value.size();
   }
@@ -64,14 +74,36 @@
   bool hasGroup_ = false;
 };
 
-// Adds the field between two offsets of the text. Blanks around it, and text without '=', are ignored.
+bool isNameCharacter(char character) {
+  const bool isLetter = (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z');
+  const bool isDigit = character >= '0' && character <= '9';
+  return isLetter || isDigit || character == '_';
+}
+
+bool isBlank(char character) { return kBlanks.find(character) != std::string_view::npos; }
+
+// Adds the field between two offsets of the text. Blanks around its name and its value are ignored.
 void addField(CommentBuilder& builder, std::string_view text, std::size_t begin, std::size_t end) {
-  while (begin < end && text[begin] == ' ') ++begin;
-  while (end > begin && text[end - 1] == ' ') --end;
-  const std::size_t equals = text.find('=', begin);
-  if (equals >= end) return;
-  const std::size_t valueOffset = equals + 1;
-  builder.add({text.substr(begin, equals - begin), text.substr(valueOffset, end - valueOffset), valueOffset});
+  while (begin < end && isBlank(text[begin])) ++begin;
+  while (end > begin && isBlank(text[end - 1])) --end;
+  std::size_t nameEnd = begin;
+  while (nameEnd < end && isNameCharacter(text[nameEnd])) ++nameEnd;
+  const std::string_view name = text.substr(begin, nameEnd - begin);
+  std::size_t equals = nameEnd;
+  while (equals < end && isBlank(text[equals])) ++equals;
+  if (equals == end || text[equals] != '=') {
+    builder.addMalformed(name);
+    return;
+  }
+  std::size_t valueOffset = equals + 1;
+  while (valueOffset < end && isBlank(text[valueOffset])) ++valueOffset;
+  builder.add({name, text.substr(valueOffset, end - valueOffset), valueOffset});
+}
+
+StatementComment invalidComment(const char* error) {
+  StatementComment comment;
+  comment.error = error;
+  return comment;
 }
 
 }  // namespace
@@ -80,11 +112,10 @@
   const std::size_t open = text.rfind(kCommentStart);
   const std::size_t close = text.rfind(kCommentEnd);
   const bool found = open != std::string_view::npos && close != std::string_view::npos;
-  if (!found || close < open + kCommentStart.size()) {
-    StatementComment none;
-    none.error = "no comment at the end of the statement";
-    return none;
-  }
+  if (!found || close < open + kCommentStart.size())
+    return invalidComment("no comment at the end of the statement");
+  if (text.find_first_of(kQuotes, close) != std::string_view::npos)
+    return invalidComment("the comment is not at the end of the statement");
   CommentBuilder builder;
   std::size_t begin = open + kCommentStart.size();
   while (begin < close) {
--- a/src/codec/pg/statement.hpp
+++ b/src/codec/pg/statement.hpp
@@ -20,7 +20,8 @@
   const char* error = nullptr;      ///< why the comment is invalid; null if it is valid
 };
 
-/// Parses the last comment of a statement. Unknown fields are ignored.
+/// Parses the last comment of a statement. Unknown fields are ignored. A known field that cannot be read is
+/// an error, and so is a comment that may be part of a literal; only the deadline may be missing.
 StatementComment parseStatementComment(std::string_view text);
 
 /// Returns the first text between single quotes, or an empty view if there is none.
--- a/src/downstream/pg/client_statement.cpp
+++ b/src/downstream/pg/client_statement.cpp
@@ -77,8 +77,9 @@
 
 // If the comment has a deadline, its digits are cut out of the statement.
 ForwardedRequest ClientStatement::takeForwardedRequest() {
-  ForwardedRequest forwarded{newBuffer(), std::move(body_), id()};
-  if (comment_.deadlineLength > 0) {
+  const bool hasDeadline = comment_.deadlineLength > 0;
+  ForwardedRequest forwarded{newBuffer(), std::move(body_), hasDeadline, id()};
+  if (hasDeadline) {
     const std::size_t before = length_ - tailLength_ + comment_.deadlineOffset;
     evbuffer_remove_buffer(forwarded.afterRemainingTime.get(), forwarded.beforeRemainingTime.get(), before);
     evbuffer_drain(forwarded.afterRemainingTime.get(), comment_.deadlineLength);
--- a/src/upstream/pg/upstream_connection.cpp
+++ b/src/upstream/pg/upstream_connection.cpp
@@ -84,10 +84,12 @@
     append(output(), pg::query(kHealthCheckStatement));
     return;
   }
-  // The statement is added by reference, without a copy, and its deadline is replaced by the remaining time.
+  // The statement is added by reference, without a copy, and its deadline, if any, is replaced by the
+  // remaining time.
   const ForwardedRequest& message = *request_->message;
   const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(request_->deadline - now);
-  const std::string digits = std::to_string(std::max<std::int64_t>(remaining.count(), 1));
+  std::string digits;
+  if (message.hasRemainingTime) digits = std::to_string(std::max<std::int64_t>(remaining.count(), 1));
   const std::size_t length = evbuffer_get_length(message.beforeRemainingTime.get()) + digits.size() +
                              evbuffer_get_length(message.afterRemainingTime.get());
   append(output(), pg::queryHeader(length));
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -70,7 +70,7 @@
 }
 
 ForwardedRequest emptyMessage(const std::string& id = {}) {
-  return ForwardedRequest{newBuffer(), newBuffer(), id};
+  return ForwardedRequest{newBuffer(), newBuffer(), false, id};
 }
 
 double unixSeconds(TimePoint position) {
--- a/tests/downstream_test.cpp
+++ b/tests/downstream_test.cpp
@@ -20,6 +20,23 @@
     c1 expect row v2
   )");
 }
+// Guards against changed statements: one whose deadline was missing or could not be read was forwarded with
+// digits before its first word.
+TEST(Downstream, StatementsWithoutAReadableDeadlineAreRejectedOrUnchanged) {
+  Scenario t;
+  t.run(R"(
+    c1 send query SELECT 1 /* id=1,c=read,d = soon,cluster=3 */
+    c1 expect error 42601
+    c1 send query SELECT 1 /* id=2,c=read,d:1200,cluster=3 */
+    c1 expect error 42601
+    c1 send query SELECT 1 /* id=3,c=read,d,cluster=3 */
+    c1 expect error 42601
+    c1 send query SELECT 1 /* id=4,c=read,cluster=3 */
+    s2 expect statement SELECT 1 /* id=4,c=read,cluster=3 */
+    s2 send row v
+    c1 expect row v
+  )");
+}
 TEST(Downstream, RespondsToPipelinedQueriesInOrder) {
   Scenario t;
   t.run(R"(
--- a/tests/pg_codec_test.cpp
+++ b/tests/pg_codec_test.cpp
@@ -34,6 +34,38 @@
   EXPECT_EQ(pg::parseStatementComment("/* id=1,cluster=1 */").deadlineLength, 0u);
 }
 
+// Guards against changed statements: a deadline that could not be read was taken for a missing one.
+TEST(PgStatementComment, DeadlineThatCannotBeReadIsAnError) {
+  for (const char* deadline : {"d", "d ", "d:1200", "d = soon", "d=soon", "d =", "d=1 2", "d=+5", "d=-5",
+                               "d=5ms", "d 1200", "d=0x10", "d=1200,d=7", "d=1200,d", "\td\t=\tsoon"}) {
+    const std::string text = std::string("/* id=1,cluster=1,") + deadline + " */";
+    EXPECT_NE(pg::parseStatementComment(text).error, nullptr) << text;
+  }
+}
+
+TEST(PgStatementComment, BlanksAroundNamesAndValuesAreIgnored) {
+  const std::string text = "/* id = 1 , cluster= 2,\td =\t1200 , c =x */";
+  const pg::StatementComment comment = pg::parseStatementComment(text);
+  ASSERT_EQ(comment.error, nullptr);
+  EXPECT_EQ(comment.requestId, "1");
+  EXPECT_EQ(comment.group, 2u);
+  EXPECT_EQ(comment.className, "x");
+  EXPECT_EQ(text.substr(comment.deadlineOffset, comment.deadlineLength), "1200");
+}
+
+TEST(PgStatementComment, TextWithoutAMeaningIsIgnored) {
+  for (const char* text : {"/* id=1,cluster=1,deadline,dd=soon,x:y,,d=5 */", "/* id=1,cluster=1,d=5 */ ;",
+                           "/* id=1,cluster=1,D=soon,d=5 */ LIMIT 1"})
+    EXPECT_EQ(pg::parseStatementComment(text).error, nullptr) << text;
+}
+
+// The client's data must not be taken for the comment: its digits would be replaced by the remaining time.
+TEST(PgStatementComment, CommentWithinALiteralIsAnError) {
+  for (const char* text : {"INSERT INTO rows VALUES ('/* id=1,cluster=1,d=5 */')",
+                           "SELECT \"/* id=1,cluster=1,d=5 */\"", "SELECT $$/* id=1,cluster=1,d=5 */$$"})
+    EXPECT_NE(pg::parseStatementComment(text).error, nullptr) << text;
+}
+
 TEST(PgMessageHeader, LengthOutOfRangeIsRejected) {
   const auto headerWithLength = [](std::uint32_t length) {
     const char bytes[pg::kMessageHeaderSize] = {'Q', static_cast<char>(length >> 24),
--- a/tests/scenario.hpp
+++ b/tests/scenario.hpp
@@ -21,6 +21,7 @@
 // Endpoints s1 (the primary), s2 ...; they answer startup messages and health checks without a step. `send`,
 // `close` and `expect closed` apply to the connection of the last expected query.
 //   s2 expect query TEXT        receives a query that contains TEXT
+//   s2 expect statement TEXT    receives a query whose whole text is TEXT
 //   s2 send row TEXT            responds with one row
 //   s2 send part TEXT           the same without CommandComplete and the last 2 bytes of the row
 //   s2 send error CODE          responds with an error of this SQLSTATE
@@ -128,7 +129,8 @@
                      const std::string& arguments);
   void runEndpointStep(Endpoint&, const std::string& verb, const std::string& object,
                        const std::string& arguments);
-  void expectQuery(Endpoint&, const std::string& expected);
+  /// Waits for the next query and returns its text.
+  std::string receiveQuery(Endpoint&);
   void waitForIdle(const Endpoint&, std::size_t count);
   void respond(const Endpoint&, Connection&, const std::string& verb, const std::string& object,
                const std::string& arguments);
--- a/tests/scenario_endpoints.cpp
+++ b/tests/scenario_endpoints.cpp
@@ -57,7 +57,10 @@
 void Scenario::runEndpointStep(Endpoint& endpoint, const std::string& verb, const std::string& object,
                                const std::string& arguments) {
   if (verb == "expect" && object == "query") {
-    expectQuery(endpoint, arguments);
+    const std::string statement = receiveQuery(endpoint);
+    EXPECT_NE(statement.find(arguments), std::string::npos) << currentStep_ << ": got " << statement;
+  } else if (verb == "expect" && object == "statement") {
+    EXPECT_EQ(receiveQuery(endpoint), arguments + '\0') << currentStep_;
   } else if (verb == "expect" && object == "connections") {
     EXPECT_EQ(endpoint.accepted, std::stoi(arguments)) << currentStep_;
   } else if (verb == "expect" && object == "drained") {
@@ -91,7 +94,7 @@
 }
 
 // Waits for the next query on any connection of the endpoint; later steps apply to that connection.
-void Scenario::expectQuery(Endpoint& endpoint, const std::string& expected) {
+std::string Scenario::receiveQuery(Endpoint& endpoint) {
   Connection* found = nullptr;
   std::string statement;
   waitUntil(
@@ -105,10 +108,11 @@
         return found != nullptr;
       },
       "a query");
-  if (!found) return;
-  EXPECT_NE(statement.find(expected), std::string::npos) << currentStep_ << ": got " << statement;
-  endpoint.current = found;
-  found->isBusy = true;
+  if (found) {
+    endpoint.current = found;
+    found->isBusy = true;
+  }
+  return statement;
 }
 
 void Scenario::waitForIdle(const Endpoint& endpoint, std::size_t count) {
