Evict unfinished clients only while others wait, and split off the selection

At the limit the listener makes room before anyone waits. Since clients with an incomplete message or unread output can be evicted, it would have closed these without need; now only while a connection waits in the backlog.

A session that is closed by the check of timeouts can lead to the eviction of another one, since closing a refused session makes no room for an admitted one. The check closed that one as well, after its destruction. Found by reading; no run showed it.

The choice of the session to evict moves from ClientListener to session_eviction, with its four rules side by side.

--- a/src/downstream/pg/client_listener.cpp
+++ b/src/downstream/pg/client_listener.cpp
@@ -74,13 +74,6 @@
   return "unknown";
 }
 
-// Whether a session of this priority would process input that has arrived but has not been read yet. Evicting
-// it would lose a request.
-bool isWaitingForInput(EvictionPriority priority) {
-  return priority == EvictionPriority::Idle || priority == EvictionPriority::IncompleteMessage ||
-         priority == EvictionPriority::NeverActive;
-}
-
 // Sessions that end as expected and have no request in flight are not logged.
 void logClose(const ClientSession& session, CloseReason reason) {
   const bool isExpected = reason == CloseReason::Disconnected || reason == CloseReason::Finished;
@@ -135,7 +128,8 @@
 
 // ---- accepting -------------------------------------------------------------------------------------------
 void ClientListener::onAccepted(evutil_socket_t fd) {
-  if (hasRoom())
+  const bool clientWaits = true;
+  if (hasRoom(clientWaits))
     admitSession(fd);
   else
     refuseSession(fd);
@@ -148,16 +142,22 @@
 void ClientListener::onAcceptFailed() {
   const int error = EVUTIL_SOCKET_ERROR();
   logEvent(LogLevel::Warning, "accept_failed", {{"why", std::strerror(error)}});
-  if (error == EMFILE) evictSession();
+  const bool clientWaits = true;
+  if (error == EMFILE) evictSession(clientWaits);
   pauseAccepting();
 }
 
 void ClientListener::resumeAccepting() {
   if (!listener_) return;
-  if (hasRoom()) {
-    if (backlog_.waiting() && backlogIsEmpty()) backlog_.onEmpty();
+  if (isBelowLimit() && !backlog_.waiting()) {
+    evconnlistener_enable(listener_.get());
+    return;
+  }
+  const bool clientWaits = !backlogIsEmpty();
+  if (!clientWaits) backlog_.onEmpty();
+  if (hasRoom(clientWaits)) {
     evconnlistener_enable(listener_.get());
-  } else if (mustRefuseBacklog() && hasRoomToRefuse()) {
+  } else if (clientWaits && backlog_.mustRefuse(dispatcher_.now()) && hasRoomToRefuse()) {
     evconnlistener_enable(listener_.get());
   } else {
     logFull();
@@ -165,15 +165,6 @@
   }
 }
 
-// Must be called only while there is no room.
-bool ClientListener::mustRefuseBacklog() {
-  if (backlogIsEmpty()) {
-    backlog_.onEmpty();
-    return false;
-  }
-  return backlog_.mustRefuse(dispatcher_.now());
-}
-
 bool ClientListener::backlogIsEmpty() const {
   pollfd poller{evconnlistener_get_fd(listener_.get()), POLLIN, 0};
   return poll(&poller, 1, 0) <= 0;
@@ -198,10 +189,9 @@
   startTimer(acceptTimer_.get(), kAcceptRetryDelay);
 }
 
-// Returns whether there is room for one more session, and evicts a session if necessary.
-bool ClientListener::hasRoom() {
-  return sessions_.size() - refusedSessions_ < config_.maxClientConnections || evictSession();
-}
+// Returns whether there is room for one more session, and evicts a session if necessary. `clientWaits`:
+// whether a client waits to be accepted.
+bool ClientListener::hasRoom(bool clientWaits) { return isBelowLimit() || evictSession(clientWaits); }
 
 // Returns whether there is room for one more session that is refused.
 bool ClientListener::hasRoomToRefuse() {
@@ -213,7 +203,7 @@
 bool ClientListener::acceptBacklog() {
   const evutil_socket_t listening = evconnlistener_get_fd(listener_.get());
   for (int calls = 0; calls < kBacklog; ++calls) {
-    const bool admits = hasRoom();
+    const bool admits = hasRoom(!backlogIsEmpty());
     if (!admits && !hasRoomToRefuse()) return false;
     const int fd = accept4(listening, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (fd >= 0) {
@@ -262,38 +252,21 @@
   if (stoppedAcceptingAt_ && sessions_.empty()) done_();
 }
 
-// Evicts the session with the highest eviction priority, and of several the one that has been inactive
-// longest, so that unused connections do not keep out clients with requests. Returns false if no session can
-// be evicted.
-bool ClientListener::evictSession() {
-  const TimePoint now = dispatcher_.now();
-  ClientSession* candidate = nullptr;
-  EvictionPriority candidatePriority = EvictionPriority::Never;
-  for (const auto& [session, owned] : sessions_) {
-    const EvictionPriority priority = session->evictionPriority(now);
-    if (session->refused() || priority == EvictionPriority::Never || priority < candidatePriority) continue;
-    if (priority == candidatePriority && session->lastActiveAt() >= candidate->lastActiveAt()) continue;
-    if (isWaitingForInput(priority) && session->hasPendingInput()) continue;
-    candidate = session;
-    candidatePriority = priority;
-  }
-  if (candidate == nullptr) return false;
-  evict(*candidate);
-  return true;
+// Evicts a session to make room for a new client. Returns false if no session can be evicted. While no client
+// waits, sessions that may still complete their message or read their output are left alone.
+bool ClientListener::evictSession(bool clientWaits) {
+  const EvictionPriority minPriority = clientWaits ? EvictionPriority::UnreadOutput : EvictionPriority::Idle;
+  ClientSession* const session = selectForEviction(sessions_, minPriority, dispatcher_.now());
+  if (session) evict(*session);
+  return session != nullptr;
 }
 
-// Evicts the refused session that has been open longest. Returns false if its client had no time to read the
-// error.
+// Returns false if the client that was refused first had no time to read the error yet.
 bool ClientListener::evictRefusedSession() {
-  const auto refusedBefore = [](const ClientSession* left, const ClientSession* right) {
-    return left->lastActiveAt() < right->lastActiveAt();
-  };
-  ClientSession* oldest = nullptr;
-  for (const auto& [session, owned] : sessions_)
-    if (session->refused() && (oldest == nullptr || refusedBefore(session, oldest))) oldest = session;
-  if (oldest == nullptr || dispatcher_.now() - oldest->lastActiveAt() < kMinRefusalTime) return false;
-  evict(*oldest);
-  return true;
+  ClientSession* const session = selectLongestRefused(sessions_);
+  const bool hadTime = session && dispatcher_.now() - session->lastActiveAt() >= kMinRefusalTime;
+  if (hadTime) evict(*session);
+  return hadTime;
 }
 
 void ClientListener::evict(ClientSession& session) {
@@ -311,14 +284,8 @@
 }
 
 void ClientListener::evictLongestIdle(const ClientSession& except) {
-  const TimePoint now = dispatcher_.now();
-  ClientSession* longestIdle = nullptr;
-  for (const auto& [session, owned] : sessions_) {
-    if (session == &except || session->evictionPriority(now) != EvictionPriority::Idle) continue;
-    if (longestIdle != nullptr && session->lastActiveAt() >= longestIdle->lastActiveAt()) continue;
-    if (session->idle()) longestIdle = session;
-  }
-  if (longestIdle) onSessionClosed(*longestIdle, CloseReason::Evicted);
+  ClientSession* const session = selectLongestIdle(sessions_, except, dispatcher_.now());
+  if (session) onSessionClosed(*session, CloseReason::Evicted);
 }
 
 void ClientListener::checkSessionTimeouts() {
@@ -327,22 +294,21 @@
   for (const auto& [session, owned] : sessions_)
     if (const std::optional<CloseReason> reason = session->checkTimeouts(now))
       timedOut.emplace_back(session, *reason);
-  for (const auto& [session, reason] : timedOut) onSessionClosed(*session, reason);
+  for (const auto& [session, reason] : timedOut) {
+    const bool isOpen = sessions_.count(session) > 0;  // the end of another one may have led to its eviction
+    if (isOpen) onSessionClosed(*session, reason);
+  }
   freeBufferMemory();
 }
 
 // Evicts the clients whose buffers contain most until the limit is kept. Until then every request is refused.
 void ClientListener::freeBufferMemory() {
   while (context_.bufferMemory.exhausted()) {
-    ClientSession* largest = nullptr;
-    for (const auto& [session, owned] : sessions_) {
-      if (session->hasRequestInFlight() || session->bufferedBytes() == 0) continue;
-      if (largest == nullptr || session->bufferedBytes() > largest->bufferedBytes()) largest = session;
-    }
-    if (largest == nullptr) return;
+    ClientSession* const session = selectLargestBuffers(sessions_);
+    if (!session) return;
     ++statistics_.evicted;
-    largest->sendEvictionNotice();
-    onSessionClosed(*largest, CloseReason::Evicted);
+    session->sendEvictionNotice();
+    onSessionClosed(*session, CloseReason::Evicted);
   }
 }
 
--- a/src/downstream/pg/client_listener.hpp
+++ b/src/downstream/pg/client_listener.hpp
@@ -6,12 +6,12 @@
 #include <functional>
 #include <memory>
 #include <optional>
-#include <unordered_map>
 #include <utility>
 
 #include "downstream/pg/backlog_monitor.hpp"
 #include "downstream/pg/client_session.hpp"
 #include "downstream/pg/session_context.hpp"
+#include "downstream/pg/session_eviction.hpp"
 #include "util/event.hpp"
 
 namespace stonebay {
@@ -57,12 +57,12 @@
   void admitSession(evutil_socket_t fd);
   void refuseSession(evutil_socket_t fd);
   void removeSession(ClientSession& session, CloseReason reason);
-  bool hasRoom();
+  bool isBelowLimit() const { return sessions_.size() - refusedSessions_ < config_.maxClientConnections; }
+  bool hasRoom(bool clientWaits);
   bool hasRoomToRefuse();
-  bool mustRefuseBacklog();
   bool backlogIsEmpty() const;
   void logFull() const;
-  bool evictSession();
+  bool evictSession(bool clientWaits);
   bool evictRefusedSession();
   void evict(ClientSession& session);
   void evictLongestIdle(const ClientSession& except);
@@ -86,7 +86,7 @@
   std::optional<TimePoint> backlogRetryDeadline_;  // set when accepting should stop for the first time
   std::optional<TimePoint> stoppedAcceptingAt_;
   std::function<void()> done_;
-  std::unordered_map<ClientSession*, std::unique_ptr<ClientSession>> sessions_;
+  ClientSessions sessions_;
 };
 
 }  // namespace stonebay
