Write an error before its session makes room, and throttle requests for encryption

A refused client's error was left to the next pass of the event loop; with a long pass its session could make room for the next refused one before, and the client got no answer. It is written at once now, as is the output of every evicted session. Found by reading; ClientSessionTest.RefusedClientGetsItsErrorAtOnce checks it.

Requests for encryption at the start of a connection were answered without limit, up to 2,000 in one pass, the fault of empty queries again; they are throttled like these.

--- a/src/downstream/pg/client_session.cpp
+++ b/src/downstream/pg/client_session.cpp
@@ -148,17 +148,18 @@
   return incomplete ? EvictionPriority::IncompleteMessage : EvictionPriority::Never;
 }
 
-// A message that has been read needs an answer even if its session has to make room. The error is written at
+// A message that has been read needs an answer even if its session has to make room. The output is written at
 // once, because the session is destroyed before the event loop would write it.
 void ClientSession::sendEvictionNotice() {
-  if (closing() || connection_.unread() == 0 || connection_.unsent() > 0) return;
-  append(connection_.output(), noRoomResponse("closed to make room for other clients", context_.config));
+  if (!closing() && connection_.unread() > 0 && connection_.unsent() == 0)
+    append(connection_.output(), noRoomResponse("closed to make room for other clients", context_.config));
   connection_.writeOutput();
 }
 
 void ClientSession::refuse() {
   refused_ = true;
   append(connection_.output(), noRoomResponse("too many clients", context_.config));
+  connection_.writeOutput();
   startLingeringClose();
 }
 
@@ -244,6 +245,7 @@
       return false;
     case StartupMessage::Kind::EncryptionRequest:
       append(connection_.output(), "N");
+      throttle_.onTrivialMessage(context_.dispatcher.now());
       return true;
     case StartupMessage::Kind::CancelRequest:
       handleCancelRequest(message.cancelKey);
@@ -316,7 +318,7 @@
   }
   if (statement.empty()) {
     append(connection_.output(), pg::message('I', {}));  // EmptyQueryResponse
-    throttle_.onEmptyQuery(context_.dispatcher.now());
+    throttle_.onTrivialMessage(context_.dispatcher.now());
     finishResponse();
     return;
   }
--- a/src/downstream/pg/client_session.hpp
+++ b/src/downstream/pg/client_session.hpp
@@ -88,8 +88,8 @@
   EvictionPriority evictionPriority(TimePoint now) const;
   /// Whether the client has sent something that the session has not read yet, or has closed its end.
   bool hasPendingInput() const { return connection_.hasPendingInput(); }
-  /// Tells the client that it is evicted, if it may be waiting for the answer to a message. Must be followed
-  /// by the destruction of the session.
+  /// Writes the output that is left, and tells the client that it is evicted if it may be waiting for the
+  /// answer to a message. Must be followed by the destruction of the session.
   void sendEvictionNotice();
   SessionActivity activity() const;
   /// The latest of these times: the client connected, a response was written, the lingering close started.
--- a/src/downstream/pg/message_throttle.hpp
+++ b/src/downstream/pg/message_throttle.hpp
@@ -1,4 +1,5 @@
-// Limits the messages of one client that need no endpoint: empty queries and invalid messages.
+// Limits the messages of one client that need no endpoint: empty queries, requests for encryption and invalid
+// messages.
 #pragma once
 
 #include <algorithm>
@@ -18,8 +19,8 @@
   /// Since when the client has been throttled in every interval; std::nullopt if it is not.
   std::optional<TimePoint> throttledSince() const { return since_; }
 
-  /// An empty query was answered.
-  void onEmptyQuery(TimePoint now) { spend(1, now); }
+  /// An empty query or a request for encryption was answered.
+  void onTrivialMessage(TimePoint now) { spend(1, now); }
   /// An invalid message was answered with an error. It uses up the rest of the interval.
   void onInvalidMessage(TimePoint now) { spend(left_, now); }
   /// A request was submitted: the client does useful work.
--- a/tests/client_session_test.cpp
+++ b/tests/client_session_test.cpp
@@ -119,6 +119,29 @@
   EXPECT_EQ(countEmptyResponses(), firstPortion);
 }
 
+// Guards against lost answers: the error of a refused client went with its session if that had to make room
+// for the next one before the event loop had written it.
+TEST_F(ClientSessionTest, RefusedClientGetsItsErrorAtOnce) {
+  discardOutput();
+  session->refuse();
+  EXPECT_NE(readOutput().find("C53300"), std::string::npos);
+}
+
+TEST_F(ClientSessionTest, RequestsForEncryptionAreAnsweredInPortions) {
+  int fds[2];
+  ASSERT_EQ(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, fds), 0);
+  ClientSession other(context, owner, fds[1]);
+  const std::string requests = repeat(std::string("\0\0\0\10\4\322\26\57", 8), 900);
+  ASSERT_EQ(send(fds[0], requests.data(), requests.size(), MSG_NOSIGNAL),
+            static_cast<ssize_t>(requests.size()));
+  runLoop();
+  char answers[1000];
+  const ssize_t answered = recv(fds[0], answers, sizeof answers, MSG_DONTWAIT);
+  EXPECT_GE(answered, 2);
+  EXPECT_LE(answered, 16);
+  close(fds[0]);
+}
+
 // Guards against lost requests: a session with input was never evicted, although its client kept it in use
 // with messages that need no endpoint.
 TEST_F(ClientSessionTest, ThrottledClientIsEvictedWithAnAnswer) {
--- a/tests/message_throttle_test.cpp
+++ b/tests/message_throttle_test.cpp
@@ -21,8 +21,8 @@
 
 TEST(MessageThrottle, FewEmptyQueriesAreNotThrottled) {
   MessageThrottle throttle;
-  throttle.onEmptyQuery(kStart);
-  throttle.onEmptyQuery(kStart);
+  throttle.onTrivialMessage(kStart);
+  throttle.onTrivialMessage(kStart);
   EXPECT_FALSE(throttle.throttled());
   EXPECT_FALSE(throttle.throttledSince());
 }
