Take the connections of refused clients from the reserve

The limit on clients had become a twelfth lower to keep connections free for refusals, so clients near it were refused that had been admitted before. Eight of the 24 reserved descriptors serve as well: refused connections are about to be closed. A running proxy has ten or so open besides clients and data servers.

ClientLimits counts 46 clients again.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -8,14 +8,13 @@
 namespace {
 
 // Reserved for the process itself: code, event loop, listener, discovery, standard streams, and connections
-// that are about to be closed.
+// that are about to be closed, among them kRefusedClients.
 constexpr std::size_t kReservedDescriptors = 24;
+// Connections of clients for which there is no room. They are accepted, refused and closed.
+constexpr std::size_t kRefusedClients = 8;
 constexpr std::size_t kReservedMemoryBytes = std::size_t{12} << 20U;
 // Share of the descriptors beyond kReservedDescriptors that client connections may use.
 constexpr std::size_t kClientDescriptorPercentage = 45;
-// One in so many client connections is kept free for clients that are refused, so that these get an answer.
-constexpr std::size_t kClientsPerRefusedClient = 12;
-constexpr std::size_t kMinRefusedClients = 4;
 
 std::string summarize(const std::vector<ConfigError>& errors) {
   if (errors.empty()) return "no errors";
@@ -34,8 +33,8 @@
   const std::size_t freeMemory = static_cast<std::size_t>(memory) - kReservedMemoryBytes;
   const std::size_t freeDescriptors = descriptors - kReservedDescriptors;
   const std::size_t clientDescriptors = freeDescriptors * kClientDescriptorPercentage / 100;
-  config.maxRefusedClients = std::max(clientDescriptors / kClientsPerRefusedClient, kMinRefusedClients);
-  config.maxClientConnections = clientDescriptors - config.maxRefusedClients;
+  config.maxClientConnections = clientDescriptors;
+  config.maxRefusedClients = kRefusedClients;
   config.maxServerConnections = freeDescriptors - clientDescriptors;
   // A client system opens at most a third as many connections as this proxy has descriptors. With a lower
   // limit here, the proxy closes idle clients before that system has no connection left for new requests.
