--- a/src/downstream/pg/client_listener.cpp
+++ b/src/downstream/pg/client_listener.cpp
@@ -149,15 +149,7 @@
 
 void ClientListener::resumeAccepting() {
   if (!listener_) return;
-  if (isBelowLimit() && !backlog_.waiting()) {
-    evconnlistener_enable(listener_.get());
-    return;
-  }
-  const bool clientWaits = !backlogIsEmpty();
-  if (!clientWaits) backlog_.onEmpty();
-  if (hasRoom(clientWaits)) {
-    evconnlistener_enable(listener_.get());
-  } else if (clientWaits && backlog_.mustRefuse(dispatcher_.now()) && hasRoomToRefuse()) {
+  if (mayAccept()) {
     evconnlistener_enable(listener_.get());
   } else {
     logFull();
@@ -165,6 +157,15 @@
   }
 }
 
+// Returns whether the next client can be accepted, to be admitted or refused. Makes room for it if necessary.
+bool ClientListener::mayAccept() {
+  if (isBelowLimit() && !backlog_.waiting()) return true;
+  const bool clientWaits = !backlogIsEmpty();
+  if (!clientWaits) backlog_.onEmpty();
+  if (hasRoom(clientWaits)) return true;
+  return clientWaits && backlog_.mustRefuse(dispatcher_.now()) && hasRoomToRefuse();
+}
+
 bool ClientListener::backlogIsEmpty() const {
   pollfd poller{evconnlistener_get_fd(listener_.get()), POLLIN, 0};
   return poll(&poller, 1, 0) <= 0;
@@ -174,14 +175,14 @@
 void ClientListener::logFull() const {
   std::array<std::size_t, kSessionActivityCount> count{};
   for (const auto& [session, owned] : sessions_) ++count[static_cast<std::size_t>(session->activity())];
-  const auto of = [&](SessionActivity activity) { return count[static_cast<std::size_t>(activity)]; };
+  const auto countOf = [&](SessionActivity activity) { return count[static_cast<std::size_t>(activity)]; };
   logEvent(LogLevel::Warning, "client_connections_full",
            {{"max", config_.maxClientConnections},
-            {"in_flight", of(SessionActivity::RequestInFlight)},
-            {"throttled", of(SessionActivity::Throttled)},
-            {"incomplete_message", of(SessionActivity::IncompleteMessage)},
-            {"unread_output", of(SessionActivity::UnreadOutput)},
-            {"other", of(SessionActivity::Other)}});
+            {"in_flight", countOf(SessionActivity::RequestInFlight)},
+            {"throttled", countOf(SessionActivity::Throttled)},
+            {"incomplete_message", countOf(SessionActivity::IncompleteMessage)},
+            {"unread_output", countOf(SessionActivity::UnreadOutput)},
+            {"other", countOf(SessionActivity::Other)}});
 }
 
 void ClientListener::pauseAccepting() {
@@ -264,7 +265,7 @@
 // Returns false if the client that was refused first had no time to read the error yet.
 bool ClientListener::evictRefusedSession() {
   ClientSession* const session = selectLongestRefused(sessions_);
-  const bool hadTime = session && dispatcher_.now() - session->lastActiveAt() >= kMinRefusalTime;
+  const bool hadTime = session != nullptr && dispatcher_.now() - session->lastActiveAt() >= kMinRefusalTime;
   if (hadTime) evict(*session);
   return hadTime;
 }
--- a/src/downstream/pg/client_listener.hpp
+++ b/src/downstream/pg/client_listener.hpp
@@ -59,6 +59,7 @@
   void removeSession(ClientSession& session, CloseReason reason);
   bool isBelowLimit() const { return sessions_.size() - refusedSessions_ < config_.maxClientConnections; }
   bool hasRoom(bool clientWaits);
+  bool mayAccept();
   bool hasRoomToRefuse();
   bool backlogIsEmpty() const;
   void logFull() const;
