Testbed: continue a restarted proxy that the CPU throttle has stopped

Cause: the throttle's timer keeps running across a restart. It may stop the new process (SIGSTOP) for the CPU time of its start, just after the process has logged "listening". CpuThrottle::start then forgot that stop, and nothing continued the process. The other hypothesis, a proxy that hangs after its start, is ruled out by the process's state.

Change: start continues a process that the throttle has stopped.

--- a/testbed/cpu_throttle.cpp
+++ b/testbed/cpu_throttle.cpp
@@ -20,7 +20,8 @@
   lastCheckAt_ = context_.now();
   lastCpuSeconds_ = process_.cpuSeconds();
   excessCpuSeconds_ = 0;
-  isStopped_ = false;
+  // A restarted process may already have been stopped for the CPU time that its start took.
+  setStopped(false);
   timer_.startIn(kCheckInterval);
 }
 
@@ -31,10 +32,14 @@
   excessCpuSeconds_ = std::max(excessCpuSeconds_, -kMaxCreditSeconds);
   lastCheckAt_ = now;
   lastCpuSeconds_ = cpuSeconds;
-  const bool mustStop = excessCpuSeconds_ > 0;
-  if (mustStop != isStopped_) process_.sendSignal(mustStop ? SIGSTOP : SIGCONT);
-  isStopped_ = mustStop;
+  setStopped(excessCpuSeconds_ > 0);
   timer_.startIn(kCheckInterval);
 }
 
+void CpuThrottle::setStopped(bool isStopped) {
+  if (isStopped == isStopped_) return;
+  process_.sendSignal(isStopped ? SIGSTOP : SIGCONT);
+  isStopped_ = isStopped;
+}
+
 }  // namespace stonebay::testbed
--- a/testbed/cpu_throttle.hpp
+++ b/testbed/cpu_throttle.hpp
@@ -18,9 +18,12 @@
 
   /// Starts or restarts the throttling. Must be called after each start of the process.
   void start();
+  /// Whether the process is stopped until its share allows it to run again.
+  bool isStopped() const { return isStopped_; }
 
  private:
   void check();
+  void setStopped(bool isStopped);
 
   const RunContext& context_;
   ProxyProcess& process_;
