Testbed: print how a proxy ended, and draw no SIGHUP before a restart is done

Cause: the draw sent SIGHUP 6 ms after the start of a new process, which handles signals only once its main function runs. The terms of the users send the signal "never in its first second, nor before it is ready".

Evidence: eight of eight crashed plays ended with exit status 129, which is now printed.

--- a/testbed/experiment_result.hpp
+++ b/testbed/experiment_result.hpp
@@ -29,10 +29,17 @@
   bool holds = false;  ///< also false if the figure was not measured
 };
 
+/// A proxy whose process ended with an error before the end of the run.
+struct ProxyCrash {
+  int proxy = 0;       ///< number of the proxy, from 1
+  int exitStatus = 0;  ///< exit code, or 128 plus the number of the signal that ended the process
+};
+
 struct ExperimentResult {
   Figures figures;
   std::vector<JudgedClaim> claims;
   std::vector<RunSample> samples;
+  std::vector<ProxyCrash> crashes;
 
   std::size_t brokenClaims() const;
 };
--- a/testbed/experiment_run.hpp
+++ b/testbed/experiment_run.hpp
@@ -53,6 +53,7 @@
   bool waitUntil(const std::function<bool()>& isDone, Time timeout);
   RunSample takeSample() const;
   RunMeasurements measure(Time loadDuration, double cpuSeconds) const;
+  std::vector<ProxyCrash> findCrashes() const;
   double cpuSeconds() const;
   double discoveryQueries() const;
 
--- a/testbed/main.cpp
+++ b/testbed/main.cpp
@@ -94,6 +94,11 @@
   }
 }
 
+void printCrashes(const std::vector<ProxyCrash>& crashes) {
+  for (const ProxyCrash& crash : crashes)
+    std::printf("proxy %d ended with exit status %d\n", crash.proxy, crash.exitStatus);
+}
+
 std::string outputDirectoryOrDefault(const std::string& directory) {
   if (!directory.empty()) return directory;
   return (fs::temp_directory_path() / ("stonebay-testbed-" + std::to_string(getpid()))).string();
@@ -118,6 +123,7 @@
   writeReport(options.directory, experiment, result, run.audit());
   printClaims(result);
   printViolations(run.audit().violations());
+  printCrashes(result.crashes);
   const std::size_t broken = result.brokenClaims();
   std::printf("report: %s/report.md\n", options.directory.c_str());
   std::printf("claims: %zu held, %zu broken\n", result.claims.size() - broken, broken);
--- a/testbed/proxy_under_test.hpp
+++ b/testbed/proxy_under_test.hpp
@@ -42,6 +42,8 @@
   bool hasStarted() const { return hasStarted_; }
   /// Whether no process is running and the last recorded exit status is not 0.
   bool hasCrashed() { return !process_.isRunning() && process_.exitStatus() != 0; }
+  /// See ProxyProcess::exitStatus.
+  int exitStatus() const { return process_.exitStatus(); }
 
   /// Starts measuring the CPU time that `cpuSeconds` returns.
   void startMeasuring() { cpuAtMeasurementStart_ = process_.cpuSeconds(); }
--- a/testbed/soak_day.cpp
+++ b/testbed/soak_day.cpp
@@ -18,6 +18,9 @@
 constexpr int kLatestFaultMs = 7000;
 // A proxy may be killed no earlier than the longest request deadline plus this margin after SIGTERM.
 constexpr int kKillMarginMs = 700;
+constexpr int kRestartDelayMs = 50;  // from the kill of a proxy
+// A SIGHUP before the program handles signals ends the process.
+constexpr int kMinReloadAfterStartMs = 200;
 
 // Generates one experiment.
 class SoakExperimentGenerator {
@@ -104,20 +107,35 @@
   }
 
   // Sends up to three SIGHUPs. With 60% probability also terminates the proxy, possibly with further signals
-  // during the shutdown, kills it at the earliest time allowed and starts a new process 50 ms later.
+  // during the shutdown, kills it at the earliest time allowed and starts a new process.
   void addProxySignals() {
-    for (int signal = uniform(0, 3); signal > 0; --signal) addStep(randomFaultTimeMs(), "proxy 1 hup");
-    if (!randomBool(60)) return;
+    std::vector<int> reloads;
+    for (int signal = uniform(0, 3); signal > 0; --signal) reloads.push_back(randomFaultTimeMs());
+    if (!randomBool(60)) return addReloads(reloads);
     const int term = uniform(1000, 4000);
     const int kill = term + std::max(readDeadlineMs_, writeDeadlineMs_) + kKillMarginMs;
+    addReloads(delayedPastRestart(reloads, kill));
     addStep(term, "proxy 1 term");
     if (randomBool(40)) addStep(term + uniform(0, 400), "proxy 1 term");
     if (randomBool(40)) addStep(term + uniform(0, 600), "proxy 1 hup");
     addStep(kill, "proxy 1 kill");
-    addStep(kill + 50, "proxy 1 start");
+    addStep(kill + kRestartDelayMs, "proxy 1 start");
     if (randomBool(30)) addStep(kill + uniform(250, 400), "proxy 1 hup");
   }
 
+  void addReloads(const std::vector<int>& timesMs) {
+    for (const int atMs : timesMs) addStep(atMs, "proxy 1 hup");
+  }
+
+  // Delays the reloads that come between the kill at `killMs` and the time at which the new process can
+  // handle signals.
+  static std::vector<int> delayedPastRestart(std::vector<int> reloadsMs, int killMs) {
+    const int earliestMs = killMs + kRestartDelayMs + kMinReloadAfterStartMs;
+    for (int& atMs : reloadsMs)
+      if (atMs >= killMs) atMs = std::max(atMs, earliestMs);
+    return reloadsMs;
+  }
+
   void addSystemFaults() {
     if (randomBool(40)) addStep(randomFaultTimeMs(), "crowd " + std::to_string(uniform(50, 400)));
     for (const int offsetMs : {3600 * 1000, -3600 * 1000, 4000, -4000, 0})
--- a/tests/testbed_test.cpp
+++ b/tests/testbed_test.cpp
@@ -13,6 +13,7 @@
 #include "testbed/experiment_run.hpp"
 #include "testbed/machine.hpp"
 #include "testbed/replica_log.hpp"
+#include "testbed/soak_day.hpp"
 
 namespace stonebay::testbed {
 namespace {
@@ -209,6 +210,37 @@
 1100ms publish s-3
 )";
 
+std::vector<ScriptStep> proxyStepsOf(std::uint64_t seed) {
+  std::vector<ConfigError> errors;
+  const Experiment experiment = parseExperiment(generateSoakExperiment(seed), "soak", errors);
+  std::vector<ScriptStep> steps;
+  for (const ScriptStep& step : experiment.script)
+    if (step.action == ScriptAction::Proxy) steps.push_back(step);
+  return steps;
+}
+
+// Returns when the steps send the signal or command to the proxy.
+std::vector<Time> timesOf(const std::string& command, const std::vector<ScriptStep>& steps) {
+  std::vector<Time> times;
+  for (const ScriptStep& step : steps)
+    if (step.arguments[1] == command) times.push_back(step.at);
+  return times;
+}
+
+// Guards against a crash counted for a SIGHUP that ends the new process before the program has begun to run.
+TEST(SoakExperiment, SendsNoReloadFromAKillUntilTheNewProcessHandlesSignals) {
+  constexpr std::uint64_t kSeeds = 1000;
+  constexpr Time kStartAllowance = milliseconds(200);
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    const std::vector<ScriptStep> steps = proxyStepsOf(seed);
+    const std::vector<Time> kills = timesOf("kill", steps);
+    if (kills.empty()) continue;
+    const Time startAt = timesOf("start", steps).at(0);
+    for (const Time reloadAt : timesOf("hup", steps))
+      EXPECT_TRUE(reloadAt < kills[0] || reloadAt >= startAt + kStartAllowance) << "seed " << seed;
+  }
+}
+
 struct FaultCase {
   const char* fault;
   const char* figure;  // counts the violations of the rule
