Testbed: take the fault shim from its own build, and fail without one

An experiment with faults and a program of another build ran without any injected fault, because the shim was looked for beside the program only, and a missing one was a line in the program's log. Soaks by hand with the deploy build had held or failed that way.

Change: the shim beside the testbed is used if the program has none; without either the run ends with an error. The test failed without the search for the shim (nothing was thrown).

--- a/testbed/proxy_process.cpp
+++ b/testbed/proxy_process.cpp
@@ -20,6 +20,18 @@
 constexpr int kExecFailed = 127;      // exit status that shells use for a failed exec
 constexpr int kSignalExitBase = 128;  // plus the signal number, as in shells
 constexpr std::size_t kReadBytes = 4096;
+constexpr const char* kShimLibrary = "libstonebay_syscall_shim.so";
+
+// Returns the shim in the directory of the program or, for a program of another build, of this executable.
+std::string findShim(const std::string& program) {
+  namespace fs = std::filesystem;
+  for (const fs::path& executable : {fs::path(program), fs::read_symlink("/proc/self/exe")}) {
+    const fs::path library = fs::path(executable).replace_filename(kShimLibrary);
+    if (fs::exists(library)) return fs::absolute(library).string();
+  }
+  throw std::runtime_error(std::string(kShimLibrary) + " is neither beside " + program +
+                           " nor beside the testbed, so no faults can be injected");
+}
 
 }  // namespace
 
@@ -35,6 +47,7 @@
 void ProxyProcess::setFaults(std::string faults, std::string clockFile) {
   faults_ = std::move(faults);
   clockFile_ = std::move(clockFile);
+  shimPath_ = findShim(program_);
 }
 
 void ProxyProcess::start(ReadyHandler onReady) {
@@ -65,9 +78,8 @@
 void ProxyProcess::execute(int outputFd) const {
   dup2(outputFd, STDOUT_FILENO);
   dup2(outputFd, STDERR_FILENO);
-  if (!clockFile_.empty()) {
-    const auto library = std::filesystem::path(program_).replace_filename("libstonebay_syscall_shim.so");
-    setenv("LD_PRELOAD", library.c_str(), 1);
+  if (!shimPath_.empty()) {
+    setenv("LD_PRELOAD", shimPath_.c_str(), 1);
     setenv("ASAN_OPTIONS", "verify_asan_link_order=0", 1);
     setenv("STONEBAY_SHIM_FAULTS", faults_.c_str(), 1);
     setenv("STONEBAY_SHIM_CLOCK", clockFile_.c_str(), 1);
--- a/testbed/proxy_process.hpp
+++ b/testbed/proxy_process.hpp
@@ -24,7 +24,8 @@
   /// Starts the process unless it is running. `onReady` is called with its port once it listens. Throws
   /// std::runtime_error if no pipe can be created for its output.
   void start(ReadyHandler onReady);
-  /// Preloads the system call shim into the processes that start from now on.
+  /// Preloads the system call shim into the processes that start from now on. Throws std::runtime_error if
+  /// the shim is neither beside the program nor beside this executable.
   /// @param faults value of STONEBAY_SHIM_FAULTS; may be empty
   /// @param clockFile value of STONEBAY_SHIM_CLOCK: the file with the offset of the wall clock
   void setFaults(std::string faults, std::string clockFile);
@@ -55,7 +56,8 @@
   const std::string settingsPath_;
   const std::string logPath_;
   std::string faults_;
-  std::string clockFile_;  // if empty, the shim is not preloaded
+  std::string clockFile_;
+  std::string shimPath_;  // if empty, the shim is not preloaded
   ReadyHandler onReady_;
   int pid_ = -1;
   int exitStatus_ = -1;
--- a/tests/testbed_test.cpp
+++ b/tests/testbed_test.cpp
@@ -5,6 +5,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <optional>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -12,7 +13,9 @@
 #include "testbed/experiment.hpp"
 #include "testbed/experiment_run.hpp"
 #include "testbed/machine.hpp"
+#include "testbed/proxy_process.hpp"
 #include "testbed/replica_log.hpp"
+#include "testbed/run_context.hpp"
 #include "testbed/soak_day.hpp"
 
 namespace stonebay::testbed {
@@ -241,6 +244,13 @@
   }
 }
 
+// Guards against experiments that hold because the faults they ask for were never injected.
+TEST(ProxyProcess, RejectsFaultsWhenTheShimThatInjectsThemIsMissing) {
+  const RunContext context(1);
+  ProxyProcess process(context, "/nonexistent/stonebay", "unused.ini", "unused.log");
+  EXPECT_THROW(process.setFaults("accept4:ENFILE:50", "unused.clock"), std::runtime_error);
+}
+
 struct FaultCase {
   const char* fault;
   const char* figure;  // counts the violations of the rule
