--- a/tests/client_limits_test.cpp
+++ b/tests/client_limits_test.cpp
@@ -22,6 +22,19 @@
     c1 expect empty
   )");
 }
+// Guards against lost requests: while idle clients held all descriptors of the process, nothing but the
+// clients themselves ended the wait of further ones.
+TEST(ClientLimits, EvictsIdleClientsWhileTheDescriptorTableIsFull) {
+  Setting s;
+  s.descriptors = 24;
+  Scenario t(s);
+  t.run("s2 wait idle 2\n");
+  for (int k = 1; k <= 30; ++k) {
+    const std::string name = "c" + std::to_string(k);
+    t.run(name + " send query\n" + name + " expect empty\n");
+  }
+  t.run("proxy expect log Too many open files\nproxy expect log reason=evicted\n");
+}
 // 900 connections of faulty clients that sent nothing reached the limit, and no further client was accepted.
 TEST(ClientLimits, EvictsClientsWithoutRequestsForNewOnes) {
   Setting s;
