Testbed: count the deadline of an attempt from its arrival at the endpoint

Cause: while an endpoint is vanished its stand-in buffers what arrives, and handles it when the endpoint recovers. The deadline, which the proxy sends as the time left, was counted from that moment. Other hypothesis: the proxy sent the attempt late, after a write that failed with EAGAIN. Told apart by the log and the script: request p1-454 was sent to s-3 0.1 ms after the request came (s-3@0.1, sends.csv 7.327 s), s-3 was vanished from 7.2 s and recovered at 7.94 s, when the attempt was judged.

Change: the deadline is counted from the arrival of the last input; all else is judged as before.

--- a/testbed/audit_records.hpp
+++ b/testbed/audit_records.hpp
@@ -47,7 +47,7 @@
   bool isRead = false;
   Time dataAge{};           ///< age of the endpoint's data when the attempt arrived
   Time maxStaleness{};      ///< 0 means that data of any age is allowed
-  Time remainingTime{};     ///< time left until the deadline, as sent by the proxy with the attempt
+  Time sentDeadline{};      ///< as sent by the proxy, counted from the arrival of the attempt's last byte
   std::uint64_t token = 0;  ///< identifies the attempt; assigned by RunAudit::onAttempt
 };
 
--- a/testbed/auditors.cpp
+++ b/testbed/auditors.cpp
@@ -138,7 +138,7 @@
     log_.record(attempt.at, Rule::NoAttemptAfterEnd,
                 "id " + attempt.id + ": an attempt began " + wholeMilliseconds(sinceEnd) +
                     " ms after the request ended");
-  const Time excess = attempt.at + attempt.remainingTime - it->second.deadline;
+  const Time excess = attempt.sentDeadline - it->second.deadline;
   if (excess > settings_.deadlineTolerance)
     log_.record(attempt.at, Rule::NoAttemptAfterEnd,
                 "id " + attempt.id + ": the deadline sent with the attempt is " + wholeMilliseconds(excess) +
--- a/testbed/endpoint_connection.cpp
+++ b/testbed/endpoint_connection.cpp
@@ -72,7 +72,7 @@
   connection_.reset(bufferevent_socket_new(environment.context.eventBase(), fd, BEV_OPT_CLOSE_ON_FREE));
   bufferevent_setcb(
       connection_.get(),
-      [](bufferevent* /*connection*/, void* self) { static_cast<EndpointConnection*>(self)->processInput(); },
+      [](bufferevent* /*connection*/, void* self) { static_cast<EndpointConnection*>(self)->onInput(); },
       nullptr,
       [](bufferevent* /*connection*/, short events, void* self) {
         if ((events & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0)
@@ -91,6 +91,11 @@
 
 void EndpointConnection::close() { endpoint_.remove(*this); }
 
+void EndpointConnection::onInput() {
+  lastInputAt_ = environment_.context.now();
+  processInput();
+}
+
 void EndpointConnection::processInput() {
   if (endpoint_.isVanished()) return;  // the input stays buffered until the endpoint recovers
   evbuffer* const input = bufferevent_get_input(connection_.get());
@@ -165,7 +170,7 @@
   attempt.isRead = !query_.requestClass->isWrite;
   attempt.dataAge = now - endpoint_.position(now);
   attempt.maxStaleness = query_.requestClass->maxStaleness;
-  attempt.remainingTime = remainingTime;
+  attempt.sentDeadline = lastInputAt_ + remainingTime;
   return environment_.audit.onAttempt(std::move(attempt));
 }
 
--- a/testbed/endpoint_connection.hpp
+++ b/testbed/endpoint_connection.hpp
@@ -40,6 +40,7 @@
     Time completesAt{};  // 0 if it doesn't occupy the machine
   };
 
+  void onInput();
   bool readStartup(evbuffer* input);
   void onQuery(const std::string& statement);
   void onHealthCheck(Time now);
@@ -57,6 +58,7 @@
   const EndpointEnvironment environment_;
   EndpointServer& endpoint_;
   const int proxy_;
+  Time lastInputAt_{};  // while the endpoint is vanished, input arrives but is not processed
   BufferEvent connection_;
   Timer workDone_;
   bool isGreeted_ = false;
--- a/tests/testbed_test.cpp
+++ b/tests/testbed_test.cpp
@@ -142,6 +142,19 @@
   EXPECT_EQ(figures["worth_share"], 0.5);
 }
 
+TEST(RunAudit, CountsAttemptsWhoseDeadlineIsLaterThanTheClients) {
+  RunAudit audit;
+  for (const char* id : {"a", "b"}) audit.onRequest(Time(0), id, seconds(1));
+  AttemptRecord attempt = attemptAt(milliseconds(600), 1, "a");
+  attempt.sentDeadline = seconds(1) + milliseconds(150);  // the tolerance
+  audit.onAttempt(attempt);
+  EXPECT_EQ(audit.figures()["ended_sends"], 0);
+  attempt.id = "b";
+  attempt.sentDeadline = seconds(1) + milliseconds(151);
+  audit.onAttempt(attempt);
+  EXPECT_EQ(audit.figures()["ended_sends"], 1);
+}
+
 TEST(ExperimentParser, ReportsEachErrorWithItsLine) {
   std::vector<ConfigError> errors;
   parseExperiment(
@@ -244,6 +257,46 @@
   }
 }
 
+constexpr const char* kRecoveryExperiment = R"(
+[experiment]
+duration = 1500ms
+warmup = 300ms
+[fleet]
+groups = 1
+members = 3
+apply_work = 1ms
+[load]
+rate = 200
+[class write]
+share = 100%
+work_least = 1ms
+work_most = 5ms
+data = write
+repeats = keyed
+repeats_dropped_for = 1s
+aim = 900ms
+give_up = 2s
+[script]
+500ms vanish s-1
+1s back s-1
+)";
+
+// Guards against a late deadline counted for an attempt that waited in an endpoint while it was vanished.
+TEST(RequestEndAuditor, CountsTheDeadlineOfAnAttemptFromItsArrival) {
+  std::vector<ConfigError> errors;
+  const Experiment experiment = parseExperiment(kRecoveryExperiment, "recovery", errors);
+  ASSERT_TRUE(errors.empty()) << errors.front().text();
+  char directory[] = "/tmp/stonebay-testbed-XXXXXX";
+  ASSERT_NE(mkdtemp(directory), nullptr);
+  RunOptions options;
+  options.program = STONEBAY_PROGRAM;
+  options.directory = directory;
+  ExperimentResult result = ExperimentRun(experiment, options).run();
+  std::filesystem::remove_all(directory);
+  EXPECT_GT(result.figures["served"], 0);
+  EXPECT_EQ(result.figures["ended_sends"], 0);
+}
+
 // Guards against experiments that hold because the faults they ask for were never injected.
 TEST(ProxyProcess, RejectsFaultsWhenTheShimThatInjectsThemIsMissing) {
   const RunContext context(1);
