Accept again at once after an eviction while the descriptor table is full

Cause: after each eviction accepting paused for 20 ms, so 50 clients a second at most were admitted, while others waited behind them. The pause is needed only if nothing was evicted.

--- a/src/downstream/pg/client_listener.cpp
+++ b/src/downstream/pg/client_listener.cpp
@@ -137,15 +137,16 @@
   resumeAccepting();
 }
 
-// While the descriptor table is full, the listening socket stays readable but nothing can be accepted.
-// Accepting is paused, because retrying immediately would make the event loop spin. A session is evicted or,
-// if there is none to evict, the clients that wait are refused, because otherwise nothing but other clients
-// would end the wait.
+// While the descriptor table is full, the listening socket stays readable but nothing can be accepted, and
+// nothing but other clients would end the wait. A session is evicted, and the next pass of the event loop
+// accepts with its descriptor. If there is none to evict, the clients that wait are refused, and accepting is
+// paused, because retrying immediately would make the event loop spin.
 void ClientListener::onAcceptFailed() {
   const int error = EVUTIL_SOCKET_ERROR();
   logEvent(LogLevel::Warning, "accept_failed", {{"why", std::strerror(error)}});
   const bool clientWaits = true;
-  const bool isFull = error == EMFILE && !evictSession(clientWaits);
+  const bool isFull = error == EMFILE;
+  if (isFull && evictSession(clientWaits)) return;
   if (isFull && backlog_.mustRefuse(dispatcher_.now())) refuseWithReserve();
   pauseAccepting();
 }
