Split the log lines of client sessions off the listener, and share a wait loop

Its log lines stand in session_log. The loop that runs a testbed's events until a condition holds stood in two places, as did the steps with which the tests make servers hang. What the software does is meant to be unchanged.

--- a/src/downstream/pg/client_listener.cpp
+++ b/src/downstream/pg/client_listener.cpp
@@ -4,7 +4,6 @@
 #include <sys/socket.h>
 
 #include <algorithm>
-#include <array>
 #include <cerrno>
 #include <cstring>
 #include <stdexcept>
@@ -12,6 +11,7 @@
 #include <utility>
 #include <vector>
 
+#include "downstream/pg/session_log.hpp"
 #include "log/log.hpp"
 #include "util/transient_error.hpp"
 
@@ -32,7 +32,6 @@
 // After accepting has stopped, requests in flight get the longest deadline plus this time to finish.
 constexpr Duration kShutdownGrace = std::chrono::seconds(1);
 constexpr Duration kTimeoutCheckInterval = std::chrono::milliseconds(100);
-constexpr auto kSessionActivityCount = static_cast<std::size_t>(SessionActivity::Other) + 1;
 
 // Whether an error of accept concerns only one connection or one call, so that the next call may succeed.
 bool isPerConnectionError(int error) {
@@ -54,34 +53,6 @@
   }
 }
 
-const char* closeReasonName(CloseReason reason) {
-  switch (reason) {
-    case CloseReason::Disconnected:
-      return "disconnected";
-    case CloseReason::Finished:
-      return "finished";
-    case CloseReason::NoRequest:
-      return "no_request";
-    case CloseReason::IncompleteMessage:
-      return "incomplete_message";
-    case CloseReason::PeerClosed:
-      return "peer_closed";
-    case CloseReason::TooMuchInput:
-      return "too_much_input";
-    case CloseReason::Evicted:
-      return "evicted";
-  }
-  return "unknown";
-}
-
-// Sessions that end as expected and have no request in flight are not logged.
-void logClose(const ClientSession& session, CloseReason reason) {
-  const bool isExpected = reason == CloseReason::Disconnected || reason == CloseReason::Finished;
-  if (isExpected && session.clientRequestId().empty()) return;
-  logEvent(LogLevel::Info, "session_closed",
-           {{"reason", closeReasonName(reason)}, {"request", session.clientRequestId()}});
-}
-
 }  // namespace
 
 ClientListener::ClientListener(event_base* base, Dispatcher& dispatcher, const Config& config)
@@ -156,7 +127,7 @@
   if (mayAccept()) {
     evconnlistener_enable(listener_.get());
   } else {
-    logFull();
+    logSessionsFull(sessions_, config_.maxClientConnections);
     pauseAccepting();
   }
 }
@@ -175,20 +146,6 @@
   return poll(&poller, 1, 0) <= 0;
 }
 
-// Logs what the sessions wait for, when none can be evicted and no client can be accepted.
-void ClientListener::logFull() const {
-  std::array<std::size_t, kSessionActivityCount> count{};
-  for (const auto& [session, owned] : sessions_) ++count[static_cast<std::size_t>(session->activity())];
-  const auto countOf = [&](SessionActivity activity) { return count[static_cast<std::size_t>(activity)]; };
-  logEvent(LogLevel::Warning, "client_connections_full",
-           {{"max", config_.maxClientConnections},
-            {"in_flight", countOf(SessionActivity::RequestInFlight)},
-            {"throttled", countOf(SessionActivity::Throttled)},
-            {"incomplete_message", countOf(SessionActivity::IncompleteMessage)},
-            {"unread_output", countOf(SessionActivity::UnreadOutput)},
-            {"other", countOf(SessionActivity::Other)}});
-}
-
 void ClientListener::pauseAccepting() {
   evconnlistener_disable(listener_.get());
   startTimer(acceptTimer_.get(), kAcceptRetryDelay);
@@ -265,7 +222,7 @@
 }
 
 void ClientListener::removeSession(ClientSession& session, CloseReason reason) {
-  logClose(session, reason);
+  logSessionClosed(session, reason);
   if (session.active()) --activeSessions_;
   if (session.refused()) --refusedSessions_;
   sessions_.erase(&session);
--- a/src/downstream/pg/client_listener.hpp
+++ b/src/downstream/pg/client_listener.hpp
@@ -65,7 +65,6 @@
   bool mayAccept();
   bool hasRoomToRefuse();
   bool backlogIsEmpty() const;
-  void logFull() const;
   bool evictSession(bool clientWaits);
   bool evictRefusedSession();
   void evict(ClientSession& session);
--- a/testbed/experiment_run.cpp
+++ b/testbed/experiment_run.cpp
@@ -14,7 +14,6 @@
 constexpr Time kStartTimeout = std::chrono::seconds(10);  // for all proxies to start
 constexpr Time kDrainTimeout = std::chrono::seconds(5);   // for the responses to requests in flight
 constexpr Time kForever = std::chrono::hours(24 * 365);
-constexpr Time kPollInterval = std::chrono::milliseconds(5);
 // Each run derives its port range from its process id, so that concurrent runs rarely collide.
 constexpr int kMinBasePort = 10000;
 constexpr int kBasePortRange = 20000;
@@ -41,9 +40,11 @@
 ExperimentResult ExperimentRun::run() {
   startEndpoints();
   startProxies();
-  waitUntil([] { return false; }, experiment_.warmup);
+  const auto never = [] { return false; };
+  runUntil(context_, never, experiment_.warmup);
   startLoad();
-  waitUntil([this] { return isStopped_; }, options_.runForever ? kForever : experiment_.duration);
+  const auto isStopped = [this] { return isStopped_; };
+  runUntil(context_, isStopped, options_.runForever ? kForever : experiment_.duration);
   const Time loadDuration = context_.now() - loadStartedAt_;
   const double cpuUsed = cpuSeconds();
   stopLoad();
@@ -75,7 +76,7 @@
     return std::all_of(proxies_.begin(), proxies_.end(),
                        [](const auto& proxy) { return proxy->hasStarted(); });
   };
-  if (!waitUntil(haveAllStarted, kStartTimeout))
+  if (!runUntil(context_, haveAllStarted, kStartTimeout))
     throw std::runtime_error("a proxy did not start in time; see " + options_.directory + "/proxy-1.log");
 }
 
@@ -94,18 +95,6 @@
   }
 }
 
-// Runs the event loop until `isDone` returns true. Returns false if the timeout expires first.
-bool ExperimentRun::waitUntil(const std::function<bool()>& isDone, Time timeout) {
-  const Time end = context_.now() + timeout;
-  Timer poll(context_, [] {});
-  while (!isDone()) {
-    if (context_.now() >= end) return false;
-    poll.startIn(kPollInterval);
-    event_base_loop(context_.eventBase(), EVLOOP_ONCE);
-  }
-  return true;
-}
-
 void ExperimentRun::startLoad() {
   loadStartedAt_ = context_.now();
   for (const auto& proxy : proxies_) proxy->startMeasuring();
@@ -125,7 +114,7 @@
     return std::all_of(proxies_.begin(), proxies_.end(),
                        [](const auto& proxy) { return proxy->clients().inFlight() == 0; });
   };
-  waitUntil(isIdle, kDrainTimeout);
+  runUntil(context_, isIdle, kDrainTimeout);
   sampler_.stop();
   script_->stop();
   fleet_->finish();
--- a/testbed/experiment_run.hpp
+++ b/testbed/experiment_run.hpp
@@ -50,7 +50,6 @@
   void createDirectLoads();
   void startLoad();
   void stopLoad();
-  bool waitUntil(const std::function<bool()>& isDone, Time timeout);
   RunSample takeSample() const;
   RunMeasurements measure(Time loadDuration, double cpuSeconds) const;
   std::vector<ProxyCrash> findCrashes() const;
--- a/testbed/timer.hpp
+++ b/testbed/timer.hpp
@@ -33,4 +33,18 @@
   Event event_;
 };
 
+/// Runs the event loop until `isDone`, which is called every few milliseconds, returns true. Returns false if
+/// the timeout expires first.
+inline bool runUntil(const RunContext& context, const std::function<bool()>& isDone, Time timeout) {
+  constexpr Time kPollInterval = std::chrono::milliseconds(5);
+  const Time end = context.now() + timeout;
+  Timer poll(context, [] {});
+  while (!isDone()) {
+    if (context.now() >= end) return false;
+    poll.startIn(kPollInterval);
+    event_base_loop(context.eventBase(), EVLOOP_ONCE);
+  }
+  return true;
+}
+
 }  // namespace stonebay::testbed
--- a/tests/client_limits_test.cpp
+++ b/tests/client_limits_test.cpp
@@ -7,6 +7,14 @@
 namespace stonebay::test {
 namespace {
 
+// No new connection to a server comes up, so that requests stay in flight.
+constexpr const char* kServersHang = R"(
+    s1 wait silent
+    s2 wait silent
+    s1 close idle
+    s2 close idle
+)";
+
 // The process may open far fewer descriptors than its configuration allows, so accept fails with EMFILE
 // before the limit on clients is reached.
 TEST(ClientLimits, FullDescriptorTableOnlyPausesAccepting) {
@@ -41,12 +49,7 @@
   Setting s;
   s.descriptors = 40;
   Scenario t(s);
-  t.run(R"(
-    s1 wait silent
-    s2 wait silent
-    s1 close idle
-    s2 close idle
-  )");
+  t.run(kServersHang);
   for (int k = 1; k <= 40; ++k) {
     const std::string number = std::to_string(k);
     t.run("c" + number + " open\nc" + number + " send query INSERT 1 /* id=" + number +
@@ -142,12 +145,7 @@
   Setting s;
   s.sockets = 128;  // allows 46 clients
   Scenario t(s);
-  t.run(R"(
-    s1 wait silent
-    s2 wait silent
-    s1 close idle
-    s2 close idle
-  )");
+  t.run(kServersHang);
   for (int k = 1; k <= 46; ++k) {
     const std::string number = std::to_string(k);
     t.run("c" + number + " send query INSERT 1 /* id=" + number + ",c=write,d=60000,k=1,cluster=3 */\n");
--- a/tests/cpu_throttle_test.cpp
+++ b/tests/cpu_throttle_test.cpp
@@ -19,7 +19,6 @@
 constexpr double kShare = 0.001;        // so small that the process is stopped at the first check
 constexpr double kCpuProgress = 0.001;  // seconds of CPU time that show that the process runs
 constexpr Time kTimeout = std::chrono::seconds(10);
-constexpr Time kPollInterval = std::chrono::milliseconds(1);
 
 class CpuThrottleTest : public testing::Test {
  protected:
@@ -33,17 +32,7 @@
   std::string program() const { return std::string(directory_) + "/busy"; }
   std::string logPath() const { return std::string(directory_) + "/busy.log"; }
 
-  // Runs the event loop until `isDone` returns true. Returns false if the timeout expires first.
-  bool waitUntil(const std::function<bool()>& isDone) {
-    const Time end = context_.now() + kTimeout;
-    Timer poll(context_, [] {});
-    while (!isDone()) {
-      if (context_.now() >= end) return false;
-      poll.startIn(kPollInterval);
-      event_base_loop(context_.eventBase(), EVLOOP_ONCE);
-    }
-    return true;
-  }
+  bool waitUntil(const std::function<bool()>& isDone) { return runUntil(context_, isDone, kTimeout); }
 
   RunContext context_{1};
 
