--- a/review/rig-2/rig.hpp
+++ b/review/rig-2/rig.hpp
@@ -8,6 +8,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -85,10 +86,11 @@
 }
 
 /// Binds and listens; port 0 takes a free one.
-inline int listenOn(int port) {
+inline int listenOn(int port, int receiveBuffer = 0) {
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const int enabled = 1;
   setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof enabled);
+  if (receiveBuffer > 0) setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receiveBuffer, sizeof receiveBuffer);
   const sockaddr_in address = loopback(port);
   if (bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0 || listen(fd, 512) != 0) {
     std::perror("listen");
@@ -259,7 +261,7 @@
 
   DataServer(std::string name, int group, Handler onStatement)
       : name_(std::move(name)), group_(group), onStatement_(std::move(onStatement)) {
-    listening_ = listenOn(0);
+    listening_ = listenOn(0, kReceiveBuffer);
     port_ = portOf(listening_);
     accepting_ = std::thread([this] { accept(); });
   }
@@ -268,6 +270,26 @@
   const std::string& name() const { return name_; }
   int port() const { return port_; }
   int group() const { return group_; }
+  /// While it hangs, nothing is read and nothing more is answered; what is open stays open.
+  void hang(bool hangs) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    hangs_ = hangs;
+    hangEnded_.notify_all();
+  }
+  /// The most bytes that wait unread on one connection.
+  int unread() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    int most = 0;
+    for (const int fd : open_) {
+      int waiting = 0;
+      if (ioctl(fd, FIONREAD, &waiting) == 0) most = std::max(most, waiting);
+    }
+    return most;
+  }
+  void waitWhileHanging() {
+    std::unique_lock<std::mutex> lock(mutex_);
+    hangEnded_.wait(lock, [this] { return !hangs_ || stopped_; });
+  }
   /// Ends the process that this stands for: resets its connections and refuses new ones.
   void stop() {
     if (stopped_.exchange(true)) return;
@@ -276,6 +298,7 @@
     close(listening_);
     {
       const std::lock_guard<std::mutex> lock(mutex_);
+      hangEnded_.notify_all();
       for (const int fd : open_) {
         const linger reset{1, 0};
         setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
@@ -304,13 +327,34 @@
     bool open = readExact(fd, 4, length) && readExact(fd, readInt32(length, 0) - 4, startup) &&
                 sendAll(fd, message('R', int32(0)) + ready());
     Message query;
-    while (open && !stopped_ && readMessage(fd, query) && query.type == 'Q')
+    while (open && !stopped_ && readNext(fd, query) && query.type == 'Q')
       open = onStatement_(fd, query.body.substr(0, query.body.size() - 1));
     const std::lock_guard<std::mutex> lock(mutex_);
     open_.erase(fd);
     close(fd);
   }
 
+  static constexpr int kReceiveBuffer = 32 << 10;  // the same on every machine
+
+  // Reads in pieces of 4 KB and not while the server hangs, so that what it has not read waits in the socket.
+  bool readNext(int fd, Message& query) {
+    std::string bytes;
+    std::size_t size = 5;
+    while (bytes.size() < size) {
+      pollfd poller{fd, POLLIN, 0};
+      if (poll(&poller, 1, -1) <= 0) return false;
+      waitWhileHanging();
+      char buffer[4096];
+      const ssize_t n = recv(fd, buffer, std::min(size - bytes.size(), sizeof buffer), 0);
+      if (n <= 0) return false;
+      bytes.append(buffer, static_cast<std::size_t>(n));
+      if (bytes.size() >= 5) size = readInt32(bytes, 1) + 1;
+    }
+    query.type = bytes[0];
+    query.body = bytes.substr(5);
+    return true;
+  }
+
   const std::string name_;
   const int group_;
   const Handler onStatement_;
@@ -318,6 +362,8 @@
   int port_ = 0;
   std::atomic<bool> stopped_{false};
   std::mutex mutex_;
+  std::condition_variable hangEnded_;
+  bool hangs_ = false;
   std::set<int> open_;
   ConnectionThreads threads_;
   std::thread accepting_;
