--- a/review/rig-2/rig.hpp
+++ b/review/rig-2/rig.hpp
@@ -9,6 +9,7 @@
 #include <poll.h>
 #include <signal.h>
 #include <sys/ioctl.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -931,6 +932,7 @@
     const std::string command = run != nullptr ? run : "exec build-platform/stonebay";
     pid_ = fork();
     if (pid_ == 0) {
+      prctl(PR_SET_PDEATHSIG, SIGKILL);  // it must not outlive the case
       const std::string log = folder_ + "/proxy.log";
       const int fd = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
       dup2(fd, 1);
@@ -988,7 +990,7 @@
     const char* const value = std::getenv("TROUBLE");
     trouble = value == nullptr || std::string(value) != "0";
     const char* const folder = std::getenv("CASE_TMP");
-    temporary = folder != nullptr ? folder : "/tmp";
+    temporary = folder != nullptr ? folder : ".";
     ::signal(SIGPIPE, SIG_IGN);
   }
   /// The exit code: 1 if the rule was broken, 0 if it held.
