End each pass of the event loop within a bound, whatever callbacks stay active

Cause: decisions run when event_base_loop(EVLOOP_ONCE) returns, and libevent returns only when no callback is active. It carries out 32 deferred reads in a round and keeps the rest active, so with more new sessions than that in each round the call did not return.

Change: the dispatcher ends a pass 20 ms after its first event or due timer; libevent looks for timers and signals every 5 ms, and signals and the end of a pass have a priority of their own. At most 32 connections are accepted in a row. The log counts interrupted passes.

With the limits taken out, EventLoop.RequestsAreProcessed... and EventLoop.TimersRun... fail (the loop returns after 2 s, when the test ends the flood).

--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -11,7 +11,7 @@
 #include "gossip/gossip_socket.hpp"
 #include "log/log.hpp"
 #include "upstream/pg/connection_pool.hpp"
-#include "util/event.hpp"
+#include "util/event_loop.hpp"
 
 namespace stonebay {
 namespace {
@@ -32,7 +32,7 @@
 
 int serve(const Config& config, const std::function<Config()>& reloadConfig) {
   configureLog(config.logFormat, config.logLevel);
-  const EventBase base(event_base_new());
+  const EventBase base = newEventBase();
   Dispatcher dispatcher(base.get(), config);
   ConnectionPool upstream(base.get(), dispatcher, config);
   EndpointFeed feed(base.get(), dispatcher.clock(), dispatcher, trackerPolicy(config));
@@ -47,7 +47,10 @@
   bool running = true;
   const auto shutDown = [&] {
     logEvent(LogLevel::Info, "drain_started");
-    clients.drain([&running] { running = false; });
+    clients.drain([&running, &base] {
+      running = false;
+      event_base_loopbreak(base.get());
+    });
   };
   const auto reload = [&] { reloadDiscovery(*source, reloadConfig); };
   const SignalHandlers signals(base.get(), shutDown, reload);
--- a/src/app/signals.cpp
+++ b/src/app/signals.cpp
@@ -3,6 +3,8 @@
 #include <csignal>
 #include <utility>
 
+#include "util/event_loop.hpp"
+
 namespace stonebay {
 
 namespace {
@@ -34,6 +36,7 @@
     (*static_cast<std::function<void()>*>(argument))();
   };
   Event handler(evsignal_new(base, signal, callback, &action));
+  event_priority_set(handler.get(), kUrgentPriority);
   event_add(handler.get(), nullptr);
   return handler;
 }
--- a/src/app/statistics_log.cpp
+++ b/src/app/statistics_log.cpp
@@ -30,6 +30,7 @@
   logEvent(LogLevel::Info, "statistics",
            {{"passes", loop.passes},
             {"stalls", loop.stalls},
+            {"interrupted_passes", loop.interrupted},
             {"longest_pass_us", loop.longestPass.count()},
             {"longest_event_queue", loop.longestEventQueue},
             {"list_entries", loop.listEntries},
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -9,6 +9,7 @@
 
 #include "dispatch/translation.hpp"
 #include "log/log.hpp"
+#include "util/event_loop.hpp"
 
 namespace stonebay {
 namespace {
@@ -27,11 +28,17 @@
 }  // namespace
 
 Dispatcher::Dispatcher(event_base* base, const Config& config)
-    : config_(config),
+    : base_(base),
+      config_(config),
       now_(now()),
       positionEpoch_(now_),
       wakeUp_(event_new(
-          base, -1, 0, [](evutil_socket_t, short, void*) {}, nullptr)) {
+          base, -1, 0, [](evutil_socket_t, short, void*) {}, nullptr)),
+      passLimit_(event_new(
+          base, -1, 0,
+          [](evutil_socket_t, short, void* self) { static_cast<Dispatcher*>(self)->interruptPass(); },
+          this)) {
+  event_priority_set(passLimit_.get(), kUrgentPriority);
   Settings settings = config.settings;
   settings.positionEpoch = positionEpoch_.value();
   balancer_ = std::make_unique<LoadBalancer>(settings, config.seed, static_cast<ActionSink&>(*this));
@@ -43,7 +50,7 @@
   endpoints_ = &endpoints;
   watcher_ = &watcher;
   gossip_ = gossip;
-  events_.emplace_back(EndpointListReceived{config_.initialEndpoints});
+  record(EndpointListReceived{config_.initialEndpoints});
 }
 
 RequestId Dispatcher::submit(ResponseHandler& handler, Request request, ForwardedRequest message) {
@@ -53,7 +60,7 @@
   entry.message = std::make_shared<const ForwardedRequest>(std::move(message));
   entry.request = request;
   entry.arrivedAt = now();
-  events_.emplace_back(RequestArrived{request});
+  record(RequestArrived{request});
   return request.id;
 }
 
@@ -61,7 +68,7 @@
   const auto it = inFlight_.find(id);
   if (it == inFlight_.end()) return;
   it->second.handler = nullptr;
-  events_.emplace_back(ClientLeft{id});
+  record(ClientLeft{id});
 }
 
 bool Dispatcher::mayBeWritten(RequestId id) const {
@@ -70,25 +77,21 @@
   return now() < it->second.request.deadline && !it->second.handler->clientHasLeft();
 }
 
-void Dispatcher::onConnected(RequestId id, int attempt) {
-  events_.emplace_back(AttemptConnected{id, attempt});
-}
+void Dispatcher::onConnected(RequestId id, int attempt) { record(AttemptConnected{id, attempt}); }
 
 void Dispatcher::onAttemptEnded(RequestId id, int attempt, EndpointId endpoint, AttemptResult result) {
-  events_.emplace_back(AttemptEnded{id, attempt, endpoint, std::move(result)});
+  record(AttemptEnded{id, attempt, endpoint, std::move(result)});
 }
 
 void Dispatcher::onHealthCheck(EndpointId endpoint, bool ok, const std::vector<double>& report) {
-  events_.emplace_back(HealthCheckEnded{endpoint, ok, report});
+  record(HealthCheckEnded{endpoint, ok, report});
 }
 
-void Dispatcher::onGossip(const gossip::Message& message) { events_.emplace_back(GossipReceived{message}); }
+void Dispatcher::onGossip(const gossip::Message& message) { record(GossipReceived{message}); }
 
-void Dispatcher::onEndpointList(EndpointListUpdate list) {
-  events_.emplace_back(EndpointListReceived{std::move(list)});
-}
+void Dispatcher::onEndpointList(EndpointListUpdate list) { record(EndpointListReceived{std::move(list)}); }
 
-void Dispatcher::onListFailure(const std::string& /*why*/) { events_.emplace_back(EndpointListFailed{}); }
+void Dispatcher::onListFailure(const std::string& /*why*/) { record(EndpointListFailed{}); }
 
 TimePoint Dispatcher::now() const {
   const TimePoint present(clock_.now());
@@ -134,11 +137,32 @@
   for (const auto& action : actions) action();
 }
 
+void Dispatcher::record(DispatchEvent event) {
+  if (events_.empty()) limitPass(now() + kMaxCallbackTime);
+  events_.push_back(std::move(event));
+}
+
 void Dispatcher::scheduleWakeUp() {
-  if (const std::optional<TimePoint> due = timers_.nextDue())
+  passLimitAt_.reset();
+  event_del(passLimit_.get());
+  if (!events_.empty()) limitPass(now() + kMaxCallbackTime);
+  if (const std::optional<TimePoint> due = timers_.nextDue()) {
     startTimer(wakeUp_.get(), *due - now());
-  else
+    limitPass(*due + kMaxCallbackTime);
+  } else {
     event_del(wakeUp_.get());
+  }
+}
+
+void Dispatcher::interruptPass() {
+  monitor_->onPassInterrupted();
+  event_base_loopbreak(base_);
+}
+
+void Dispatcher::limitPass(TimePoint end) {
+  if (passLimitAt_ && *passLimitAt_ <= end) return;
+  passLimitAt_ = end;
+  startTimer(passLimit_.get(), end - now());
 }
 
 // ---- events ----------------------------------------------------------------------------------------------
--- a/src/dispatch/dispatcher.hpp
+++ b/src/dispatch/dispatcher.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -38,9 +39,14 @@
 /// submit() and the on...() functions only record what happened and never call the LoadBalancer. They may
 /// therefore be called at any time, including from within the dispatcher's own calls to EndpointPool,
 /// EndpointWatcher, GossipChannel and ResponseHandler. processEvents() handles the recorded events and must
-/// be called after each pass of the event loop. Not thread-safe.
+/// be called after each pass of the event loop. The dispatcher ends a pass kMaxCallbackTime after its first
+/// event or due timer, even if callbacks keep each other active. Not thread-safe.
 class Dispatcher final : public EndpointListHandler, ActionSink {
  public:
+  /// How long the callbacks of a pass may run after the first event was recorded or a timer became due. The
+  /// event loop adds at most its kMaxDispatchTime and one callback.
+  static constexpr Duration kMaxCallbackTime = std::chrono::milliseconds(20);
+
   /// The configuration must outlive the dispatcher.
   Dispatcher(event_base* base, const Config& config);
   ~Dispatcher() override;
@@ -115,7 +121,12 @@
   void correctReport(std::vector<double>& report);
   void updateWallClockCorrection(TimePoint position, bool isPrimary);
   void runActions();
+  /// Records an event for the next call of processEvents().
+  void record(DispatchEvent event);
   void scheduleWakeUp();
+  /// Ends the pass of the event loop at this time, unless it ends earlier by itself.
+  void limitPass(TimePoint end);
+  void interruptPass();
 
   // Decisions of the LoadBalancer. They are recorded, and carried out at the end of the batch.
   void send(RequestId id, EndpointId endpoint, TimePoint until) override;
@@ -128,6 +139,7 @@
   void pollDiscovery() override;
   void log(const std::string& line) override;
 
+  event_base* const base_;
   const Config& config_;
   Clock clock_;
   const std::unique_ptr<LoopMonitor> monitor_ = std::make_unique<LoopMonitor>();
@@ -146,7 +158,9 @@
   RequestId lastRequestId_ = 0;
   TimePoint departedRemovedAt_{};
   TimerQueue timers_;
-  Event wakeUp_;  // wakes up the event loop when the next timer is due
+  Event wakeUp_;     // wakes up the event loop when the next timer is due
+  Event passLimit_;  // makes the event loop return although callbacks are active
+  std::optional<TimePoint> passLimitAt_;
   std::unique_ptr<LoadBalancer> balancer_;
 };
 
--- a/src/dispatch/loop_monitor.hpp
+++ b/src/dispatch/loop_monitor.hpp
@@ -16,7 +16,8 @@
 /// Totals and maxima over the passes of an interval.
 struct LoopStatistics {
   std::uint64_t passes = 0;
-  std::uint64_t stalls = 0;  ///< passes that took at least kStallThreshold
+  std::uint64_t stalls = 0;       ///< passes that took at least kStallThreshold
+  std::uint64_t interrupted = 0;  ///< passes that the dispatcher ended although callbacks were active
   Duration longestPass{};
   std::size_t longestEventQueue = 0;
   std::uint64_t listEntries = 0;
@@ -35,6 +36,7 @@
   void onEventsStart(TimePoint now, std::size_t count);
   void onEvent(const DispatchEvent& event);
   void onTimer() { ++pass_.timers; }
+  void onPassInterrupted() { ++statistics_.interrupted; }
   /// Called after the events have been handled and before `count` actions are carried out.
   void onActionsStart(TimePoint now, std::size_t count);
   void onPassEnd(TimePoint now);
--- a/src/downstream/pg/client_listener.cpp
+++ b/src/downstream/pg/client_listener.cpp
@@ -23,6 +23,10 @@
 // While no client can be evicted, connections wait if at least this share of the clients is replaced in the
 // time that the BacklogMonitor allows.
 constexpr std::size_t kClientsPerMinAdmission = 8;
+// How many connections are accepted before other events of the loop are handled. libevent accepts all that
+// wait in one callback, so clients that come again as soon as they are turned away could keep it busy.
+constexpr int kMaxAcceptsInRow = 32;
+constexpr Duration kNextPass{0};
 // How long a refused client can read its error before the next one may take its place.
 constexpr Duration kMinRefusalTime = std::chrono::milliseconds(10);
 // Clients may open new connections until 0.4 s after SIGTERM.
@@ -75,8 +79,7 @@
   });
   acceptTimer_.reset(event_new(
       base, -1, 0,
-      [](evutil_socket_t, short, void* self) { static_cast<ClientListener*>(self)->resumeAccepting(); },
-      this));
+      [](evutil_socket_t, short, void* self) { static_cast<ClientListener*>(self)->onAcceptTimer(); }, this));
   timeoutCheckTimer_.reset(event_new(
       base, -1, EV_PERSIST,
       [](evutil_socket_t, short, void* self) { static_cast<ClientListener*>(self)->checkSessionTimeouts(); },
@@ -105,7 +108,10 @@
     admitSession(fd);
   else
     refuseSession(fd);
-  resumeAccepting();
+  if (++acceptsInRow_ < kMaxAcceptsInRow)
+    resumeAccepting();
+  else
+    pauseAccepting(kNextPass);
 }
 
 // While the descriptor table is full, the listening socket stays readable but nothing can be accepted, and
@@ -119,7 +125,12 @@
   const bool isFull = error == EMFILE;
   if (isFull && evictSession(clientWaits)) return;
   if (isFull && backlog_.mustRefuse(dispatcher_.now())) refuseWithReserve();
-  pauseAccepting();
+  pauseAccepting(kAcceptRetryDelay);
+}
+
+void ClientListener::onAcceptTimer() {
+  acceptsInRow_ = 0;
+  resumeAccepting();
 }
 
 void ClientListener::resumeAccepting() {
@@ -128,7 +139,7 @@
     evconnlistener_enable(listener_.get());
   } else {
     logSessionsFull(sessions_, config_.maxClientConnections);
-    pauseAccepting();
+    pauseAccepting(kAcceptRetryDelay);
   }
 }
 
@@ -146,9 +157,9 @@
   return poll(&poller, 1, 0) <= 0;
 }
 
-void ClientListener::pauseAccepting() {
+void ClientListener::pauseAccepting(Duration delay) {
   evconnlistener_disable(listener_.get());
-  startTimer(acceptTimer_.get(), kAcceptRetryDelay);
+  startTimer(acceptTimer_.get(), delay);
 }
 
 // Returns whether there is room for one more session, and evicts a session if necessary. `clientWaits`:
--- a/src/downstream/pg/client_listener.hpp
+++ b/src/downstream/pg/client_listener.hpp
@@ -52,7 +52,8 @@
   void onAccepted(evutil_socket_t fd);
   void onAcceptFailed();
   void resumeAccepting();
-  void pauseAccepting();
+  void onAcceptTimer();
+  void pauseAccepting(Duration delay);
   bool acceptBacklog();
   ClientSession& addSession(evutil_socket_t fd);
   void admitSession(evutil_socket_t fd);
@@ -84,6 +85,7 @@
   DescriptorReserve reserve_;  // for clients that are refused while no descriptor can be opened
   Listener listener_;
   Event acceptTimer_;        // resumes accepting after a pause
+  int acceptsInRow_ = 0;     // since the last pause
   Event timeoutCheckTimer_;  // periodic, for the timeouts of all sessions
   Event shutdownTimer_;      // stops accepting, then limits the wait for the last sessions
   bool draining_ = false;
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -5,10 +5,17 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <chrono>
+#include <csignal>
+#include <functional>
 #include <map>
+#include <optional>
+#include <utility>
 
+#include "app/signals.hpp"
 #include "gossip/gossip_socket.hpp"
 #include "scenario.hpp"
+#include "util/event_loop.hpp"
 
 namespace stonebay {
 namespace {
@@ -332,5 +339,108 @@
   close(strangerFd);
 }
 
+// Callbacks that keep each other active for as long as a flood lasts, as the deferred reads of busy sessions
+// do.
+struct ReactivatingCallbacks {
+  explicit ReactivatingCallbacks(event_base* base, int count) {
+    for (int k = 0; k < count; ++k) {
+      events_.emplace_back(event_new(base, -1, 0, run, this));
+      event_priority_set(events_.back().get(), kNormalPriority);
+      event_active(events_.back().get(), EV_TIMEOUT, 0);
+    }
+  }
+  void stop() { active_ = false; }
+  std::function<void()> onCallback;
+
+ private:
+  static void run(evutil_socket_t /*fd*/, short /*what*/, void* context) {
+    auto& self = *static_cast<ReactivatingCallbacks*>(context);
+    if (self.onCallback) self.onCallback();
+    Event& current = self.events_[self.next_++ % self.events_.size()];
+    const bool flooding = self.active_ && std::chrono::steady_clock::now() < self.end_;
+    if (flooding) event_active(current.get(), EV_TIMEOUT, 0);
+  }
+  std::vector<Event> events_;
+  std::size_t next_ = 0;
+  bool active_ = true;
+  const std::chrono::steady_clock::time_point end_ =
+      std::chrono::steady_clock::now() + std::chrono::seconds(2);
+};
+
+Duration elapsedSince(std::chrono::steady_clock::time_point start) {
+  return std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() - start);
+}
+
+// A pass ends by this time, with the time that a busy machine may take away.
+constexpr Duration kPassBound =
+    Dispatcher::kMaxCallbackTime + kMaxDispatchTime + std::chrono::milliseconds(150);
+
+// Guards against a proxy that reads but never answers: while callbacks kept each other active, the event loop
+// did not return, and no request, answer or timer was processed.
+TEST(EventLoop, RequestsAreProcessedWhileCallbacksKeepEachOtherActive) {
+  for (const int count : {1, 40, 400}) {
+    const EventBase base = newEventBase();
+    const Config config = parseConfig(test::configuration({}, 1, {11, 12}));
+    Dispatcher dispatcher(base.get(), config);
+    RecordingHandler handler;
+    ReactivatingCallbacks flood(base.get(), count);
+    bool submitted = false;
+    flood.onCallback = [&] {
+      if (!std::exchange(submitted, true)) dispatcher.submit(handler, requestOf(dispatcher), emptyMessage());
+    };
+    const auto start = std::chrono::steady_clock::now();
+    event_base_loop(base.get(), EVLOOP_ONCE);
+    EXPECT_TRUE(dispatcher.hasPendingEvents());
+    EXPECT_LT(elapsedSince(start), kPassBound) << count << " callbacks";
+    EXPECT_EQ(dispatcher.takeLoopStatistics().interrupted, 1u);
+  }
+}
+
+// Guards against timers of decisions that never run for the same reason.
+TEST(EventLoop, TimersRunWhileCallbacksKeepEachOtherActive) {
+  const EventBase base = newEventBase();
+  const Config config = parseConfig(test::configuration({}, 1, {11, 12}));
+  Dispatcher dispatcher(base.get(), config);
+  FakeEndpointPool endpoints;
+  FakeEndpointWatcher watcher;
+  RecordingHandler handler;
+  dispatcher.start(endpoints, watcher);
+  dispatcher.processEvents();
+  Request request = requestOf(dispatcher);
+  request.deadline = dispatcher.now() + std::chrono::milliseconds(200);
+  dispatcher.submit(handler, request, emptyMessage());
+  dispatcher.processEvents();  // no endpoint answers, so the request waits until a timer ends it
+  ASSERT_EQ(handler.calls, "");
+  ReactivatingCallbacks flood(base.get(), 40);
+  const auto start = std::chrono::steady_clock::now();
+  while (handler.calls.empty() && elapsedSince(start) < std::chrono::seconds(1)) {
+    event_base_loop(base.get(), EVLOOP_ONCE);
+    dispatcher.processEvents();
+  }
+  EXPECT_NE(handler.calls, "");
+  EXPECT_LT(elapsedSince(start), std::chrono::milliseconds(200) + kPassBound);
+}
+
+// Guards against signals that wait for the end of a flood.
+TEST(EventLoop, SignalsAreHandledWhileCallbacksKeepEachOtherActive) {
+  const EventBase base = newEventBase();
+  const auto start = std::chrono::steady_clock::now();
+  std::optional<Duration> handledAfter;
+  ReactivatingCallbacks flood(base.get(), 40);
+  int callbacks = 0;
+  flood.onCallback = [&] {
+    if (++callbacks == 100) raise(SIGHUP);
+  };
+  const SignalHandlers signals(
+      base.get(), [] {},
+      [&] {
+        handledAfter = elapsedSince(start);
+        flood.stop();
+      });
+  event_base_loop(base.get(), EVLOOP_ONCE);
+  ASSERT_TRUE(handledAfter.has_value());
+  EXPECT_LT(*handledAfter, kPassBound);
+}
+
 }  // namespace
 }  // namespace stonebay
