Drop the rest of a statement that cannot arrive in time, instead of sending it late

Cause: the window was checked before the first byte. The rest waited in the buffers until the data server read again, and a plain close still sends what is in the socket's buffer.

Change: AttemptLimits::arrival, from RetryPolicy::latestArrival. The pool ends an attempt that is not delivered by then, by the size of the socket's send queue, and resets the connection, so that the system drops the rest. The same for deadlines, clients that left and cancelled attempts. An attempt that has not left the proxy after 150 ms counts as failed to connect and is written again. Slow start is checked again when a connection is ready.

--- a/include/stonebay/load_balancer.hpp
+++ b/include/stonebay/load_balancer.hpp
@@ -253,14 +253,21 @@
   RetryBudgetExhausted,  ///< retries are limited, so that those of all proxies do not feed an overload
 };
 
+/// The times by which an attempt must have made progress.
+struct AttemptLimits {
+  TimePoint response;  ///< the attempt times out: the deadline of the request
+  /// The last byte of the attempt must not arrive at the endpoint later. Earlier than `response` if endpoints
+  /// drop repeats of the request only until then.
+  TimePoint arrival;
+};
+
 /// Carries out the decisions of a LoadBalancer. The LoadBalancer calls it during an event, in the order in
 /// which the decisions take effect.
 class ActionSink {
  public:
   virtual ~ActionSink() = default;
-  /// Sends an attempt, which times out at `until`, the deadline of the request. Its end must be reported to
-  /// LoadBalancer::onAttemptOutcome().
-  virtual void send(RequestId request, EndpointId endpoint, TimePoint until) = 0;
+  /// Sends an attempt. Its end must be reported to LoadBalancer::onAttemptOutcome().
+  virtual void send(RequestId request, EndpointId endpoint, const AttemptLimits& limits) = 0;
   /// Gives the client its final response: the request was rejected and may safely be sent again. `retryAfter`
   /// is how long the client should wait before it does so; 0 means that the response does not say.
   virtual void reject(RequestId request, Duration retryAfter, EndReason reason) = 0;
@@ -313,9 +320,9 @@
   void onGossip(TimePoint now, const GossipMessage& message);
 
   /// Returns whether an attempt that had to wait for its connection may still be sent. Since the decision the
-  /// request may have ended, the endpoint may have started to drain, its data may have become too old, or the
-  /// time for which endpoints drop repeats may have passed. If false, the attempt must not be sent and its
-  /// outcome is AttemptStatus::NotSent.
+  /// request may have ended, the endpoint may have started to drain or been restarted, its data may have
+  /// become too old, or the time for which endpoints drop repeats may have passed. If false, the attempt must
+  /// not be sent and its outcome is AttemptStatus::NotSent.
   bool isStillEligible(TimePoint now, RequestId id, EndpointId endpoint);
   /// Removes the endpoints that left the list some time ago and have no attempt or health check in flight.
   /// Returns their ids, which the caller may forget.
--- a/src/balancer/core.cpp
+++ b/src/balancer/core.cpp
@@ -122,6 +122,8 @@
   const Endpoint* const found = table_.find(endpoint);
   if (!pending || !found || !table_.isRoutable(*found)) return false;
   if (!retries_.isSafeToSend(*pending, *found)) return false;
+  const double costShare = latencies_.costShare(pending->request.classIndex);
+  if (!slowStart_.isWithinBudget(*found, id, costShare)) return false;
   const TimePoint required = consistency_.requiredPosition(*pending);
   return consistency_.freshnessProbability(*found, required).has_value();
 }
@@ -164,7 +166,7 @@
   ++pending.outstandingAttempts;
   pending.healthChecksSent = false;
   scheduleTick();
-  context_.sink.send(request.id, endpoint.info.id, request.deadline);
+  context_.sink.send(request.id, endpoint.info.id, {request.deadline, retries_.latestArrival(pending)});
 }
 
 void LoadBalancer::Core::wait(PendingRequest& pending, Duration limit) {
--- a/src/balancer/retry_policy.cpp
+++ b/src/balancer/retry_policy.cpp
@@ -53,10 +53,21 @@
   return std::nullopt;
 }
 
-bool RetryPolicy::isDeduplicationOver(const PendingRequest& pending) const {
+std::optional<TimePoint> RetryPolicy::deduplicationEnd(const PendingRequest& pending) const {
   const ClassSettings& requestClass = context_.classOf(pending);
-  return requestClass.idempotency == Idempotency::IdempotencyKey && pending.maybeExecuted &&
-         context_.now >= pending.maybeExecutedAt + requestClass.deduplicationWindow;
+  const bool isDeduplicated = requestClass.idempotency == Idempotency::IdempotencyKey;
+  if (!isDeduplicated || !pending.maybeExecuted) return std::nullopt;
+  return pending.maybeExecutedAt + requestClass.deduplicationWindow;
+}
+
+bool RetryPolicy::isDeduplicationOver(const PendingRequest& pending) const {
+  const std::optional<TimePoint> end = deduplicationEnd(pending);
+  return end && context_.now >= *end;
+}
+
+TimePoint RetryPolicy::latestArrival(const PendingRequest& pending) const {
+  const TimePoint deadline = pending.request.deadline;
+  return std::min(deduplicationEnd(pending).value_or(deadline), deadline);
 }
 
 bool RetryPolicy::mayCancelForRetry(const PendingRequest& pending, const Attempt& attempt) const {
--- a/src/balancer/retry_policy.hpp
+++ b/src/balancer/retry_policy.hpp
@@ -19,6 +19,8 @@
   /// earlier attempts that may have been executed. The answer changes with time, so an attempt that was
   /// decided earlier must be checked again when it is written.
   bool isSafeToSend(const PendingRequest& pending, const Endpoint& endpoint) const;
+  /// Returns the time by which an attempt that is sent now must have arrived at its endpoint.
+  TimePoint latestArrival(const PendingRequest& pending) const;
   /// Returns why a request may not have another attempt at any endpoint; std::nullopt if it may.
   std::optional<EndReason> reasonToStop(const PendingRequest& pending) const;
   /// Returns whether an unanswered attempt may be cancelled in order to retry it at another endpoint.
@@ -36,6 +38,9 @@
   bool tryTakeHedgingToken() { return hedgingBudget_.tryTake(); }
 
  private:
+  /// Returns until when endpoints drop a repeat of the attempt that may have been executed; std::nullopt if
+  /// there is no such attempt or they do not drop repeats.
+  std::optional<TimePoint> deduplicationEnd(const PendingRequest& pending) const;
   /// Returns whether endpoints may no longer drop a repeat of an attempt that may have been executed.
   bool isDeduplicationOver(const PendingRequest& pending) const;
   bool isExhausted(const PendingRequest& pending) const {
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -173,6 +173,9 @@
   balancer_->onClientLeft(now_, event.id);
   const auto it = inFlight_.find(event.id);
   if (it == inFlight_.end()) return;
+  const int attempts = static_cast<int>(it->second.attempts.size());
+  for (int attempt = 0; attempt < attempts; ++attempt)
+    actions_.emplace_back([this, id = event.id, attempt] { endpoints_->withdraw(id, attempt); });
   logRequestEnd(it->second, RequestEnd::ClientLeft, "client_left", now_, config_, ids_);
   inFlight_.erase(it);
 }
--- a/src/dispatch/dispatcher.hpp
+++ b/src/dispatch/dispatcher.hpp
@@ -129,7 +129,7 @@
   void interruptPass();
 
   // Decisions of the LoadBalancer. They are recorded, and carried out at the end of the batch.
-  void send(RequestId id, EndpointId endpoint, TimePoint until) override;
+  void send(RequestId id, EndpointId endpoint, const AttemptLimits& limits) override;
   void reject(RequestId id, Duration retryAfter, EndReason reason) override;
   void fail(RequestId id, EndReason reason) override;
   void cancel(RequestId id, int attempt) override;
--- a/src/dispatch/dispatcher_actions.cpp
+++ b/src/dispatch/dispatcher_actions.cpp
@@ -8,7 +8,7 @@
 
 namespace stonebay {
 
-void Dispatcher::send(RequestId id, EndpointId endpoint, TimePoint until) {
+void Dispatcher::send(RequestId id, EndpointId endpoint, const AttemptLimits& limits) {
   const auto it = inFlight_.find(id);
   if (it == inFlight_.end()) return;
   InFlightRequest& request = it->second;
@@ -16,8 +16,8 @@
   AttemptRecord& record = request.attempts.emplace_back();
   record.endpoint = endpoint;
   record.sentAt = now_;
-  actions_.emplace_back([this, id, attempt, endpoint, until, message = request.message] {
-    endpoints_->send(id, attempt, endpoint, until, message);
+  actions_.emplace_back([this, id, attempt, endpoint, limits, message = request.message] {
+    endpoints_->send(id, attempt, endpoint, limits, message);
   });
 }
 
--- a/src/dispatch/endpoint_pool.hpp
+++ b/src/dispatch/endpoint_pool.hpp
@@ -19,12 +19,13 @@
   /// Adds or changes an endpoint. An endpoint that is not `ready` gets no new requests. An empty `address`
   /// leaves the address unchanged.
   virtual void updateEndpoint(EndpointId id, const Address& address, bool ready) = 0;
-  /// Starts an attempt, which times out at `until`, the deadline of the request.
-  virtual void send(RequestId id, int attempt, EndpointId endpoint, TimePoint until,
+  virtual void send(RequestId id, int attempt, EndpointId endpoint, const AttemptLimits& limits,
                     std::shared_ptr<const ForwardedRequest> request) = 0;
   /// Answers Dispatcher::onConnected. If `eligible` is false the attempt must no longer be sent.
   virtual void resumeAttempt(RequestId id, int attempt, bool eligible) = 0;
   virtual void cancel(RequestId id, int attempt) = 0;
+  /// Ends an attempt if the endpoint has certainly not received it completely; otherwise does nothing.
+  virtual void withdraw(RequestId id, int attempt) = 0;
   virtual void checkHealth(EndpointId id) = 0;
   /// Called only when nothing is in flight at the endpoint and nothing will be sent to it any more.
   virtual void removeEndpoint(EndpointId id) = 0;
--- a/src/simulator/proxy_instance.cpp
+++ b/src/simulator/proxy_instance.cpp
@@ -26,9 +26,9 @@
   }
 }
 
-void ProxyInstance::send(RequestId id, EndpointId endpoint, TimePoint until) {
+void ProxyInstance::send(RequestId id, EndpointId endpoint, const AttemptLimits& limits) {
   beginRequestAction(ActionCode::Send, id);
-  reply_.put(static_cast<std::uint64_t>(until.time_since_epoch().count()));
+  reply_.put(static_cast<std::uint64_t>(limits.response.time_since_epoch().count()));
   reply_.putEndpointId(endpoint);
 }
 
--- a/src/simulator/proxy_instance.hpp
+++ b/src/simulator/proxy_instance.hpp
@@ -36,7 +36,7 @@
   }
 
  private:
-  void send(RequestId id, EndpointId endpoint, TimePoint until) override;
+  void send(RequestId id, EndpointId endpoint, const AttemptLimits& limits) override;
   void reject(RequestId id, Duration retryAfter, EndReason reason) override;
   void fail(RequestId id, EndReason reason) override;
   void cancel(RequestId id, int attempt) override;
--- a/src/upstream/pg/connection_pool.cpp
+++ b/src/upstream/pg/connection_pool.cpp
@@ -1,5 +1,6 @@
 #include "upstream/pg/connection_pool.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include "log/log.hpp"
@@ -12,6 +13,11 @@
 constexpr Duration kReconnectDelay = std::chrono::seconds(1);
 // A health check fails after losing this many connections.
 constexpr int kMaxHealthCheckConnections = 4;
+// A statement tells its endpoint the time that is left to the client. An endpoint that has not read it to its
+// end after this time must not get the rest, because that time would be too long by then.
+constexpr Duration kMaxWriteTime = std::chrono::milliseconds(150);
+// How long the system of an endpoint may delay the acknowledgement of bytes that have arrived.
+constexpr Duration kMaxAcknowledgementDelay = std::chrono::milliseconds(45);
 
 AttemptResult resultOf(AttemptStatus status) {
   AttemptResult result;
@@ -52,14 +58,14 @@
 void ConnectionPool::maintainMinIdle() { connections_.maintainMinIdle(dispatcher_.now()); }
 
 // ---- requests --------------------------------------------------------------------------------------------
-void ConnectionPool::send(RequestId id, int attempt, EndpointId endpoint, TimePoint deadline,
+void ConnectionPool::send(RequestId id, int attempt, EndpointId endpoint, const AttemptLimits& limits,
                           std::shared_ptr<const ForwardedRequest> message) {
   auto owned = std::make_unique<UpstreamRequest>();
   UpstreamRequest& request = *owned;
   request.id = id;
   request.attempt = attempt;
   request.endpoint = endpoint;
-  request.deadline = deadline;
+  request.limits = limits;
   request.message = std::move(message);
   attempts_.emplace(AttemptKey(id, attempt), std::move(owned));
   start(request);
@@ -69,14 +75,15 @@
   auto owned = std::make_unique<UpstreamRequest>();
   UpstreamRequest& request = *owned;
   request.endpoint = endpoint;
-  request.deadline = dispatcher_.now() + config_.connectTimeout;
+  request.limits.response = dispatcher_.now() + config_.connectTimeout;
+  request.limits.arrival = request.limits.response;
   healthChecks_[endpoint] = std::move(owned);
   start(request);
 }
 
 // Assigns an idle connection to the request and writes it, or queues the request until a connection is ready.
 void ConnectionPool::start(UpstreamRequest& request) {
-  startDeadlineTimer(request);
+  startLimitTimer(request);
   EndpointConnections& endpoint = connections_.at(request.endpoint);
   if (UpstreamConnection* const connection = connections_.takeIdle(request.endpoint)) {
     connection->assign(request);
@@ -93,34 +100,63 @@
   if (endpoint.connecting < endpoint.waiting.size()) connections_.open(request.endpoint);
 }
 
-void ConnectionPool::startDeadlineTimer(UpstreamRequest& request) {
-  request.pool = this;
-  request.deadlineTimer.reset(event_new(
-      base_, -1, 0,
-      [](evutil_socket_t, short, void* context) {
-        auto& expired = *static_cast<UpstreamRequest*>(context);
-        expired.pool->onDeadline(expired);
-      },
-      &request));
-  startTimer(request.deadlineTimer.get(), request.deadline - dispatcher_.now());
+// Starts the timer for the earliest limit that is still ahead.
+void ConnectionPool::startLimitTimer(UpstreamRequest& request) {
+  if (!request.limitTimer) {
+    request.pool = this;
+    request.limitTimer.reset(event_new(
+        base_, -1, 0,
+        [](evutil_socket_t, short, void* context) {
+          auto& expired = *static_cast<UpstreamRequest*>(context);
+          expired.pool->onLimit(expired);
+        },
+        &request));
+  }
+  const TimePoint now = dispatcher_.now();
+  const TimePoint arrival = request.limits.arrival;
+  TimePoint next = request.limits.response;
+  for (const TimePoint limit :
+       {arrival, arrival + kMaxAcknowledgementDelay, request.writtenAt + kMaxWriteTime})
+    if (now < limit) next = std::min(next, limit);
+  startTimer(request.limitTimer.get(), next - now);
+}
+
+void ConnectionPool::onLimit(UpstreamRequest& request) {
+  const TimePoint now = dispatcher_.now();
+  if (now >= request.limits.response) return onDeadline(request);
+  if (!request.written) {
+    if (now >= request.limits.arrival) return cancelUnwritten(request);
+  } else if (request.connection->unsentBytes() > 0) {
+    if (now >= request.limits.arrival) return dropUndelivered(request, AttemptStatus::NotSent);
+    if (now >= request.writtenAt + kMaxWriteTime)
+      return dropUndelivered(request, AttemptStatus::ConnectFailed);
+  } else if (now >= request.limits.arrival + kMaxAcknowledgementDelay && !request.connection->isDelivered()) {
+    return dropUndelivered(request, AttemptStatus::NotSent);
+  }
+  startLimitTimer(request);
 }
 
-void ConnectionPool::write(UpstreamRequest& request) { request.connection->writeRequest(dispatcher_.now()); }
+// Ends an attempt that the endpoint has not received completely, so that it will not receive the rest either.
+// `statusIfUnsent` is its status if some of its bytes have certainly not arrived.
+void ConnectionPool::dropUndelivered(UpstreamRequest& request, AttemptStatus statusIfUnsent) {
+  UpstreamConnection& connection = *request.connection;
+  const bool mayHaveRun = connection.unsentBytes() == 0;
+  connection.detach();
+  connections_.close(connection);
+  finishAttempt(request, resultOf(mayHaveRun ? AttemptStatus::Reset : statusIfUnsent));
+}
+
+void ConnectionPool::write(UpstreamRequest& request) {
+  request.connection->writeRequest(dispatcher_.now());
+  startLimitTimer(request);
+}
 
 // Checks again whether the attempt may be written, because time may have passed since it was decided.
 void ConnectionPool::writeIfAllowed(UpstreamRequest& request) {
   if (request.isHealthCheck() || dispatcher_.mayBeWritten(request.id))
     write(request);
   else
-    finishUnsent(request);
-}
-
-// Ends an attempt that must not be written, and makes its connection available to other requests.
-void ConnectionPool::finishUnsent(UpstreamRequest& request) {
-  UpstreamConnection& connection = *request.connection;
-  connection.detach();
-  finishAttempt(request, resultOf(AttemptStatus::NotSent));
-  onReady(connection);
+    cancelUnwritten(request);
 }
 
 void ConnectionPool::resumeAttempt(RequestId id, int attempt, bool eligible) {
@@ -131,25 +167,42 @@
   if (eligible)
     writeIfAllowed(request);
   else
-    finishUnsent(request);
+    cancelUnwritten(request);
 }
 
 void ConnectionPool::cancel(RequestId id, int attempt) {
   const auto it = attempts_.find({id, attempt});
   if (it == attempts_.end()) return;  // its result has already been reported
   UpstreamRequest& request = *it->second;
-  if (UpstreamConnection* const connection = request.connection) {
-    connection->detach();
-    if (request.written)
-      connections_.close(*connection);
-    else
-      onReady(*connection);
-  }
-  finishAttempt(request, resultOf(request.written ? AttemptStatus::Cancelled : AttemptStatus::NotSent));
+  if (!request.written) return cancelUnwritten(request);
+  UpstreamConnection& connection = *request.connection;
+  connection.detach();
+  connections_.close(connection);
+  finishAttempt(request, resultOf(AttemptStatus::Cancelled));
+}
+
+void ConnectionPool::withdraw(RequestId id, int attempt) {
+  const auto it = attempts_.find({id, attempt});
+  if (it == attempts_.end()) return;
+  UpstreamRequest& request = *it->second;
+  if (!request.written)
+    cancelUnwritten(request);
+  else if (request.connection->unsentBytes() > 0)
+    dropUndelivered(request, AttemptStatus::NotSent);
+}
+
+// Ends an attempt of which nothing has been written. The connection that it may have can be used by another.
+void ConnectionPool::cancelUnwritten(UpstreamRequest& request) {
+  UpstreamConnection* const connection = request.connection;
+  if (connection) connection->detach();
+  finishAttempt(request, resultOf(AttemptStatus::NotSent));
+  if (connection) onReady(*connection);
 }
 
 void ConnectionPool::onDeadline(UpstreamRequest& request) {
+  bool mayHaveRun = false;
   if (UpstreamConnection* const connection = request.connection) {
+    mayHaveRun = request.written && connection->unsentBytes() == 0;
     connection->detach();
     connections_.close(*connection);
   }
@@ -160,7 +213,7 @@
     connections_.closeIdle(request.endpoint);
     connections_.at(request.endpoint).connectAgainAt = dispatcher_.now() + kReconnectDelay;
   }
-  failRequest(request, request.written ? AttemptStatus::Timeout : AttemptStatus::NotSent);
+  failRequest(request, mayHaveRun ? AttemptStatus::Timeout : AttemptStatus::NotSent);
 }
 
 void ConnectionPool::failRequest(UpstreamRequest& request, AttemptStatus status) {
--- a/src/upstream/pg/connection_pool.hpp
+++ b/src/upstream/pg/connection_pool.hpp
@@ -29,10 +29,11 @@
   ConnectionPool& operator=(const ConnectionPool& other) = delete;
 
   void updateEndpoint(EndpointId id, const Address& address, bool ready) override;
-  void send(RequestId id, int attempt, EndpointId endpoint, TimePoint deadline,
+  void send(RequestId id, int attempt, EndpointId endpoint, const AttemptLimits& limits,
             std::shared_ptr<const ForwardedRequest> message) override;
   void resumeAttempt(RequestId id, int attempt, bool eligible) override;
   void cancel(RequestId id, int attempt) override;
+  void withdraw(RequestId id, int attempt) override;
   void checkHealth(EndpointId endpoint) override;
   void removeEndpoint(EndpointId id) override;
   std::size_t connectionCount() const { return connections_.count(); }
@@ -48,12 +49,14 @@
   void onNotReusable(UpstreamConnection& connection) override;
   void onConnectFailed(EndpointConnections& endpoint, AttemptStatus status);
   void onDeadline(UpstreamRequest& request);
+  void onLimit(UpstreamRequest& request);
+  void dropUndelivered(UpstreamRequest& request, AttemptStatus statusIfUnsent);
 
   void start(UpstreamRequest& request);
-  void startDeadlineTimer(UpstreamRequest& request);
+  void startLimitTimer(UpstreamRequest& request);
   void write(UpstreamRequest& request);
   void writeIfAllowed(UpstreamRequest& request);
-  void finishUnsent(UpstreamRequest& request);
+  void cancelUnwritten(UpstreamRequest& request);
   void finishAttempt(UpstreamRequest& request, AttemptResult result);
   void finishHealthCheck(UpstreamRequest& request, bool ok, std::string_view report = {});
   void failRequest(UpstreamRequest& request, AttemptStatus status);
--- a/src/upstream/pg/upstream_connection.cpp
+++ b/src/upstream/pg/upstream_connection.cpp
@@ -1,6 +1,8 @@
 #include "upstream/pg/upstream_connection.hpp"
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -22,6 +24,13 @@
 // the request shows the attempt.
 constexpr std::string_view kInternalError = "XX000";
 
+// Returns the size of a part of the socket's send queue: SIOCOUTQ, the bytes that the peer has not
+// acknowledged, or SIOCOUTQNSD, those of them that have not been sent. 0 if the system does not tell.
+std::size_t sendQueueBytes(evutil_socket_t fd, unsigned long part) {
+  int bytes = 0;
+  return ioctl(fd, part, &bytes) == 0 ? static_cast<std::size_t>(std::max(bytes, 0)) : 0;
+}
+
 }  // namespace
 
 UpstreamConnection::UpstreamConnection(event_base* base, UpstreamConnectionHandler& handler,
@@ -49,10 +58,25 @@
 }
 
 UpstreamConnection::~UpstreamConnection() {
+  const evutil_socket_t fd = bufferevent_getfd(bev_.get());
+  if (fd < 0) return;
+  // A plain close would still send what is in the socket's buffer, whenever the endpoint reads again.
+  if (!isDelivered()) {
+    const linger dropUnsent{1, 0};
+    setsockopt(fd, SOL_SOCKET, SO_LINGER, &dropUnsent, sizeof dropUnsent);
+  }
   // bufferevent_free closes the descriptor only in the next pass of the event loop, but the endpoint has to
   // see the end of an attempt before the next attempt is sent.
-  const evutil_socket_t fd = bufferevent_getfd(bev_.get());
-  if (fd >= 0) shutdown(fd, SHUT_RDWR);
+  bufferevent_setfd(bev_.get(), -1);
+  evutil_closesocket(fd);
+}
+
+std::size_t UpstreamConnection::unsentBytes() const {
+  return evbuffer_get_length(output()) + sendQueueBytes(bufferevent_getfd(bev_.get()), SIOCOUTQNSD);
+}
+
+bool UpstreamConnection::isDelivered() const {
+  return flushed() && sendQueueBytes(bufferevent_getfd(bev_.get()), SIOCOUTQ) == 0;
 }
 
 // The peek detects data that libevent has not read yet, and also that the endpoint has closed the connection.
@@ -80,6 +104,7 @@
 
 void UpstreamConnection::writeRequest(TimePoint now) {
   request_->written = true;
+  request_->writtenAt = now;
   if (request_->isHealthCheck()) {
     append(output(), pg::query(kHealthCheckStatement));
     return;
@@ -87,7 +112,8 @@
   // The statement is added by reference, without a copy, and its deadline, if any, is replaced by the
   // remaining time.
   const ForwardedRequest& message = *request_->message;
-  const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(request_->deadline - now);
+  const auto remaining =
+      std::chrono::duration_cast<std::chrono::milliseconds>(request_->limits.response - now);
   std::string digits;
   if (message.hasRemainingTime) digits = std::to_string(std::max<std::int64_t>(remaining.count(), 1));
   const std::size_t length = evbuffer_get_length(message.beforeRemainingTime.get()) + digits.size() +
--- a/src/upstream/pg/upstream_connection.hpp
+++ b/src/upstream/pg/upstream_connection.hpp
@@ -40,7 +40,8 @@
   /// Starts connecting. A failure is reported from the event loop, never from within the constructor.
   UpstreamConnection(event_base* base, UpstreamConnectionHandler& handler, EndpointId endpoint,
                      const Address& address, Duration connectTimeout);
-  /// Shuts the socket down immediately.
+  /// Closes the socket immediately. Bytes that the endpoint has not acknowledged are dropped, so that they do
+  /// not arrive after their attempt has ended.
   ~UpstreamConnection();
   UpstreamConnection(const UpstreamConnection& other) = delete;
   UpstreamConnection& operator=(const UpstreamConnection& other) = delete;
@@ -54,6 +55,10 @@
   /// Whether the response received so far has an error that the statement itself caused. False without a
   /// request.
   bool invalidStatement() const { return request_ != nullptr && parser_.response().invalidStatement; }
+  /// Number of written bytes that have not left this machine, so that the endpoint cannot have them.
+  std::size_t unsentBytes() const;
+  /// Whether the endpoint's machine has acknowledged all written bytes.
+  bool isDelivered() const;
   /// Whether all written bytes have been passed to the socket.
   bool flushed() const { return evbuffer_get_length(output()) == 0; }
   /// Whether the connection is open and has no unread data. Data that follows a complete response, such as a
--- a/src/upstream/pg/upstream_request.hpp
+++ b/src/upstream/pg/upstream_request.hpp
@@ -16,13 +16,14 @@
   RequestId id = 0;  ///< 0 for a health check
   int attempt = 0;
   EndpointId endpoint = 0;
-  TimePoint deadline{};
+  AttemptLimits limits;
   std::shared_ptr<const ForwardedRequest> message;  ///< null for a health check
   UpstreamConnection* connection = nullptr;         ///< null while it waits for a connection
   bool written = false;                             ///< whether some of its bytes may have been sent
-  int lostConnections = 0;                          ///< number of connections lost during this health check
+  TimePoint writtenAt{};
+  int lostConnections = 0;  ///< number of connections lost during this health check
   ConnectionPool* pool = nullptr;
-  Event deadlineTimer;
+  Event limitTimer;  ///< for the next limit in time: of the write, the arrival or the response
 
   bool isHealthCheck() const { return id == 0; }
 };
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -28,13 +28,14 @@
   };
   std::vector<Attempt> sent;
   std::vector<Attempt> cancelled;
+  std::vector<Attempt> withdrawn;
   std::vector<EndpointId> healthChecks;
   std::vector<std::pair<int, bool>> resumed;  // attempt, whether it was still eligible
   std::map<EndpointId, bool> ready;
   std::vector<EndpointId> removed;
 
   void updateEndpoint(EndpointId id, const Address&, bool isReady) override { ready[id] = isReady; }
-  void send(RequestId id, int attempt, EndpointId endpoint, TimePoint,
+  void send(RequestId id, int attempt, EndpointId endpoint, const AttemptLimits&,
             std::shared_ptr<const ForwardedRequest>) override {
     sent.push_back({id, attempt, endpoint});
   }
@@ -42,6 +43,7 @@
     resumed.emplace_back(attempt, eligible);
   }
   void cancel(RequestId id, int attempt) override { cancelled.push_back({id, attempt, 0}); }
+  void withdraw(RequestId id, int attempt) override { withdrawn.push_back({id, attempt, 0}); }
   void checkHealth(EndpointId id) override { healthChecks.push_back(id); }
   void removeEndpoint(EndpointId id) override { removed.push_back(id); }
 };
--- a/tests/example.cpp
+++ b/tests/example.cpp
@@ -21,7 +21,7 @@
   int finalResponses = 0;
   EndpointId lastEndpoint = 0;
 
-  void send(RequestId id, EndpointId endpoint, TimePoint /*until*/) override {
+  void send(RequestId id, EndpointId endpoint, const AttemptLimits& /*limits*/) override {
     ++sends;
     lastEndpoint = endpoint;
     std::printf("  send request %d to endpoint %d\n", static_cast<int>(id), static_cast<int>(endpoint));
--- a/tests/proxy_process.hpp
+++ b/tests/proxy_process.hpp
@@ -17,6 +17,7 @@
   bool retryAfterAllowed = true;
   bool dnssd = false;     ///< discovers endpoints through DNS-SD; the configuration is an INI file
   bool ini = false;       ///< the configuration is an INI file, for `serve --config`
+  int receiveBuffer = 0;  ///< receive buffer of the endpoints in bytes; 0 means the system's default
   int descriptors = 0;    ///< RLIMIT_NOFILE of the process; 0 means that the limit is inherited
   std::string faults;     ///< injected system call faults, see testbed/syscall_shim.cpp; empty: none
   std::string clockFile;  ///< file with the offset of the wall clock, see the same file; empty: no offset
--- a/tests/recording_sink.hpp
+++ b/tests/recording_sink.hpp
@@ -19,8 +19,9 @@
   ActionKind kind = ActionKind::Log;
   RequestId request = 0;
   EndpointId endpoint = 0;
-  TimePoint until{};  ///< Send: when the attempt times out
-  Duration time{};    ///< Reject: Retry-After; Timer: the delay
+  TimePoint until{};    ///< Send: when the attempt times out
+  TimePoint arrival{};  ///< Send: when its last byte must have arrived
+  Duration time{};      ///< Reject: Retry-After; Timer: the delay
   int attempt = 0;
   EndReason reason{};  ///< Reject and Fail
   TimerToken token;
@@ -34,10 +35,11 @@
   std::vector<GossipMessage> broadcasts;
   const TimePoint* clock = nullptr;  ///< if null, the due times of timers count from 0
 
-  void send(RequestId id, EndpointId endpoint, TimePoint until) override {
+  void send(RequestId id, EndpointId endpoint, const AttemptLimits& limits) override {
     Action action = make(ActionKind::Send, id);
     action.endpoint = endpoint;
-    action.until = until;
+    action.until = limits.response;
+    action.arrival = limits.arrival;
     recorded.push_back(action);
   }
   void reject(RequestId id, Duration retryAfter, EndReason reason) override {
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -19,7 +19,11 @@
 
 Scenario::Scenario(const Setting& setting)
     : setting_(setting), endpoints_(static_cast<std::size_t>(setting.servers)) {
-  for (Endpoint& endpoint : endpoints_) endpoint.listener = listenOnAnyPort(endpoint.port);
+  for (Endpoint& endpoint : endpoints_) {
+    endpoint.listener = listenOnAnyPort(endpoint.port);
+    const int bytes = setting.receiveBuffer;
+    if (bytes > 0) setsockopt(endpoint.listener, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
+  }
   endpoints_.front().primary = true;
   int discoveryPort = 0;
   registryListener_ = listenOnAnyPort(discoveryPort);
@@ -174,6 +178,7 @@
   for (auto& [name, connection] : clients_) addToPoll(connection);
   for (Connection& connection : watchConnections_) addToPoll(connection);
   for (Endpoint& endpoint : endpoints_) {
+    if (endpoint.stalled) continue;
     if (endpoint.listener >= 0) fds.push_back({endpoint.listener, POLLIN, 0});
     for (Connection& connection : endpoint.connections) addToPoll(connection);
   }
@@ -200,6 +205,7 @@
     if (isReady(connection.fd)) read(connection);
   acceptConnection(registryListener_, watchConnections_);
   for (Endpoint& endpoint : endpoints_) {
+    if (endpoint.stalled) continue;
     for (Connection& connection : endpoint.connections) {
       if (isReady(connection.fd)) read(connection);
       respondToStartupAndHealthCheck(endpoint, connection);
--- a/tests/scenario.hpp
+++ b/tests/scenario.hpp
@@ -6,6 +6,7 @@
 //   c1 open                     connects and sends the startup message, without waiting for the response
 //   c1 expect greeted           the response to the startup message is complete
 //   c1 send query TEXT          sends a Query message
+//   c1 send long N TEXT         sends a Query message of TEXT behind a literal of N bytes
 //   c1 send bytes HEX ...       sends these bytes; as a first step, without a startup message
 //   c1 expect answer            any message of the proxy
 //   c1 expect row TEXT          one row with this value, then ReadyForQuery; "big" means 64 KiB
@@ -37,6 +38,9 @@
 //   s2 wait idle N              waits until at least N connections are idle
 //   s2 wait silent              leaves startup messages and health checks unanswered from now on
 //   s2 wait speak               answers them again, including those that are waiting
+//   s2 wait stalled             accepts and reads nothing from now on, as if its process was stopped
+//   s2 wait resumed             accepts and reads again
+//   s2 expect no-query MS       receives no complete query within MS milliseconds
 //   s2 drop health-checks N     closes the connection instead of answering the next N health checks
 //   s2 report WORD              answers health checks with WORD
 //   s2 load WORD                responses carry the load report WORD instead of applied_ms
@@ -116,7 +120,7 @@
   };
   struct Endpoint {
     int listener = -1, port = 0;
-    bool primary = false, silent = false;
+    bool primary = false, silent = false, stalled = false;
     std::string report;          // answer to health checks; empty means a valid load report
     std::string load;            // load report in responses; empty means that they carry applied_ms instead
     int accepted = 0;            // connections since the start
@@ -133,6 +137,7 @@
   /// Waits for the next query and returns its text.
   std::string receiveQuery(Endpoint&);
   void waitForIdle(const Endpoint&, std::size_t count);
+  void expectNoQuery(const Endpoint&, std::chrono::milliseconds time);
   void respond(const Endpoint&, Connection&, const std::string& verb, const std::string& object,
                const std::string& arguments);
   void runRegistryStep(const std::string& verb, const std::string& object, const std::string& arguments);
--- a/tests/scenario_clients.cpp
+++ b/tests/scenario_clients.cpp
@@ -39,6 +39,13 @@
     connection.isClosed = true;
   } else if (verb == "send" && object == "query") {
     sendAll(connection.fd, pg::query(arguments));
+  } else if (verb == "send" && object == "long") {
+    std::istringstream words(arguments);
+    std::size_t length = 0;
+    words >> length;
+    std::string text;
+    std::getline(words, text);
+    sendAll(connection.fd, pg::query("INSERT '" + std::string(length, 'x') + "'" + text));
   } else if (verb == "send" && object == "bytes") {  // in hexadecimal
     std::istringstream hex(arguments);
     for (unsigned byte; hex >> std::hex >> byte;)
--- a/tests/scenario_endpoints.cpp
+++ b/tests/scenario_endpoints.cpp
@@ -2,6 +2,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <chrono>
 #include <sstream>
 
@@ -61,6 +62,8 @@
     EXPECT_NE(statement.find(arguments), std::string::npos) << currentStep_ << ": got " << statement;
   } else if (verb == "expect" && object == "statement") {
     EXPECT_EQ(receiveQuery(endpoint), arguments + '\0') << currentStep_;
+  } else if (verb == "expect" && object == "no-query") {
+    expectNoQuery(endpoint, std::chrono::milliseconds(std::stoi(arguments)));
   } else if (verb == "expect" && object == "connections") {
     EXPECT_EQ(endpoint.accepted, std::stoi(arguments)) << currentStep_;
   } else if (verb == "expect" && object == "drained") {
@@ -71,6 +74,8 @@
     endpoint.report = object;
   } else if (verb == "load") {
     endpoint.load = object;
+  } else if (verb == "wait" && (object == "stalled" || object == "resumed")) {
+    endpoint.stalled = object == "stalled";
   } else if (verb == "wait" && object == "speak") {
     // Startup messages and health checks that were received meanwhile are answered now.
     endpoint.silent = false;
@@ -115,6 +120,17 @@
   return statement;
 }
 
+void Scenario::expectNoQuery(const Endpoint& endpoint, std::chrono::milliseconds time) {
+  const auto end = std::chrono::steady_clock::now() + time;
+  while (std::chrono::steady_clock::now() < end) processEvents();
+  for (const Connection& connection : endpoint.connections) {
+    const std::string& input = connection.input;
+    const bool isComplete = input.size() >= 5 && input.size() > pg::readInt32(input.data() + 1);
+    EXPECT_FALSE(connection.hasStarted && !connection.isBusy && isComplete)
+        << currentStep_ << ": got " << input.substr(input.size() - std::min<std::size_t>(input.size(), 80));
+  }
+}
+
 void Scenario::waitForIdle(const Endpoint& endpoint, std::size_t count) {
   waitUntil(
       [&] {
--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -87,6 +87,91 @@
     s1 expect query id=2
   )");
 }
+// Smaller than the large statements of the tests, so that they do not fit into the buffer of an endpoint that
+// does not read.
+constexpr int kSmallReceiveBuffer = 4096;
+
+// Guards against a write that runs twice: a retry larger than the socket's buffer was written while its
+// endpoint did not read, and the rest left after the time in which endpoints drop repeats.
+TEST(Upstream, LargeKeyedRetryDoesNotArriveAfterTheDeduplicationWindow) {
+  for (const char* const length : {"20000", "60000", "130000"}) {
+    Setting s;
+    s.servers = 1;
+    s.receiveBuffer = kSmallReceiveBuffer;
+    s.deduplicationWindowUs = "1000000";
+    Scenario t(s);
+    t.run(std::string("c1 send long ") + length + " /* id=1,c=write,d=60000,k=1,cluster=3 */");
+    t.run(R"(
+      s1 expect query id=1
+      time passes 900
+      s1 wait stalled
+      s1 send error XX000
+      c1 expect error 40003
+      s1 wait resumed
+      s1 expect no-query 300
+      c1 send query INSERT 2 /* id=2,c=write,d=7000,k=2,cluster=3 */
+      s1 expect query id=2
+    )");
+  }
+}
+// The same for a first attempt: its client had left, or had got its answer, when the endpoint read again.
+TEST(Upstream, LargeStatementDoesNotArriveAfterItsClientHasLeft) {
+  Setting s;
+  s.servers = 1;
+  s.receiveBuffer = kSmallReceiveBuffer;
+  Scenario t(s);
+  t.run(R"(
+    c2 send query INSERT 2 /* id=2,c=write,d=7000,k=2,cluster=3 */
+    s1 expect query id=2
+    s1 send row v
+    c2 expect row v
+    s1 wait stalled
+    c1 send long 60000 /* id=1,c=write,d=7000,k=1,cluster=3 */
+    time passes 60
+    c1 close
+    time passes 60
+    s1 wait resumed
+    s1 expect no-query 500
+  )");
+}
+TEST(Upstream, LargeStatementDoesNotArriveAfterItsDeadline) {
+  Setting s;
+  s.servers = 1;
+  s.receiveBuffer = kSmallReceiveBuffer;
+  Scenario t(s);
+  t.run(R"(
+    c2 send query INSERT 2 /* id=2,c=write,d=7000,k=2,cluster=3 */
+    s1 expect query id=2
+    s1 send row v
+    c2 expect row v
+    s1 wait stalled
+    c1 send long 60000 /* id=1,c=write,d=120,k=1,cluster=3 */
+    c1 expect retry-after
+    s1 wait resumed
+    s1 expect no-query 500
+  )");
+}
+// Guards against a refusal of useful work: an endpoint that stops reading for some time gets the statement
+// once it reads again, with the time that is left then.
+TEST(Upstream, LargeStatementIsWrittenAgainWhenItsEndpointReadsAgain) {
+  Setting s;
+  s.servers = 1;
+  s.receiveBuffer = kSmallReceiveBuffer;
+  Scenario t(s);
+  t.run(R"(
+    c2 send query INSERT 2 /* id=2,c=write,d=7000,k=2,cluster=3 */
+    s1 expect query id=2
+    s1 send row v
+    c2 expect row v
+    s1 wait stalled
+    c1 send long 60000 /* id=1,c=write,d=8000,k=1,cluster=3 */
+    time passes 700
+    s1 wait resumed
+    s1 expect query d=7
+    s1 send row v
+    c1 expect row v
+  )");
+}
 TEST(Upstream, InvalidStatementIsNotRetried) {
   Scenario t;
   t.run(R"(
