Reuse a connection only once nothing of its last response can arrive any more

Cause: a response carries no id. A connection was reused as soon as nothing was there behind a response, the most recently used one first, so a second copy that came 0.2 ms later was taken for the response to the next statement.

Change: a connection is fit for reuse after 30 ms without data, or after an empty query, whose response has a type of its own and arrives behind all that was sent before. Settled connections are taken first; no connection is opened for this. The stand-ins of the tests and the testbed answer empty queries.

Upstream.SecondCopyOfAResponse... fails with the program before. Twelve statements in a row still use one connection.

--- a/src/upstream/pg/connection_pool.cpp
+++ b/src/upstream/pg/connection_pool.cpp
@@ -81,13 +81,16 @@
   start(request);
 }
 
-// Assigns an idle connection to the request and writes it, or queues the request until a connection is ready.
+// Assigns an idle connection to the request and writes it, or lets it wait until a connection is ready.
 void ConnectionPool::start(UpstreamRequest& request) {
   startLimitTimer(request);
   EndpointConnections& endpoint = connections_.at(request.endpoint);
-  if (UpstreamConnection* const connection = connections_.takeIdle(request.endpoint)) {
+  if (UpstreamConnection* const connection = connections_.takeIdle(request.endpoint, dispatcher_.now())) {
     connection->assign(request);
-    writeIfAllowed(request);
+    if (connection->isUnsettled())
+      connection->synchronize();
+    else
+      writeIfAllowed(request);
     return;
   }
   // Not expected: the limits on clients leave a server connection for every client request in flight.
@@ -251,6 +254,7 @@
 }
 
 bool ConnectionPool::onReady(UpstreamConnection& connection) {
+  if (connection.isSynchronizing()) return true;  // its request has ended; onSynchronized follows
   const EndpointId id = connection.endpoint();
   EndpointConnections& endpoint = connections_.at(id);
   if (connection.address() != endpoint.address) {  // the endpoint's address has changed meanwhile
@@ -262,20 +266,43 @@
     UpstreamRequest& request = *endpoint.waiting.front();
     endpoint.waiting.pop_front();
     connection.assign(request);
-    // While the attempt waited, the endpoint may have started to drain, or its data may have become too old.
-    // The dispatcher checks that again, since the rules apply at the time of the write, and answers with
-    // resumeAttempt.
-    if (request.isHealthCheck())
-      write(request);
+    if (connection.isUnsettled())
+      connection.synchronize();
     else
-      dispatcher_.onConnected(request.id, request.attempt);
+      resume(request);
     return true;
   }
   if (!endpoint.ready) {
     connections_.close(connection);
     return false;
   }
-  connections_.addIdle(connection);
+  connections_.addIdle(connection, dispatcher_.now());
+  return true;
+}
+
+// While the attempt waited, the endpoint may have started to drain, or its data may have become too old. The
+// dispatcher checks that again, since the rules apply at the time of the write, and answers with
+// resumeAttempt.
+void ConnectionPool::resume(UpstreamRequest& request) {
+  if (request.isHealthCheck())
+    write(request);
+  else
+    dispatcher_.onConnected(request.id, request.attempt);
+}
+
+bool ConnectionPool::onSynchronized(UpstreamConnection& connection) {
+  if (!connection.request()) return onReady(connection);
+  resume(*connection.request());
+  return true;
+}
+
+// Closes a connection that was lost while it was synchronized, and looks for another one for its request, of
+// which nothing has been written. Returns false if it was not being synchronized.
+bool ConnectionPool::restartIfSynchronizing(UpstreamConnection& connection) {
+  if (!connection.isSynchronizing()) return false;
+  UpstreamRequest* const request = connection.detach();
+  connections_.close(connection);
+  if (request) start(*request);
   return true;
 }
 
@@ -297,6 +324,7 @@
 void ConnectionPool::onNotReusable(UpstreamConnection& connection) { connections_.close(connection); }
 
 void ConnectionPool::onConnectionLost(UpstreamConnection& connection, AttemptStatus status) {
+  if (restartIfSynchronizing(connection)) return;
   EndpointConnections& endpoint = connections_.at(connection.endpoint());
   const bool connecting = connection.connecting();
   const bool flushed = connection.flushed();
@@ -329,6 +357,7 @@
 // endpoint is alive.
 void ConnectionPool::onMalformedResponse(UpstreamConnection& connection, ProtocolError error) {
   logEvent(LogLevel::Warning, "server_response_malformed", {{"reason", describe(error)}});
+  if (restartIfSynchronizing(connection)) return;
   EndpointConnections& endpoint = connections_.at(connection.endpoint());
   const bool connecting = connection.connecting();
   const bool flushed = connection.flushed();
--- a/src/upstream/pg/connection_pool.hpp
+++ b/src/upstream/pg/connection_pool.hpp
@@ -46,6 +46,7 @@
   void onResponse(UpstreamRequest& request, const ServerResponse& response, Buffer messages) override;
   void onConnectionLost(UpstreamConnection& connection, AttemptStatus status) override;
   void onMalformedResponse(UpstreamConnection& connection, ProtocolError error) override;
+  bool onSynchronized(UpstreamConnection& connection) override;
   void onNotReusable(UpstreamConnection& connection) override;
   void onConnectFailed(EndpointConnections& endpoint, AttemptStatus status);
   void onDeadline(UpstreamRequest& request);
@@ -54,11 +55,13 @@
 
   void start(UpstreamRequest& request);
   void startLimitTimer(UpstreamRequest& request);
+  void resume(UpstreamRequest& request);
   void write(UpstreamRequest& request);
   void writeIfAllowed(UpstreamRequest& request);
   void cancelUnwritten(UpstreamRequest& request);
   void finishAttempt(UpstreamRequest& request, AttemptResult result);
   void finishHealthCheck(UpstreamRequest& request, bool ok, std::string_view report = {});
+  bool restartIfSynchronizing(UpstreamConnection& connection);
   void failRequest(UpstreamRequest& request, AttemptStatus status);
   std::vector<double> parseReport(std::string_view report) const;
 
--- a/src/upstream/pg/connection_set.cpp
+++ b/src/upstream/pg/connection_set.cpp
@@ -19,6 +19,9 @@
 // just as a request is sent on it, the attempt would end in a reset.
 constexpr double kIdleTimeoutShare = 0.7;
 
+// Data that belongs to a response follows it within this time.
+constexpr Duration kSettlingTime = std::chrono::milliseconds(30);
+
 void eraseValue(std::vector<UpstreamConnection*>& connections, const UpstreamConnection* value) {
   connections.erase(std::remove(connections.begin(), connections.end(), value), connections.end());
 }
@@ -86,17 +89,29 @@
   for (UpstreamConnection* connection : idle) close(*connection);
 }
 
-void ConnectionSet::addIdle(UpstreamConnection& connection) {
+void ConnectionSet::addIdle(UpstreamConnection& connection, TimePoint now) {
   at(connection.endpoint()).idle.push_back(&connection);
-  connections_.at(&connection).idlePosition = idleOrder_.insert(idleOrder_.end(), &connection);
+  OwnedConnection& owned = connections_.at(&connection);
+  owned.idlePosition = idleOrder_.insert(idleOrder_.end(), &connection);
+  owned.idleSince = now;
   connection.startIdleTimer(maxIdleTime_);
 }
 
-UpstreamConnection* ConnectionSet::takeIdle(EndpointId id) {
+std::size_t ConnectionSet::selectIdle(const std::vector<UpstreamConnection*>& idle, TimePoint now) {
+  for (std::size_t position = idle.size(); position > 0; --position) {
+    UpstreamConnection& connection = *idle[position - 1];
+    if (now - connections_.at(&connection).idleSince >= kSettlingTime) connection.markSettled();
+    if (!connection.isUnsettled()) return position - 1;
+  }
+  return 0;
+}
+
+UpstreamConnection* ConnectionSet::takeIdle(EndpointId id, TimePoint now) {
   auto& idle = at(id).idle;
   while (!idle.empty()) {
-    UpstreamConnection* const connection = idle.back();
-    idle.pop_back();
+    const std::size_t position = selectIdle(idle, now);
+    UpstreamConnection* const connection = idle[position];
+    idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(position));
     removeFromIdleOrder(*connection);
     if (connection->isReusable()) return connection;
     close(*connection);
--- a/src/upstream/pg/connection_set.hpp
+++ b/src/upstream/pg/connection_set.hpp
@@ -48,10 +48,11 @@
   void close(UpstreamConnection& connection);
   void closeIdle(EndpointId id);
   /// Marks a connection as idle. It is reused by the next request, or reported as lost by its idle timer.
-  void addIdle(UpstreamConnection& connection);
-  /// Returns the most recently used idle connection that is still reusable, and removes it from the idle
-  /// ones. Returns null if there is none.
-  UpstreamConnection* takeIdle(EndpointId id);
+  void addIdle(UpstreamConnection& connection, TimePoint now);
+  /// Returns an idle connection that is still reusable, and removes it from the idle ones: the most recently
+  /// used one that is settled, or else the one that has been idle longest, which the caller has to
+  /// synchronize. Returns null if there is none.
+  UpstreamConnection* takeIdle(EndpointId id, TimePoint now);
   /// Opens connections in advance, so that each endpoint that is ready has the minimum of idle ones. Visits
   /// only endpoints whose record may have changed since the last call or that still have too few connections.
   void maintainMinIdle(TimePoint now);
@@ -68,10 +69,14 @@
   struct OwnedConnection {
     std::unique_ptr<UpstreamConnection> connection;
     IdleOrder::iterator idlePosition;  // idleOrder_.end() if it is not idle
+    TimePoint idleSince{};
   };
 
   void open(EndpointConnections& endpoint, EndpointId id);
   void removeFromIdleOrder(UpstreamConnection& connection);
+  /// Marks the connections that have been idle long enough as settled, and returns the position of the one to
+  /// take from a list that is not empty.
+  std::size_t selectIdle(const std::vector<UpstreamConnection*>& idle, TimePoint now);
   /// Opens the connections that a ready endpoint lacks. Returns whether it still lacks some, because it is
   /// before connectAgainAt or the limit on connections opened in advance is reached.
   bool openMissing(EndpointConnections& endpoint, EndpointId id, TimePoint now);
--- a/src/upstream/pg/response_parser.cpp
+++ b/src/upstream/pg/response_parser.cpp
@@ -68,6 +68,11 @@
   response_ = ServerResponse();
 }
 
+void ResponseParser::beginSynchronization() {
+  beginResponse(false);
+  stage_ = Stage::Synchronization;
+}
+
 bool ResponseParser::accepts(const pg::MessageHeader& header) const {
   const std::size_t maxBody =
       header.type == 'D' ? pg::kRowHeaderSize + pg::kMaxValueSize : pg::kMaxServerMessageSize;
@@ -88,10 +93,13 @@
       return !startup_ && stage_ == Stage::Described;
     case 'C':
       return !startup_ && stage_ == Stage::Row;
+    case 'I':
+      return !startup_ && stage_ == Stage::Synchronization;
     case 'E':
-      return startup_ || (stage_ != Stage::Complete && stage_ != Stage::Failed);
+      return startup_ || stage_ == Stage::Start || stage_ == Stage::Described || stage_ == Stage::Row;
     case 'Z':
-      return startup_ || stage_ == Stage::Complete || stage_ == Stage::Failed;
+      return startup_ || stage_ == Stage::Complete || stage_ == Stage::Failed ||
+             stage_ == Stage::Synchronized;
     default:
       return false;
   }
@@ -111,6 +119,9 @@
       return onDataRow(body);
     case 'C':
       return onCommandComplete(body);
+    case 'I':
+      stage_ = Stage::Synchronized;
+      return ParseStatus::Continue;
     case 'Z':
       return onReadyForQuery(body);
     default:  // NoticeResponse and BackendKeyData are ignored
--- a/src/upstream/pg/response_parser.hpp
+++ b/src/upstream/pg/response_parser.hpp
@@ -58,6 +58,8 @@
   /// Resets the state for the response to a query that is about to be sent.
   void beginResponse(bool healthCheck);
 
+  /// Expects the response to an empty query next, see UpstreamConnection::synchronize.
+  void beginSynchronization();
   /// Whether a message with this type and length may come next. Must be checked before the body is read,
   /// because the header may announce gigabytes.
   bool accepts(const pg::MessageHeader& header) const;
@@ -77,7 +79,7 @@
   ProtocolError protocolError() const { return protocolError_; }
 
  private:
-  enum class Stage { Start, Described, Row, Complete, Failed };
+  enum class Stage { Start, Described, Row, Complete, Failed, Synchronization, Synchronized };
 
   bool expects(char type) const;
   ParseStatus malformed(ProtocolError error);
--- a/src/upstream/pg/upstream_connection.cpp
+++ b/src/upstream/pg/upstream_connection.cpp
@@ -20,6 +20,8 @@
 // Time from the first byte of a response to its end. An endpoint writes a response in one piece, so a longer
 // wait means that a message is shorter than its length field says.
 constexpr Duration kResponseTimeout = std::chrono::milliseconds(250);
+// An endpoint answers an empty query at once.
+constexpr Duration kSynchronizationTimeout = std::chrono::milliseconds(100);
 // SQLSTATE internal_error: a failure of the endpoint itself. It is not logged here, because the log line of
 // the request shows the attempt.
 constexpr std::string_view kInternalError = "XX000";
@@ -95,6 +97,13 @@
   parser_.beginResponse(request.isHealthCheck());
 }
 
+void UpstreamConnection::synchronize() {
+  synchronizing_ = true;
+  parser_.beginSynchronization();
+  append(output(), pg::query({}));
+  startTimer(timer_.get(), kSynchronizationTimeout);
+}
+
 UpstreamRequest* UpstreamConnection::detach() {
   UpstreamRequest* const request = request_;
   if (request) request->connection = nullptr;
@@ -136,7 +145,7 @@
 }
 
 void UpstreamConnection::onTimeout() {
-  if (request_)
+  if (request_ && !synchronizing_)
     handler_.onMalformedResponse(*this, ProtocolError::IncompleteResponse);
   else
     handler_.onConnectionLost(*this, parser_.statusIfLost());
@@ -150,7 +159,8 @@
 
 // ---- responses -------------------------------------------------------------------------------------------
 UpstreamConnection::ReadStatus UpstreamConnection::readMessage() {
-  const bool responseDue = request_ != nullptr && request_->written && flushed();
+  const bool expectsResponse = synchronizing_ || (request_ != nullptr && request_->written);
+  const bool responseDue = expectsResponse && flushed();
   if (!connecting() && !responseDue) return fail(ProtocolError::UnsolicitedData);
   char bytes[pg::kMessageHeaderSize];
   if (evbuffer_copyout(input(), bytes, sizeof bytes) < static_cast<ev_ssize_t>(sizeof bytes))
@@ -199,6 +209,7 @@
 }
 
 UpstreamConnection::ReadStatus UpstreamConnection::onReadyForQuery(bool startupCompleted) {
+  if (synchronizing_) return onSynchronizationCompleted();
   if (startupCompleted) {
     handler_.onConnected(*this);
   } else {
@@ -211,6 +222,15 @@
   return handler_.onReady(*this) ? ReadStatus::Progress : ReadStatus::Destroyed;
 }
 
+UpstreamConnection::ReadStatus UpstreamConnection::onSynchronizationCompleted() {
+  if (!isReusable()) return fail(ProtocolError::UnsolicitedData);
+  event_del(timer_.get());
+  synchronizing_ = false;
+  unsettled_ = false;
+  if (request_) parser_.beginResponse(request_->isHealthCheck());
+  return handler_.onSynchronized(*this) ? ReadStatus::Progress : ReadStatus::Destroyed;
+}
+
 UpstreamConnection::ReadStatus UpstreamConnection::fail(ProtocolError error) {
   handler_.onMalformedResponse(*this, error);
   return ReadStatus::Destroyed;
@@ -218,6 +238,7 @@
 
 void UpstreamConnection::deliverResponse() {
   UpstreamRequest& request = *detach();
+  unsettled_ = true;
   event_del(timer_.get());
   handler_.onResponse(request, parser_.response(), std::move(responseMessages_));
 }
--- a/src/upstream/pg/upstream_connection.hpp
+++ b/src/upstream/pg/upstream_connection.hpp
@@ -28,6 +28,9 @@
   virtual void onConnectionLost(UpstreamConnection& connection, AttemptStatus status) = 0;
   /// The endpoint sent something other than a complete, valid response.
   virtual void onMalformedResponse(UpstreamConnection& connection, ProtocolError error) = 0;
+  /// The connection is settled, see UpstreamConnection::synchronize. Returns false if the connection has been
+  /// destroyed.
+  virtual bool onSynchronized(UpstreamConnection& connection) = 0;
   /// The response was valid, but the connection cannot be reused, see UpstreamConnection::isReusable.
   virtual void onNotReusable(UpstreamConnection& connection) = 0;
 
@@ -64,6 +67,16 @@
   /// Whether the connection is open and has no unread data. Data that follows a complete response, such as a
   /// repetition of it or garbage, must not be taken for the next response.
   bool isReusable() const;
+  /// Whether data that belongs to the last response may still arrive. A response does not say to which
+  /// statement it belongs, so a statement may be written only once this is false: after synchronize(), or
+  /// after the connection has been quiet for a while, see markSettled().
+  bool isUnsettled() const { return unsettled_; }
+  void markSettled() { unsettled_ = false; }
+  /// Sends an empty query. Its response has a type of its own and arrives behind all that the endpoint has
+  /// sent before, so the connection is settled then and UpstreamConnectionHandler::onSynchronized is called.
+  /// If anything else arrives, or no response in time, the connection is reported as lost.
+  void synchronize();
+  bool isSynchronizing() const { return synchronizing_; }
 
   /// Assigns a request, but does not write it yet.
   void assign(UpstreamRequest& request);
@@ -87,6 +100,7 @@
   ReadStatus moveRow(const pg::MessageHeader& header);
   ReadStatus parseMessage(const pg::MessageHeader& header);
   ReadStatus onReadyForQuery(bool startupCompleted);
+  ReadStatus onSynchronizationCompleted();
   ReadStatus fail(ProtocolError error);
   void deliverResponse();
   void limitResponseTime();
@@ -97,9 +111,11 @@
   const Address address_;
   ResponseParser parser_;
   UpstreamRequest* request_ = nullptr;
+  bool unsettled_ = false;
+  bool synchronizing_ = false;
   Buffer responseMessages_;
   BufferEvent bev_;
-  Event timer_;  // for the connect timeout, then for the idle or the response timeout
+  Event timer_;  // for the connect timeout, then for the idle, synchronization or response timeout
 };
 
 }  // namespace stonebay
--- a/testbed/endpoint_connection.cpp
+++ b/testbed/endpoint_connection.cpp
@@ -126,7 +126,9 @@
 
 void EndpointConnection::onQuery(const std::string& statement) {
   const Time now = environment_.context.now();
-  if (statement == "SHOW load")
+  if (statement.empty())
+    write(connection_.get(), pg::message('I', {}) + pg::readyForQuery());
+  else if (statement == "SHOW load")
     onHealthCheck(now);
   else
     onRequest(statement, now);
--- a/tests/connection_set_test.cpp
+++ b/tests/connection_set_test.cpp
@@ -16,6 +16,7 @@
                   Buffer /*messages*/) override {}
   void onConnectionLost(UpstreamConnection& /*connection*/, AttemptStatus /*status*/) override {}
   void onMalformedResponse(UpstreamConnection& /*connection*/, ProtocolError /*error*/) override {}
+  bool onSynchronized(UpstreamConnection& /*connection*/) override { return true; }
   void onNotReusable(UpstreamConnection& /*connection*/) override {}
 };
 
--- a/tests/scenario.hpp
+++ b/tests/scenario.hpp
@@ -26,6 +26,7 @@
 //   s2 expect statement TEXT    receives a query whose whole text is TEXT
 //   s2 send row TEXT            responds with one row
 //   s2 send part TEXT           the same without CommandComplete and the last 2 bytes of the row
+//   s2 send stray TEXT          the same as `send row` although no query is in flight: a repeated response
 //   s2 send error CODE          responds with an error of this SQLSTATE
 //   s2 send malformed KIND      sends an invalid response, see scenario_endpoints.cpp
 //   s2 close                    closes the connection
--- a/tests/scenario_endpoints.cpp
+++ b/tests/scenario_endpoints.cpp
@@ -158,7 +158,7 @@
                              : parameterStatus("load", endpoint.load));
   if (verb == "close") {
     shutdown(connection.fd, SHUT_RDWR);
-  } else if (object == "row") {
+  } else if (object == "row" || object == "stray") {
     sendAll(connection.fd,
             row(expandValue(arguments)) + pg::message('C', kSelectOneTag) + parameters + pg::readyForQuery());
   } else if (object == "part") {
@@ -183,6 +183,11 @@
     connection.hasStarted = true;
     sendAll(connection.fd, pg::greeting());
   }
+  const std::string empty = pg::query("");
+  if (connection.hasStarted && connection.input.compare(0, empty.size(), empty) == 0) {
+    connection.input.erase(0, empty.size());
+    sendAll(connection.fd, pg::message('I', {}) + pg::readyForQuery());
+  }
   const std::string show = pg::query("SHOW load");
   if (!connection.hasStarted || connection.input.compare(0, show.size(), show) != 0) return;
   connection.input.erase(0, show.size());
--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -185,6 +185,71 @@
     c1 expect row v
   )");
 }
+// So many proxies that none opens connections in advance.
+constexpr int kManyProxies = 100;
+
+// Guards against an answer for another request: a second copy of a response arrived behind it, after the next
+// statement had been written on the connection, and was taken for the response to that one.
+TEST(Upstream, SecondCopyOfAResponseIsNotTakenForTheNextOne) {
+  for (const char* const statement : {"SELECT 1 /* id=2,c=read", "INSERT 1 /* id=2,k=2,c=write"}) {
+    Setting s;
+    s.servers = 1;
+    s.proxyCount = kManyProxies;
+    Scenario t(s);
+    t.run(R"(
+      c1 send query SELECT 1 /* id=1,c=read,d=7000,cluster=3 */
+      s1 expect query id=1
+      s1 send row a
+      c1 expect row a
+      s1 wait stalled
+    )");
+    t.run(std::string("c1 send query ") + statement + ",d=7000,cluster=3 */");
+    t.run(R"(
+      time passes 10
+      s1 send stray a
+      time passes 10
+      s1 wait resumed
+      s1 expect query id=2
+      s1 send row b
+      c1 expect row b
+    )");
+  }
+}
+// The same for an endpoint that hangs with its copy unsent: the next statement does not wait for it for long.
+TEST(Upstream, ConnectionThatDoesNotSettleIsReplaced) {
+  Setting s;
+  s.servers = 1;
+  s.proxyCount = kManyProxies;
+  Scenario t(s);
+  t.run(R"(
+    c1 send query SELECT 1 /* id=1,c=read,d=7000,cluster=3 */
+    s1 expect query id=1
+    s1 send row a
+    c1 expect row a
+    s1 wait stalled
+    c1 send query SELECT 1 /* id=2,c=read,d=7000,cluster=3 */
+    time passes 200
+    s1 wait resumed
+    s1 expect query id=2
+    s1 send row b
+    c1 expect row b
+  )");
+}
+// Guards against a handshake for each statement: a connection is reused at once, by way of an empty query,
+// and after a rest.
+TEST(Upstream, ConnectionsAreReusedAtOnceAndAfterARest) {
+  Setting s;
+  s.servers = 1;
+  s.proxyCount = kManyProxies;
+  Scenario t(s);
+  for (int id = 1; id <= 12; ++id) {
+    const std::string number = std::to_string(id);
+    t.run("c1 send query SELECT 1 /* id=" + number + ",c=read,d=7000,cluster=3 */");
+    t.run("s1 expect query id=" + number + "\ns1 send row " + number + "\nc1 expect row " + number);
+    if (id % 3 == 0) t.run("time passes 60");
+  }
+  t.run("s1 expect connections 1");
+}
 // If x1=inf were accepted as a number, the replica would be taken for the primary.
 TEST(Upstream, IgnoresAMalformedLoadReport) {
   Scenario t;
