Leave time for three failed polls before a missed change counts as notified

Cause: a silent watch was noticed after 3 s, and each poll waited up to 2 s after the end of the failed one before, which had itself taken 1 s: 9 s with two failed calls, 6 s allowed.

Change: silence of a watch is noticed after 2.5 s, a call without an answer is given up after 1.1 s (3 s after three in a row). The policy is told how long the last contact is ago and leaves 3.5 s for failed polls; the pause after a failed poll counts from its start.

--- a/include/stonebay/load_balancer.hpp
+++ b/include/stonebay/load_balancer.hpp
@@ -304,6 +304,9 @@
   /// A list of endpoints arrived, or a poll or watch of discovery failed. The first call must come right
   /// after construction.
   void onEndpointList(TimePoint now, EndpointListKind kind, const std::vector<EndpointUpdate>& updates);
+  /// A poll or watch of discovery failed, with the last sign of a working watch `sinceContact` ago. More
+  /// exact than onEndpointList() with EndpointListKind::Failed, which stands for a contact just now.
+  void onDiscoveryFailure(TimePoint now, Duration sinceContact);
   /// A request arrived. It ends with a successful attempt, with AttemptOutcome::requestFinished, with one
   /// call of ActionSink::reject() or ActionSink::fail(), or with onClientLeft().
   void onRequest(TimePoint now, const Request& request);
--- a/src/app/discovery_source.cpp
+++ b/src/app/discovery_source.cpp
@@ -22,6 +22,7 @@
   RegistrySource(event_base* base, EndpointFeed& feed, const Config& config)
       : watch_(base, feed, config.discovery) {}
   void watch(std::uint64_t after) override { watch_.watch(after); }
+  std::chrono::microseconds sinceContact() const override { return watch_.sinceContact(); }
   void reconfigure(const Config& config) override {
     if (checkTypeUnchanged(config, DiscoveryType::Registry)) watch_.setAddress(config.discovery);
   }
--- a/src/balancer/core.cpp
+++ b/src/balancer/core.cpp
@@ -38,18 +38,26 @@
 
 // ---- events ----------------------------------------------------------------------------------------------
 void LoadBalancer::Core::onEndpointList(EndpointListKind kind, const std::vector<EndpointUpdate>& updates) {
-  poller_.onList(kind);
-  if (kind != EndpointListKind::Failed) {
-    // Nothing has changed in groups that the list does not name, but a new list lets their waiting requests
-    // resume primary discovery.
-    std::set<GroupId> groups = table_.applyList(kind, updates);
-    groups.insert(waitingGroups_.begin(), waitingGroups_.end());
-    for (const GroupId id : groups) {
-      ReplicaGroup& group = table_.group(id);
-      table_.updateLargestGroupSize(group);
-      resumeWaiting(group);
-    }
+  if (kind == EndpointListKind::Failed) return onDiscoveryFailure(Duration(0));
+  poller_.onList();
+  // Nothing has changed in groups that the list does not name, but a new list lets their waiting requests
+  // resume primary discovery.
+  std::set<GroupId> groups = table_.applyList(kind, updates);
+  groups.insert(waitingGroups_.begin(), waitingGroups_.end());
+  for (const GroupId id : groups) {
+    ReplicaGroup& group = table_.group(id);
+    table_.updateLargestGroupSize(group);
+    resumeWaiting(group);
   }
+  startPolling();
+}
+
+void LoadBalancer::Core::onDiscoveryFailure(Duration sinceContact) {
+  poller_.onFailure(sinceContact);
+  startPolling();
+}
+
+void LoadBalancer::Core::startPolling() {
   if (!started_) poller_.start();
   started_ = true;
 }
--- a/src/balancer/core.hpp
+++ b/src/balancer/core.hpp
@@ -24,6 +24,7 @@
   Core& setTime(TimePoint now);
 
   void onEndpointList(EndpointListKind kind, const std::vector<EndpointUpdate>& updates);
+  void onDiscoveryFailure(Duration sinceContact);
   void onRequest(const Request& request);
   void onAttemptOutcome(const AttemptOutcome& outcome);
   void onClientLeft(RequestId id);
@@ -68,6 +69,7 @@
 
   /// Schedules the next tick if none is scheduled. Ticks continue only while attempts are in flight or
   /// requests wait.
+  void startPolling();
   void scheduleTick();
   void onTick();
   void resumeWaitingGroups();
--- a/src/balancer/discovery_polling.cpp
+++ b/src/balancer/discovery_polling.cpp
@@ -6,17 +6,25 @@
 
 void DiscoveryPoller::start() {
   if (context_.settings.discovery != DiscoveryMode::Poll) return;
+  ++generation_;
   if (jitterWindow() > kMinPollBackoff)
-    schedule(jitterWindow() / 2);
+    schedule(randomized(jitterWindow() / 2));
   else
     poll();
 }
 
-void DiscoveryPoller::onList(EndpointListKind kind) {
-  pollPending_ = kind == EndpointListKind::Failed && context_.settings.discovery == DiscoveryMode::Poll;
-  if (kind != EndpointListKind::Failed) backoff_ = jitterWindow();
+void DiscoveryPoller::onList() {
+  pollPending_ = false;
+  pollSent_ = false;
+  backoff_ = std::min(jitterWindow(), kMaxPollBackoff);
+}
+
+void DiscoveryPoller::onFailure(Duration sinceContact) {
+  pollPending_ = context_.settings.discovery == DiscoveryMode::Poll;
   if (!pollPending_) return;
-  schedule(backoff_);
+  ++generation_;
+  if (!pollSent_) return schedule(delayAfterWatch(sinceContact));
+  schedule(delayAfterPoll());
   const Duration maxBackoff = std::max(context_.settings.maxPollInterval / 4, kMinPollBackoff);
   backoff_ = std::min({2 * backoff_, maxBackoff, kMaxPollBackoff});
 }
@@ -27,22 +35,36 @@
 
 Duration DiscoveryPoller::jitterWindow() const {
   return std::clamp<Duration>(context_.settings.proxyCount * kPollJitterPerProxy, kMinPollBackoff,
-                              kMaxPollBackoff);
+                              kMaxPollJitter);
+}
+
+Duration DiscoveryPoller::delayAfterWatch(Duration sinceContact) const {
+  const Duration spare = kMaxNotificationDelay - sinceContact - kTimeForFailedPolls;
+  return randomized(std::clamp(spare, kMinPollSpread, jitterWindow()));
 }
 
-void DiscoveryPoller::schedule(Duration maxDelay) {
+Duration DiscoveryPoller::delayAfterPoll() const {
+  const TimePoint next = lastPollAt_ + randomized(backoff_);
+  return std::max(next - context_.now, randomized(kMinPollSpread));
+}
+
+Duration DiscoveryPoller::randomized(Duration limit) const {
+  return scaled(limit, 0.5 + context_.hash.fraction(generation_) / 2);
+}
+
+void DiscoveryPoller::schedule(Duration delay) {
   pollPending_ = true;
-  ++generation_;
-  const Duration delay = scaled(maxDelay, 0.5 + context_.hash.fraction(generation_) / 2);
   context_.sink.scheduleTimer(delay, {TimerKind::Poll, generation_});
 }
 
 void DiscoveryPoller::poll() {
   pollPending_ = true;
+  pollSent_ = true;
+  lastPollAt_ = context_.now;
   context_.sink.pollDiscovery();
   if (context_.settings.maxPollInterval <= Duration(0)) return;
   ++generation_;
-  context_.sink.scheduleTimer(context_.settings.maxPollInterval / 2, {TimerKind::Poll, generation_});
+  schedule(context_.settings.maxPollInterval / 2);
 }
 
 }  // namespace stonebay::balancer
--- a/src/balancer/load_balancer.cpp
+++ b/src/balancer/load_balancer.cpp
@@ -13,6 +13,9 @@
                                   const std::vector<EndpointUpdate>& updates) {
   core_->setTime(now).onEndpointList(kind, updates);
 }
+void LoadBalancer::onDiscoveryFailure(TimePoint now, Duration sinceContact) {
+  core_->setTime(now).onDiscoveryFailure(sinceContact);
+}
 void LoadBalancer::onRequest(TimePoint now, const Request& request) {
   core_->setTime(now).onRequest(request);
 }
--- a/src/balancer/tuning.hpp
+++ b/src/balancer/tuning.hpp
@@ -86,12 +86,19 @@
 
 // ---- discovery and gossip --------------------------------------------------------------------------------
 
-// Minimum backoff after a failed poll; doubles with each further failure.
+// A change of the list counts as notified this long after discovery had it and could be reached.
+constexpr Duration kMaxNotificationDelay = seconds(6);
+// Part of that time for three polls that fail after 1.1 s each, and one that is answered.
+constexpr Duration kTimeForFailedPolls = milliseconds(3500);
+// Time between the starts of failed polls: the first one, doubled with each failure, and the limit. With the
+// limit, four polls fail within kMaxNotificationDelay after discovery can be reached again.
 constexpr Duration kMinPollBackoff = milliseconds(200);
-// The polls of all proxies are spread over this time per proxy.
+constexpr Duration kMaxPollBackoff = milliseconds(1100);
+// Spread of the polls of all proxies when there is no time to spare.
+constexpr Duration kMinPollSpread = milliseconds(50);
+// The polls of all proxies are spread over this time per proxy, and over the limit with many proxies.
 constexpr Duration kPollJitterPerProxy = milliseconds(20);
-// With 3 s to notice a silent watch and 1 s for a response, a change of the list takes effect within 6 s.
-constexpr Duration kMaxPollBackoff = seconds(2);
+constexpr Duration kMaxPollJitter = seconds(2);
 // How long an idle endpoint is remembered after it left the list.
 constexpr Duration kDepartedRetention = seconds(10);
 // After one proxy has broadcast an endpoint's report, no proxy broadcasts that endpoint for this time.
--- a/src/discovery/registry/registry_watch.hpp
+++ b/src/discovery/registry/registry_watch.hpp
@@ -1,6 +1,8 @@
 // Client for watches on the HTTP registry.
 #pragma once
 
+#include <chrono>
+
 #include "codec/http/http.hpp"
 #include "discovery/endpoint_list.hpp"
 #include "dispatch/dispatcher.hpp"
@@ -17,13 +19,16 @@
 
   /// Connects and requests the changes after generation `after`. Does nothing if a watch is active.
   void watch(std::uint64_t after) override;
+  std::chrono::microseconds sinceContact() const override;
   /// Moves the watch to another address and requests the changes after the last received generation. Closes
   /// the old connection without reporting a failure.
   void setAddress(const Address& address);
 
  private:
   void onReadable();
+  void onSilence();
   void fail(const char* reason);
+  void restartSilenceTimer();
 
   event_base* const base_;
   EndpointListHandler& handler_;
@@ -32,6 +37,9 @@
   Event silenceTimer_;
   http::Response response_;
   EndpointListReader reader_;
+  bool listReceived_ = false;  // on this connection
+  int silentCalls_ = 0;        // calls in a row that were not answered in time
+  std::chrono::steady_clock::time_point lastContactAt_ = std::chrono::steady_clock::now();
 };
 
 }  // namespace stonebay
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -275,7 +275,7 @@
 }
 
 void Dispatcher::deliver(const EndpointListFailed& /*event*/) {
-  balancer_->onEndpointList(now_, EndpointListKind::Failed, {});
+  balancer_->onDiscoveryFailure(now_, watcher_->sinceContact());
 }
 
 void Dispatcher::deliver(const EndpointListReceived& event) {
--- a/tests/discovery_polling_test.cpp
+++ b/tests/discovery_polling_test.cpp
@@ -76,6 +76,79 @@
   }
 }
 
+// How long a poll takes that fails: a reset, a 503 after the time for which the registry lets it wait, and
+// one that is never answered.
+constexpr Duration kFailedPollTimes[] = {0ms, 1000ms, 1100ms};
+// Discovery may have returned right after a poll, so that the next one comes so much later.
+constexpr Duration kMaxPollInterval = 1150ms;
+constexpr int kFleetSizes[] = {1, 10, 30, 100, 300, 900};
+
+// Lets polls fail, each after `pollTime`, from `elapsed` on, and returns when the one after `failures` of
+// them is sent. The failure of a watch, or of a poll that the poller has not sent, comes first.
+Duration timeOfPollAfterFailures(BalancerFixture& fixture, Duration elapsed, int failures,
+                                 Duration pollTime) {
+  const TimePoint start = fixture.now - elapsed;
+  fixture.balancer.onDiscoveryFailure(fixture.now, elapsed);
+  fire(fixture, lastTimer(fixture));
+  for (int k = 0; k < failures; ++k) {
+    fixture.advanceTime(pollTime);
+    fixture.balancer.onDiscoveryFailure(fixture.now, fixture.now - start);
+    fire(fixture, lastTimer(fixture));
+  }
+  return fixture.now - start;
+}
+
+// Guards against a change that arrives too late: with 100 proxies or more, two polls that failed after the
+// end of a watch moved the next one beyond the 6 s within which a change counts as notified.
+TEST(DiscoveryPolling, ThreeFailedPollsFitBetweenALostWatchAndTheNotificationLimit) {
+  for (const int proxies : kFleetSizes)
+    for (const Duration pollTime : kFailedPollTimes)
+      for (const Duration sinceContact :
+           {Duration(0ms), Duration(1000ms), Duration(2000ms), Duration(2500ms)})
+        for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+          BalancerFixture fixture(settingsWithPolling(proxies), 3, seed);
+          fixture.updateEndpoints({});
+          EXPECT_LE(timeOfPollAfterFailures(fixture, sinceContact, 3, pollTime), 6s)
+              << proxies << " proxies, polls of " << pollTime.count() << " us, seed " << seed;
+        }
+}
+
+// The same after a change of the registry's address, which leaves 4 s. The first poll is sent by the reload.
+TEST(DiscoveryPolling, ThreeFailedPollsFitIntoTheTimeAfterAReload) {
+  constexpr Duration kReloadHeadStart = 2s;
+  for (const int proxies : kFleetSizes)
+    for (const Duration pollTime : kFailedPollTimes)
+      for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        BalancerFixture fixture(settingsWithPolling(proxies), 3, seed);
+        fixture.updateEndpoints({});
+        fixture.advanceTime(pollTime);
+        EXPECT_LE(timeOfPollAfterFailures(fixture, kReloadHeadStart + pollTime, 2, pollTime), 6s)
+            << proxies << " proxies, polls of " << pollTime.count() << " us, seed " << seed;
+      }
+}
+
+// The same for a new process, and for the return of discovery after an outage: the first of the polls comes
+// within a second or so.
+TEST(DiscoveryPolling, ThreeFailedPollsFitIntoTheTimeAfterAStartOrAnOutage) {
+  for (const int proxies : kFleetSizes)
+    for (const Duration pollTime : kFailedPollTimes)
+      for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        BalancerFixture fixture(settingsWithPolling(proxies), 3, seed);
+        const TimePoint start = fixture.now;
+        if (fixture.actions.count(ActionKind::PollDiscovery) == 0) fire(fixture, lastTimer(fixture));
+        for (int k = 0; k < 20; ++k) {
+          const TimePoint returnedAt = fixture.now;
+          for (int failures = 0; failures < 3; ++failures) {
+            fixture.advanceTime(pollTime);
+            fixture.balancer.onDiscoveryFailure(fixture.now, fixture.now - start);
+            fire(fixture, lastTimer(fixture));
+          }
+          EXPECT_LE(fixture.now - (k == 0 ? start : returnedAt), 6s - kMaxPollInterval)
+              << proxies << " proxies, seed " << seed;
+        }
+      }
+}
+
 TEST(DiscoveryPolling, UnansweredPollIsRepeatedWithinTheMaximumInterval) {
   BalancerFixture fixture(settingsWithPolling());
   const Action timeout = lastTimer(fixture);
--- a/tests/discovery_watch_test.cpp
+++ b/tests/discovery_watch_test.cpp
@@ -1,4 +1,7 @@
 // The watch on the registry: received lists, failures and reloads. scenario.hpp explains the script language.
+#include <chrono>
+#include <string>
+
 #include "scenario.hpp"
 
 namespace stonebay::test {
@@ -60,6 +63,33 @@
     s1 expect drained
   )");
 }
+// With so many proxies the polls are spread over the longest time.
+constexpr int kManyProxies = 300;
+// A change counts as notified 6 s after a watch has fallen silent, and a leaving endpoint may get requests
+// for 250 ms after that.
+constexpr auto kNotificationLimit = std::chrono::milliseconds(6250);
+
+// Lets the watch fall silent and three calls fail, each by the steps of `failure`, and expects that the next
+// one comes in time.
+void expectListAfterThreeFailedCalls(const std::string& failure) {
+  Setting setting;
+  setting.proxyCount = kManyProxies;
+  Scenario scenario(setting);
+  const auto lastLineAt = std::chrono::steady_clock::now();
+  for (int call = 0; call < 3; ++call) scenario.run("list expect call after=5\n" + failure);
+  scenario.run("list expect watch after=5\nlist send line " + scenario.list(2, "leaving", 6) +
+               "\ns2 expect drained");
+  EXPECT_LT(std::chrono::steady_clock::now() - lastLineAt, kNotificationLimit);
+}
+
+// Guards against a change that arrives too late: the backoff after each call that failed left no time for
+// others, so that a leaving endpoint got requests for seconds and cut them.
+TEST(DiscoveryWatch, ListArrivesInTimeAfterThreeCallsThatWaitedAndFailed) {
+  expectListAfterThreeFailedCalls("time passes 1000\nlist send status 503 Service Unavailable");
+}
+TEST(DiscoveryWatch, ListArrivesInTimeAfterThreeResetCalls) { expectListAfterThreeFailedCalls("list reset"); }
+TEST(DiscoveryWatch, ListArrivesInTimeAfterThreeSilentCalls) { expectListAfterThreeFailedCalls(""); }
+
 // Without a signal handler, SIGHUP would end the process. Neither the signal nor an invalid file may end it.
 TEST(DiscoveryWatch, SighupReloadsTheConfigurationAndMovesTheWatch) {
   Scenario scenario;
