Remove the records of groups that only clients name before they add up

Cause: each request for a group without endpoints left a record, removed once a second.

Change: such records are removed when there are 256, or twice those in use; ending a request creates none. The latest commit of sessions that are no longer remembered is kept once, no longer in each group, which kept groups.

--- a/src/balancer/consistency.cpp
+++ b/src/balancer/consistency.cpp
@@ -32,8 +32,7 @@
   if (consistency != Consistency::ReadYourWrites) return;
   const Request& request = pending.request;
   if (!context_.settings.requestsCarrySessionToken) {
-    const TimePoint evicted = table_.group(request.group).evictedCommit;
-    pending.requiredCommit = commits_.find(request.session).value_or(evicted);
+    pending.requiredCommit = commits_.find(request.session).value_or(evictedCommit_);
   } else if (request.sessionTokenAgeMs > 0) {
     // Rounding to 32 bits may have increased the age. With the next smaller number the required position is
     // never too old.
@@ -52,15 +51,11 @@
 
 void ConsistencyPolicy::shiftCommits(Duration shift) {
   commits_.shiftAll(shift);
-  for (auto& [id, group] : table_.groups())
-    if (group.evictedCommit != kNever) group.evictedCommit += shift;
+  if (evictedCommit_ != kNever) evictedCommit_ += shift;
 }
 
 // Reads of forgotten sessions must not become stale: they require the latest commit of all sessions.
-void ConsistencyPolicy::evictSessions() {
-  const TimePoint latest = commits_.evictAll();
-  for (auto& [id, group] : table_.groups()) group.evictedCommit = std::max(group.evictedCommit, latest);
-}
+void ConsistencyPolicy::evictSessions() { evictedCommit_ = std::max(evictedCommit_, commits_.evictAll()); }
 
 bool isKnownStale(const Endpoint& endpoint, TimePoint required) {
   return required != kNever && !endpoint.isPrimary() && endpoint.position < required;
--- a/src/balancer/consistency.hpp
+++ b/src/balancer/consistency.hpp
@@ -42,6 +42,7 @@
   const Context& context_;
   EndpointTable& table_;
   SessionCommits commits_;
+  TimePoint evictedCommit_ = kNever;  // latest commit of all sessions that are no longer remembered
   Duration tightestStaleness_;
 };
 
--- a/src/balancer/core.cpp
+++ b/src/balancer/core.cpp
@@ -215,8 +215,8 @@
 
 void LoadBalancer::Core::finish(PendingRequest& pending) {
   const RequestId id = pending.request.id;
-  ReplicaGroup& group = table_.group(pending.request.group);
-  if (group.discoveryRequest == id) group.discoveryRequest = 0;
+  ReplicaGroup* const group = table_.findGroup(pending.request.group);
+  if (group && group->discoveryRequest == id) group->discoveryRequest = 0;
   for (int k = 0; context_.settings.cancellationAllowed && k < pending.attemptCount(); ++k) {
     const Attempt& attempt = pending.attempts[index(k)];
     if (attempt.inFlight && !attempt.cancelled) context_.sink.cancel(id, k);
--- a/src/balancer/endpoint_table.cpp
+++ b/src/balancer/endpoint_table.cpp
@@ -71,10 +71,20 @@
   endpoint.lastResponseAt = context_.now;
 }
 
+ReplicaGroup* EndpointTable::findGroup(GroupId id) {
+  const auto entry = groups_.find(id);
+  return entry == groups_.end() ? nullptr : &entry->second;
+}
+
 ReplicaGroup& EndpointTable::group(GroupId id) {
-  const auto [entry, isNew] = groups_.try_emplace(id);
-  if (isNew) emptyGroups_.insert(id);
-  return entry->second;
+  const auto known = groups_.find(id);
+  if (known != groups_.end()) return known->second;
+  if (emptyGroups_.size() >= emptyGroupLimit_) {
+    removeUnusedGroups();
+    emptyGroupLimit_ = std::max(kMinEmptyGroupLimit, 2 * emptyGroups_.size());
+  }
+  emptyGroups_.insert(id);
+  return groups_[id];
 }
 
 std::set<GroupId> EndpointTable::applyList(EndpointListKind kind,
--- a/src/balancer/endpoint_table.hpp
+++ b/src/balancer/endpoint_table.hpp
@@ -21,7 +21,10 @@
   const Endpoint& at(EndpointId id) const { return endpoints_.at(id); }
   std::map<EndpointId, Endpoint>& endpoints() { return endpoints_; }
   std::map<GroupId, ReplicaGroup>& groups() { return groups_; }
-  /// Returns the group; creates it if it is unknown, since clients may name groups without endpoints.
+  /// Returns nullptr if the group is unknown.
+  ReplicaGroup* findGroup(GroupId id);
+  /// Returns the group; creates it if it is unknown, since clients may name groups without endpoints. This
+  /// may remove unused groups other than the one that is returned.
   ReplicaGroup& group(GroupId id);
   /// Applies a list of endpoints. Returns the groups that it may have changed.
   std::set<GroupId> applyList(EndpointListKind kind, const std::vector<EndpointUpdate>& updates);
@@ -71,9 +74,10 @@
   const Context& context_;
   std::map<EndpointId, Endpoint> endpoints_;
   std::map<GroupId, ReplicaGroup> groups_;
-  std::set<EndpointId> departed_;  // endpoints with departedAt
-  std::set<GroupId> emptyGroups_;  // groups without endpoints
-  std::uint64_t listVersion_ = 1;  // number of lists applied, plus 1
+  std::set<EndpointId> departed_;                      // endpoints with departedAt
+  std::set<GroupId> emptyGroups_;                      // groups without endpoints
+  std::size_t emptyGroupLimit_ = kMinEmptyGroupLimit;  // at which the unused ones are removed
+  std::uint64_t listVersion_ = 1;                      // number of lists applied, plus 1
   int largestGroupSize_ = 1;
 };
 
--- a/src/balancer/state.hpp
+++ b/src/balancer/state.hpp
@@ -74,13 +74,10 @@
   RequestId discoveryRequest = 0;         ///< the write that is tried to find the primary; 0 means none
   /// Version of the endpoint list in which all endpoints have been tried without finding the primary.
   std::uint64_t discoveryExhaustedVersion = 0;
-  TimePoint evictedCommit = kNever;  ///< latest commit of all sessions that are no longer remembered
   std::vector<RequestId> waitingRequests;
 
   /// Returns whether the record may be erased.
-  bool isUnused() const {
-    return endpoints.empty() && waitingRequests.empty() && discoveryRequest == 0 && evictedCommit == kNever;
-  }
+  bool isUnused() const { return endpoints.empty() && waitingRequests.empty() && discoveryRequest == 0; }
 };
 
 /// An endpoint and what is known about it.
--- a/src/balancer/tuning.hpp
+++ b/src/balancer/tuning.hpp
@@ -38,6 +38,8 @@
 constexpr std::size_t kPositionWindowSize = 8;
 // For this long after a fault, a read set has to reach the target without its best endpoint.
 constexpr Duration kFaultWindow = seconds(1);
+// Groups that clients named and that have no endpoints are removed at this number, or earlier.
+constexpr std::size_t kMinEmptyGroupLimit = 256;
 // Beyond this, the commits of all sessions are merged into one per replica group, which bounds the memory.
 constexpr std::size_t kMaxRememberedSessions = 200000;
 
--- a/tests/endpoint_table_test.cpp
+++ b/tests/endpoint_table_test.cpp
@@ -1,4 +1,6 @@
 // Tests of the endpoint table: listed states, roles, positions and removal.
+#include "balancer/endpoint_table.hpp"
+
 #include <set>
 #include <vector>
 
@@ -20,6 +22,19 @@
   EXPECT_EQ(fixture.lastEndpoint(fixture.submit(kBoundedRead)), 1u);
 }
 
+// Guards against memory that grows with the names that a client sends: each request for a new group without
+// endpoints left a record behind, for up to a second.
+TEST(EndpointTable, GroupsThatOnlyClientsNameAreRemoved) {
+  const Settings settings = defaultSettings();
+  RecordingSink sink;
+  const balancer::Context context{settings, sink, balancer::SeededHash(1)};
+  balancer::EndpointTable table(context);
+  for (GroupId id = 1; id <= 100000; ++id) {
+    table.group(id);
+    ASSERT_LE(table.groups().size(), balancer::kMinEmptyGroupLimit + 1);
+  }
+}
+
 TEST(EndpointTable, PositionsNeverRegress) {
   BalancerFixture fixture;
   fixture.reportPosition(2, 50ms);
