Do not run an id again that came again after its client had left

Cause: the id of a request was forgotten with its session, although the endpoint may still have been working on it, so the same id was accepted as a new request. The same after a cancel and after the answer.

What was rejected, never sent, or is idempotent may come again.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -71,6 +71,11 @@
   record(ClientLeft{id});
 }
 
+bool Dispatcher::hasAttempts(RequestId id) const {
+  const auto it = inFlight_.find(id);
+  return it != inFlight_.end() && !it->second.attempts.empty();
+}
+
 bool Dispatcher::mayBeWritten(RequestId id) const {
   const auto it = inFlight_.find(id);
   if (it == inFlight_.end() || it->second.handler == nullptr) return false;
--- a/src/dispatch/dispatcher.hpp
+++ b/src/dispatch/dispatcher.hpp
@@ -62,6 +62,8 @@
   /// final response or onClientLeft() has been called.
   RequestId submit(ResponseHandler& handler, Request request, ForwardedRequest message);
   void onClientLeft(RequestId id);
+  /// Returns whether an attempt of this request has been decided, so that it may have been executed.
+  bool hasAttempts(RequestId id) const;
   /// Returns whether an attempt of this request may still be written to its endpoint. Returns false if the
   /// request has ended, its deadline has passed or its client has left since the attempt was decided.
   bool mayBeWritten(RequestId id) const;
--- a/src/downstream/pg/client_session.cpp
+++ b/src/downstream/pg/client_session.cpp
@@ -47,7 +47,7 @@
       lastActiveAt_(context.dispatcher.now()) {}
 
 ClientSession::~ClientSession() {
-  if (inFlightRequest_ != 0) context_.dispatcher.onClientLeft(inFlightRequest_);
+  if (inFlightRequest_ != 0) endRequestOfAbsentClient();
   context_.cancelKeys.remove(cancelKey_);
   releaseClientRequestId();
   releaseMemory();
@@ -61,6 +61,7 @@
 }
 
 void ClientSession::onRejected(Duration retryAfter) {
+  mayRunOnlyOnce_ = false;  // it has not run
   failRequest(pg::errorResponse("ERROR", "53300", "no data server can take this request now",
                                 retryAfterDetail(retryAfter)));
 }
@@ -71,10 +72,16 @@
 
 void ClientSession::cancelRequest() {
   if (inFlightRequest_ == 0) return;
-  context_.dispatcher.onClientLeft(inFlightRequest_);
+  endRequestOfAbsentClient();
   failRequest(pg::errorResponse("ERROR", "57014", "canceled by its client"));
 }
 
+// The attempts are cancelled, but an endpoint may be working on one already.
+void ClientSession::endRequestOfAbsentClient() {
+  if (!context_.dispatcher.hasAttempts(inFlightRequest_)) mayRunOnlyOnce_ = false;
+  context_.dispatcher.onClientLeft(inFlightRequest_);
+}
+
 void ClientSession::failRequest(const std::string& errorResponse) {
   inFlightRequest_ = 0;
   append(connection_.output(), errorResponse);
@@ -111,7 +118,8 @@
 }
 
 void ClientSession::releaseClientRequestId() {
-  if (!clientRequestId_.empty()) context_.inFlightRequestIds.erase(clientRequestId_);
+  if (clientRequestId_.empty()) return;
+  context_.requestIds.end(clientRequestId_, mayRunOnlyOnce_, context_.dispatcher.now());
   clientRequestId_.clear();
 }
 
@@ -322,10 +330,9 @@
     finishResponse();
     return;
   }
-  // Endpoints identify a request by this id, and each id gets one final response, so two requests in flight
-  // must not share one.
-  if (context_.inFlightRequestIds.count(statement.id()) > 0) {
-    rejectMessage({Severity::Error, "42710", "this id is that of an open request"});
+  // Endpoints identify a request by this id, and each id gets one final response.
+  if (context_.requestIds.contains(statement.id())) {
+    rejectMessage({Severity::Error, "42710", "this id is that of another request, open or recent"});
     return;
   }
   const std::optional<int> classIndex = statement.classIndex(context_.config);
@@ -353,7 +360,9 @@
   const Request request =
       statement.toRequest(context_.config, classIndex, arrivedAt, context_.dispatcher.unixNow());
   clientRequestId_ = statement.id();
-  context_.inFlightRequestIds.insert(clientRequestId_);
+  context_.requestIds.begin(clientRequestId_);
+  const auto index = static_cast<std::size_t>(classIndex);
+  mayRunOnlyOnce_ = context_.config.settings.classes[index].idempotency != Idempotency::Idempotent;
   inFlightRequest_ = context_.dispatcher.submit(*this, request, statement.takeForwardedRequest());
 }
 
--- a/src/downstream/pg/client_session.hpp
+++ b/src/downstream/pg/client_session.hpp
@@ -133,6 +133,7 @@
   void handleStatement(Buffer body);
 
   void submit(ClientStatement& statement, int classIndex);
+  void endRequestOfAbsentClient();
   void failRequest(const std::string& errorResponse);
   void rejectMessage(const ClientError& error);
   void finishResponse();
@@ -149,6 +150,7 @@
   MessageThrottle throttle_;        // its intervals are those of checkTimeouts
   CancelKey cancelKey_;             // set at the end of the startup
   RequestId inFlightRequest_ = 0;   // 0 if there is none
+  bool mayRunOnlyOnce_ = false;     // that request is not idempotent, and may have been executed
   std::string clientRequestId_;     // the id that the client gave to that request; empty if there is none
   std::size_t reservedBytes_ = 0;   // from SessionContext::statementMemory
   std::size_t discardedBytes_ = 0;  // input discarded while the session is being closed
--- a/src/downstream/pg/session_context.hpp
+++ b/src/downstream/pg/session_context.hpp
@@ -5,10 +5,10 @@
 #include <cstdint>
 #include <string>
 #include <unordered_map>
-#include <unordered_set>
 
 #include "dispatch/dispatcher.hpp"
 #include "downstream/pg/buffer_memory.hpp"
+#include "downstream/pg/request_ids.hpp"
 #include "downstream/pg/startup_message.hpp"
 
 namespace stonebay {
@@ -51,7 +51,7 @@
   StatementMemory statementMemory;
   BufferMemory bufferMemory;
   CancelKeys cancelKeys{};
-  std::unordered_set<std::string> inFlightRequestIds{};  ///< ids that clients gave to the requests in flight
+  RequestIds requestIds{};
 };
 
 }  // namespace stonebay
--- a/tests/downstream_test.cpp
+++ b/tests/downstream_test.cpp
@@ -253,5 +253,44 @@
   )");
 }
 
+// Guards against a request that runs twice: its client left, or cancelled it, while an endpoint worked on it,
+// and its id was accepted when it came again.
+TEST(Downstream, IdThatMayHaveRunIsNotAcceptedAgain) {
+  for (const char* const end : {"c1 close", "c1 cancel", "s1 send row v"}) {
+    Scenario t;
+    t.run("c1 send query INSERT 1 /* id=1,c=write,d=7000,k=1,cluster=3 */\ns1 expect query id=1");
+    t.run(end);
+    t.run(R"(
+      time passes 50
+      c2 send query INSERT 1 /* id=1,c=write,d=7000,k=1,cluster=3 */
+      c2 expect error 42710
+      c2 send query INSERT 1 /* id=2,c=write,d=7000,k=2,cluster=3 */
+      s1 expect query id=2
+      s1 send row v
+      c2 expect row v
+    )");
+  }
+}
+// Guards against refusals of useful work: what cannot have run, or may run any number of times, may come
+// again under its id.
+TEST(Downstream, IdThatHasNotRunOrIsIdempotentIsAcceptedAgain) {
+  Scenario t;
+  t.run(R"(
+    c1 send query SELECT 1 /* id=1,c=read,d=7000,cluster=3 */
+    s2 expect query id=1
+    c1 close
+    c2 send query SELECT 1 /* id=1,c=read,d=7000,cluster=3 */
+    s2 expect query id=1
+    s2 send row v
+    c2 expect row v
+    c2 send query INSERT 1 /* id=2,c=write,d=1,k=2,cluster=9 */
+    c2 expect retry-after
+    c2 send query INSERT 1 /* id=2,c=write,d=7000,k=2,cluster=3 */
+    s1 expect query id=2
+    s1 send row v
+    c2 expect row v
+  )");
+}
+
 }  // namespace
 }  // namespace stonebay::test
