Tests: clients that write slowly, stop half way, or flood with ever new names

The shapes that hold had no test with a real process and small memory.

Change: HostileClients runs a proxy of 32 MB beside 300 clients that stop half way through a large request, write slowly, send heads of 30,000 short fields or read nothing, and beside one client at full speed with empty queries, invalid requests, ever new classes or groups. Others get their answers within their deadline, and the peak memory stays under half of the limit.

--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -105,6 +105,11 @@
   if (subject == "dns") return runDnsStep(verb, object, arguments);
   if (subject == "proxy" && object == "log")
     return waitUntil([&] { return log_.find(arguments) != std::string::npos; }, "a line in the log");
+  if (subject == "proxy" && object == "memory") return expectMemoryBelow(std::stol(arguments));
+  if (subject == "flood") {
+    flood_ = std::make_unique<Flood>(proxyPort_, std::stoi(object), arguments);
+    return;
+  }
   if (subject == "proxy") return runProxyStep(verb, object == "exit" ? arguments : object);
   if (subject[0] == 's')
     return runEndpointStep(endpoints_.at(static_cast<std::size_t>(std::stoi(subject.substr(1)) - 1)), verb,
@@ -122,6 +127,16 @@
   runClientStep(connection, verb, object, arguments);
 }
 
+void Scenario::expectMemoryBelow(long megabytes) const {
+  constexpr long kKilobytesPerMegabyte = 1024;
+  std::ifstream status("/proc/" + std::to_string(proxyPid_) + "/status");
+  long peak = -1;
+  for (std::string word; status >> word;)
+    if (word == "VmHWM:") status >> peak;
+  EXPECT_GT(peak, 0) << currentStep_;
+  EXPECT_LE(peak, megabytes * kKilobytesPerMegabyte) << currentStep_;
+}
+
 void Scenario::runProxyStep(const std::string& verb, const std::string& arguments) {
   if (verb == "send") {
     const std::map<std::string, int> signals{{"TERM", SIGTERM}, {"STOP", SIGSTOP}, {"CONT", SIGCONT}};
@@ -183,7 +198,8 @@
     for (Connection& connection : endpoint.connections) addToPoll(connection);
   }
   if (eventBase_) event_base_loop(eventBase_.get(), EVLOOP_NONBLOCK);
-  poll(fds.data(), fds.size(), eventBase_ ? 5 : 20);
+  if (flood_) flood_->pump();
+  poll(fds.data(), fds.size(), eventBase_ || flood_ ? 5 : 20);
   const auto isReady = [&](int fd) {
     for (const pollfd& entry : fds)
       if (entry.fd == fd && entry.revents) return true;
--- a/tests/scenario.hpp
+++ b/tests/scenario.hpp
@@ -65,11 +65,15 @@
 //   dns behavior NAME                see testbed::NameServer::Behavior
 //   dns move DOMAIN                  serves another domain at the same port; reloads the proxy
 //
+// Hostile clients, which go on while other steps wait.
+//   flood start N SHAPE         N clients send in the way SHAPE, see flood.hpp
+//
 // The proxy, and time.
 //   proxy send TERM|STOP|CONT   sends a signal
 //   proxy reload moved|broken   replaces the configuration file and sends SIGHUP; `moved` moves the registry
 //                               to another port, `broken` makes the file invalid
 //   proxy expect log TEXT       its output contains TEXT
+//   proxy expect memory MB      it has never used more resident memory
 //   proxy expect quiet          the process sleeps between timers instead of spinning
 //   proxy expect exit CODE      it exits with this status
 //   time passes MS              handles events for MS milliseconds
@@ -89,6 +93,7 @@
 #include <string>
 #include <vector>
 
+#include "flood.hpp"
 #include "proxy_process.hpp"
 
 namespace stonebay::testbed {
@@ -143,6 +148,7 @@
                const std::string& arguments);
   void runRegistryStep(const std::string& verb, const std::string& object, const std::string& arguments);
   void runDnsStep(const std::string& verb, const std::string& object, const std::string& arguments);
+  void expectMemoryBelow(long megabytes) const;
   void runProxyStep(const std::string& verb, const std::string& arguments);
   void processEvents();
   void read(Connection&);
@@ -166,6 +172,7 @@
   };
   std::unique_ptr<event_base, FreeBase> eventBase_;
   std::unique_ptr<testbed::NameServer> nameServer_;
+  std::unique_ptr<Flood> flood_;
   std::string domain_ = "ruwi.example.org";
 };
 
